--- /dev/null
+++ b/cmd/sequoiaroadctl/main.go
@@ -0,0 +1,4 @@
+// Command sequoiaroadctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/dispatch/contract.go
@@ -0,0 +1,100 @@
+// Package dispatch sends requests to targets: it queues them fairly, chooses the
+// target, and retries where that is safe.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+// Completion is a validated request for a completion.
+type Completion struct {
+	RequestID string
+	AccountID string
+	Model     string
+	Chat      bool
+	// Body is the caller's JSON body, without credentials.
+	Body map[string]any
+	// Prompt holds the canonical prompt bytes from prefix.Prompt or prefix.ChatPrompt.
+	Prompt          []byte
+	MaxOutputTokens int
+	Deadline        time.Time
+	// AllowDispatch is asked right before each attempt is sent; an error (a
+	// *refusal.Refusal) ends the request without sending.
+	AllowDispatch func() error
+	// ResumeFrom is set when a caller reconnects.
+	ResumeFrom *StreamPosition
+}
+
+// StreamPosition names a point in a stream that an engine may still keep.
+type StreamPosition struct {
+	EngineRequestID string
+	TargetID        string
+	Epoch           string
+	// Offset is the number of tokens that the caller has.
+	Offset int
+}
+
+// Token is one token of the answer, already in order and without repeats.
+type Token struct {
+	Position     StreamPosition // after this token
+	Text         string
+	FinishReason string
+}
+
+// Result sums up a completion.
+type Result struct {
+	Usage    target.Usage
+	TargetID string
+	Attempts int
+	// TimeToFirstToken counts from the call of Complete.
+	TimeToFirstToken time.Duration
+}
+
+// Completer runs completions. It calls sink for each token in order; a sink error
+// means that the caller is gone and cancels at the engine. A returned
+// *refusal.Refusal says whether the request ran.
+type Completer interface {
+	Complete(ctx context.Context, c *Completion, sink func(Token) error) (Result, error)
+}
+
+// Explanation says why a request would go where it would.
+type Explanation struct {
+	Policy     string      `json:"policy"`
+	Chosen     string      `json:"chosen"`
+	Reason     string      `json:"reason"`
+	Candidates []Candidate `json:"candidates"`
+}
+
+// Candidate is one target with the parts of its predicted time to first token.
+type Candidate struct {
+	Target         string  `json:"target"`
+	CachedTokens   int     `json:"cached_tokens"`
+	UncachedTokens int     `json:"uncached_tokens"`
+	NetworkMs      float64 `json:"network_ms"`
+	QueueMs        float64 `json:"queue_ms"`
+	PrefillMs      float64 `json:"prefill_ms"`
+	LoadMs         float64 `json:"load_ms"`
+	TotalMs        float64 `json:"total_ms"`
+	Excluded       string  `json:"excluded,omitempty"`
+}
+
+// Explainer is the debugging side of the dispatcher.
+type Explainer interface {
+	Explain(accountID, model string, prompt []byte) Explanation
+}
+
+// ServiceChooser chooses replicas of plain services.
+type ServiceChooser interface {
+	// ChooseService returns a live replica that is not in tried, and a function that
+	// takes the outcome of the call. It returns a *refusal.Refusal if there is none.
+	ChooseService(service string, tried []string) (*config.Target, func(err error), error)
+}
+
+// TargetSet takes the platform's word on leaving targets.
+type TargetSet interface {
+	ObserveLeaving(targetIDs []string)
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,138 @@
+// Package refusal defines the typed refusals that callers see. Every layer of the
+// request path returns *Refusal when a request ends without a target's answer.
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Run says whether a refused request ran at a target.
+type Run string
+
+// The values of Run. NotRun is used only where no byte of the request can have
+// reached a target, or the target itself said that it did not run.
+const (
+	NotRun  Run = "not_run"
+	Unknown Run = "unknown"
+	Done    Run = "done"
+)
+
+// Code is the stable name of a refusal.
+type Code string
+
+// The codes of refusals.
+const (
+	Unauthorized           Code = "unauthorized"
+	KeyWithdrawn           Code = "key_withdrawn"
+	InvalidRequest         Code = "invalid_request"
+	BodyTooLarge           Code = "body_too_large"
+	NotFound               Code = "not_found"
+	MethodNotAllowed       Code = "method_not_allowed"
+	RequestExceedsBurst    Code = "request_exceeds_burst"
+	RateLimited            Code = "rate_limited"
+	IdempotencyKeyRequired Code = "idempotency_key_required"
+	IdempotencyKeyReused   Code = "idempotency_key_reused"
+	StillRunning           Code = "still_running"
+	OutcomeUnknown         Code = "outcome_unknown"
+	HostNotFresh           Code = "host_not_fresh"
+	HostDraining           Code = "host_draining"
+	Overloaded             Code = "overloaded"
+	DeadlineUnreachable    Code = "deadline_unreachable"
+	PlatformUnavailable    Code = "platform_unavailable"
+	TargetUnavailable      Code = "target_unavailable"
+	TargetFailed           Code = "target_failed"
+	StreamNotResumable     Code = "stream_not_resumable"
+)
+
+var statuses = map[Code]int{
+	Unauthorized:           http.StatusUnauthorized,
+	KeyWithdrawn:           http.StatusUnauthorized,
+	InvalidRequest:         http.StatusBadRequest,
+	BodyTooLarge:           http.StatusRequestEntityTooLarge,
+	NotFound:               http.StatusNotFound,
+	MethodNotAllowed:       http.StatusMethodNotAllowed,
+	RequestExceedsBurst:    http.StatusBadRequest,
+	RateLimited:            http.StatusTooManyRequests,
+	IdempotencyKeyRequired: http.StatusBadRequest,
+	IdempotencyKeyReused:   http.StatusUnprocessableEntity,
+	StillRunning:           http.StatusConflict,
+	OutcomeUnknown:         http.StatusConflict,
+	HostNotFresh:           http.StatusServiceUnavailable,
+	HostDraining:           http.StatusServiceUnavailable,
+	Overloaded:             http.StatusServiceUnavailable,
+	DeadlineUnreachable:    http.StatusServiceUnavailable,
+	PlatformUnavailable:    http.StatusServiceUnavailable,
+	TargetUnavailable:      http.StatusServiceUnavailable,
+	TargetFailed:           http.StatusBadGateway,
+	StreamNotResumable:     http.StatusConflict,
+}
+
+// Refusal is the error that a caller sees.
+type Refusal struct {
+	Code    Code
+	Message string
+	Run     Run
+	// RetryAfter is a hint; zero means that none is given.
+	RetryAfter time.Duration
+	// Addresses lists other hosts to ask; empty means that none is named.
+	Addresses []string
+	// Cause is logged and never sent to the caller.
+	Cause error
+}
+
+// New returns a refusal of a request that did not run.
+func New(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), Run: NotRun}
+}
+
+// WithRun returns a copy with another run state.
+func (r *Refusal) WithRun(run Run) *Refusal {
+	c := *r
+	c.Run = run
+	return &c
+}
+
+// WithCause returns a copy that carries the cause for the log.
+func (r *Refusal) WithCause(err error) *Refusal {
+	c := *r
+	c.Cause = err
+	return &c
+}
+
+// WithRetryAfter returns a copy with a hint when to try again.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	c := *r
+	c.RetryAfter = d
+	return &c
+}
+
+func (r *Refusal) Error() string {
+	if r.Cause != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", r.Code, r.Run, r.Message, r.Cause)
+	}
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Run, r.Message)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if s, ok := statuses[r.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// From finds the refusal in an error chain. An error without one becomes
+// TargetFailed with run unknown, the only safe claim about it.
+func From(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(TargetFailed, "the request failed").WithRun(Unknown).WithCause(err)
+}
--- /dev/null
+++ b/internal/target/contract.go
@@ -0,0 +1,118 @@
+// Package target holds the clients for engines and plain services.
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+)
+
+// CompletionRequest is one attempt at an engine.
+type CompletionRequest struct {
+	// RequestID names the request and attempt at the engine.
+	RequestID string
+	Chat      bool
+	// Body is the caller's JSON body after validation, without credentials.
+	Body map[string]any
+	// CacheSalt is the hexadecimal seed of the block hash chain.
+	CacheSalt string
+	Priority  int
+	// ResumeText and ResumeOffset continue a completion whose first ResumeOffset
+	// tokens are ResumeText; zero starts from the beginning.
+	ResumeText   string
+	ResumeOffset int
+}
+
+// Usage is the engine's token count for one attempt.
+type Usage struct {
+	PromptTokens     int
+	CompletionTokens int
+	CachedTokens     int
+}
+
+// TokenEvent is one event of a stream.
+type TokenEvent struct {
+	// Offset counts tokens from the start of the completion.
+	Offset int
+	Text   string
+	// FinishReason is set on the last token event.
+	FinishReason string
+	// Usage is set on the event after the last token.
+	Usage *Usage
+	// Done is set on the end marker; a stream that ends without it is broken.
+	Done bool
+}
+
+// TokenStream reads the events of one attempt in order.
+type TokenStream interface {
+	Next() (TokenEvent, error)
+	// Epoch is the engine's epoch, from its response headers.
+	Epoch() string
+	// Close stops reading. Without a prior Done it also cancels at the engine.
+	Close()
+}
+
+// LoadReport is an engine's own view, delivered with a lag.
+type LoadReport struct {
+	Epoch                string
+	WeightsVersion       string
+	Running              int
+	Waiting              int
+	PendingPrefillTokens int
+	Draining             bool
+	MeasuredAt           time.Time
+}
+
+// EngineClient talks to engines. Errors are *CallError.
+type EngineClient interface {
+	Complete(ctx context.Context, t *config.Target, r *CompletionRequest) (TokenStream, error)
+	// Resume continues a stream that is still kept at the engine, from a token offset.
+	Resume(ctx context.Context, t *config.Target, requestID string, offset int) (TokenStream, error)
+	Cancel(ctx context.Context, t *config.Target, requestID string) error
+	Load(ctx context.Context, t *config.Target) (LoadReport, error)
+}
+
+// CallError says what is known about a failed call of a target.
+type CallError struct {
+	Step   string // dial, send, response, stream
+	Target string
+	// NotRun is proved: no byte was written to the target, or it said so itself.
+	NotRun bool
+	// Draining says that the target refused because it is leaving.
+	Draining bool
+	// Status is the HTTP status, zero if there was no response.
+	Status int
+	Err    error
+}
+
+func (e *CallError) Error() string { return e.Step + " at target " + e.Target + ": " + e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// CacheEvent says that an engine stored or evicted a block.
+type CacheEvent struct {
+	Sequence uint64
+	Hash     prefix.BlockHash
+	Stored   bool
+}
+
+// CacheEvents is one answer of an engine's event endpoint.
+type CacheEvents struct {
+	Epoch string
+	// Reset says that Events list all blocks held, as of Sequence, instead of changes.
+	Reset    bool
+	Sequence uint64
+	Events   []CacheEvent
+}
+
+// Observer takes what the pollers learn about targets. Calls for one target come
+// from one goroutine. ObserveCacheEvents returns the epoch and sequence number from
+// which the next poll goes on; an empty epoch asks for the full list.
+type Observer interface {
+	ObserveLoad(targetID string, r LoadReport)
+	ObserveCacheEvents(targetID string, e CacheEvents) (epoch string, after uint64)
+	ObserveUnreachable(targetID string, err error)
+}
