--- /dev/null
+++ b/internal/telemetry/measures.go
@@ -0,0 +1,140 @@
+package telemetry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+const (
+	// worstAccountWindow is how far back the worst-served account looks.
+	worstAccountWindow = time.Minute
+	// maxTrackedAccounts bounds the memory of the worst-served account.
+	maxTrackedAccounts = 1024
+	maxTrackedLatency  = 10 * time.Minute
+	worstQuantile      = 99.0
+)
+
+// Measures records the five measures by which the system is judged: prefix hit
+// rate, time to first token, wasted recomputation, the worst-served client account,
+// and requests refused within the account's rate.
+type Measures struct {
+	promptTokens     metric.Int64Counter
+	cachedTokens     metric.Int64Counter
+	wastedTokens     metric.Int64Counter
+	timeToFirstToken metric.Float64Histogram
+	refused          metric.Int64Counter
+	refusedInRate    metric.Int64Counter
+
+	worst worstAccount
+}
+
+// CompletionMeasure is what one completion adds to the measures.
+type CompletionMeasure struct {
+	AccountID        string
+	Model            string
+	PromptTokens     int
+	CachedTokens     int
+	WastedTokens     int
+	TimeToFirstToken time.Duration
+}
+
+// NewMeasures defines the instruments on a meter.
+func NewMeasures(meter metric.Meter) (*Measures, error) {
+	m := &Measures{worst: worstAccount{now: time.Now}}
+	var errs [7]error
+	m.promptTokens, errs[0] = meter.Int64Counter("sequoiaroad.prompt_tokens",
+		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens of completed requests"))
+	m.cachedTokens, errs[1] = meter.Int64Counter("sequoiaroad.cached_prompt_tokens",
+		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens found in an engine's prefix cache"))
+	m.wastedTokens, errs[2] = meter.Int64Counter("sequoiaroad.wasted_recompute_tokens",
+		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens computed although a usable target had them cached"))
+	m.timeToFirstToken, errs[3] = meter.Float64Histogram("sequoiaroad.time_to_first_token",
+		metric.WithUnit("s"), metric.WithDescription("time from the accepted request to its first token"),
+		metric.WithExplicitBucketBoundaries(.01, .025, .05, .1, .2, .3, .58, 1, 2, 5, 10, 30, 60))
+	m.refused, errs[4] = meter.Int64Counter("sequoiaroad.refused_requests",
+		metric.WithUnit("{request}"), metric.WithDescription("requests refused, by code and run state"))
+	m.refusedInRate, errs[5] = meter.Int64Counter("sequoiaroad.refused_within_rate_requests",
+		metric.WithUnit("{request}"), metric.WithDescription("requests refused while the client account was within its rate"))
+	_, errs[6] = meter.Float64ObservableGauge("sequoiaroad.worst_account_time_to_first_token",
+		metric.WithUnit("s"), metric.WithDescription("99th percentile over the last minute of the worst-served client account"),
+		metric.WithFloat64Callback(m.observeWorst))
+	for _, err := range errs {
+		if err != nil {
+			return nil, errors.Wrap(err, "define metrics")
+		}
+	}
+	return m, nil
+}
+
+// Completion records a completed request.
+func (m *Measures) Completion(ctx context.Context, c CompletionMeasure) {
+	attributes := metric.WithAttributes(attribute.String("account", c.AccountID), attribute.String("model", c.Model))
+	m.promptTokens.Add(ctx, int64(c.PromptTokens), attributes)
+	m.cachedTokens.Add(ctx, int64(c.CachedTokens), attributes)
+	m.wastedTokens.Add(ctx, int64(c.WastedTokens), attributes)
+	m.timeToFirstToken.Record(ctx, c.TimeToFirstToken.Seconds(), attributes)
+	m.worst.record(c.AccountID, c.TimeToFirstToken)
+}
+
+// Refused records a refused request.
+func (m *Measures) Refused(ctx context.Context, code, run string) {
+	m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", code), attribute.String("run", run)))
+}
+
+// RefusedWithinRate records a refusal of an account that was within its rate.
+func (m *Measures) RefusedWithinRate(ctx context.Context, accountID string) {
+	m.refusedInRate.Add(ctx, 1, metric.WithAttributes(attribute.String("account", accountID)))
+}
+
+func (m *Measures) observeWorst(_ context.Context, o metric.Float64Observer) error {
+	account, latency := m.worst.current()
+	if account != "" {
+		o.Observe(latency.Seconds(), metric.WithAttributes(attribute.String("account", account)))
+	}
+	return nil
+}
+
+// worstAccount keeps a latency histogram per client account for the running window.
+type worstAccount struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	started  time.Time
+	accounts map[string]*hdrhistogram.Histogram
+}
+
+func (w *worstAccount) record(accountID string, latency time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now := w.now(); w.accounts == nil || now.Sub(w.started) > worstAccountWindow {
+		w.accounts = map[string]*hdrhistogram.Histogram{}
+		w.started = now
+	}
+	h := w.accounts[accountID]
+	if h == nil {
+		if len(w.accounts) >= maxTrackedAccounts {
+			return
+		}
+		const significantDigits = 2
+		h = hdrhistogram.New(1, maxTrackedLatency.Milliseconds(), significantDigits)
+		w.accounts[accountID] = h
+	}
+	_ = h.RecordValue(min(max(latency.Milliseconds(), 1), maxTrackedLatency.Milliseconds()))
+}
+
+func (w *worstAccount) current() (string, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	worst, worstLatency := "", int64(0)
+	for id, h := range w.accounts {
+		if v := h.ValueAtQuantile(worstQuantile); v > worstLatency {
+			worst, worstLatency = id, v
+		}
+	}
+	return worst, time.Duration(worstLatency) * time.Millisecond
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,107 @@
+// Package telemetry sets up the log, the metrics and the traces of a process.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const instrumentationName = "github.com/sequoiaroad/sequoiaroad"
+
+// Options says where telemetry goes. The zero value logs nothing and exports no
+// traces.
+type Options struct {
+	LogLevel string
+	LogJSON  bool
+	// LogOutput takes the log; nil discards it.
+	LogOutput io.Writer
+	// TraceExporter is none, stdout or otlp; empty means none.
+	TraceExporter string
+	OTLPEndpoint  string
+	// TraceOutput takes traces of the stdout exporter.
+	TraceOutput io.Writer
+}
+
+// Telemetry holds the log, the meter and the tracer of a process.
+type Telemetry struct {
+	Logger   hclog.Logger
+	Meter    metric.Meter
+	Tracer   trace.Tracer
+	Measures *Measures
+
+	registry *prometheus.Registry
+	metrics  *sdkmetric.MeterProvider
+	traces   *sdktrace.TracerProvider
+}
+
+// New sets up telemetry. Each call has a registry of its own, so that several hosts
+// can run in one process.
+func New(ctx context.Context, o Options) (*Telemetry, error) {
+	if o.LogOutput == nil {
+		o.LogOutput = io.Discard
+	}
+	t := &Telemetry{
+		Logger: hclog.New(&hclog.LoggerOptions{
+			Name:       "sequoiaroad",
+			Level:      hclog.LevelFromString(o.LogLevel),
+			Output:     o.LogOutput,
+			JSONFormat: o.LogJSON,
+		}),
+		registry: prometheus.NewRegistry(),
+	}
+	reader, err := otelprom.New(otelprom.WithRegisterer(t.registry), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "set up metrics")
+	}
+	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader))
+	t.Meter = t.metrics.Meter(instrumentationName)
+	if t.Measures, err = NewMeasures(t.Meter); err != nil {
+		return nil, err
+	}
+	options, err := traceOptions(ctx, o)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up traces")
+	}
+	t.traces = sdktrace.NewTracerProvider(options...)
+	t.Tracer = t.traces.Tracer(instrumentationName)
+	return t, nil
+}
+
+func traceOptions(ctx context.Context, o Options) ([]sdktrace.TracerProviderOption, error) {
+	switch o.TraceExporter {
+	case "stdout":
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(o.TraceOutput))
+		return []sdktrace.TracerProviderOption{sdktrace.WithBatcher(exporter)}, err
+	case "otlp":
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(o.OTLPEndpoint))
+		return []sdktrace.TracerProviderOption{sdktrace.WithBatcher(exporter)}, err
+	default:
+		return []sdktrace.TracerProviderOption{sdktrace.WithSampler(sdktrace.NeverSample())}, nil
+	}
+}
+
+// MetricsHandler serves the metrics in the Prometheus text format.
+func (t *Telemetry) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown sends what is buffered.
+func (t *Telemetry) Shutdown(ctx context.Context) error {
+	if err := t.traces.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "stop traces")
+	}
+	return errors.Wrap(t.metrics.Shutdown(ctx), "stop metrics")
+}
