Add token pools, grants and the fleet limiter

The owner's pool and its floor are one pool with share 0.8+0.2/n; the other homes hold 0.2/n. A document names the revision that last changed its members, so that a host that skips revisions can tell whether it missed a member list. Ruled out: keeping a home's bucket across skipped revisions without that field, since another host may have been home in between.

--- /dev/null
+++ b/internal/quota/grants.go
@@ -0,0 +1,293 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/limit"
+)
+
+// refreshInterval is the period of prefetch and returns: several times per
+// lifetime, so that held grants overlap.
+const refreshInterval = limit.DefaultGrantLifetime / 4
+
+// retryPause is the shortest time between two requests for waiting reservations.
+const retryPause = 20 * time.Millisecond
+
+// handleGrantRequest answers as a home.
+func (l *FleetLimiter) handleGrantRequest(_ context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
+	var m GrantRequest
+	if err := msgpack.Unmarshal(request.Body, &m); err != nil {
+		return nil, errors.Wrapf(err, "decode grant request of host %s", from.HostID)
+	}
+	reply := &GrantReply{Revision: m.Revision, Answers: make([]GrantAnswer, len(m.Asks))}
+	for i, ask := range m.Asks {
+		reply.Answers[i] = l.answer(m.Revision, ask)
+	}
+	return reply, nil
+}
+
+// answer issues one grant. Only a fresh home of the same revision grants.
+func (l *FleetLimiter) answer(revision uint64, ask GrantAsk) GrantAnswer {
+	a, now, fresh, err := l.lockCurrent(ask.Account)
+	if err != nil {
+		return GrantAnswer{Status: GrantNotHome}
+	}
+	defer a.mu.Unlock()
+	pool := a.state.Pool()
+	switch {
+	case a.state.Role().Revision != revision:
+		return GrantAnswer{Status: GrantOtherRevision}
+	case !fresh:
+		return GrantAnswer{Status: GrantNotFresh}
+	case pool == nil:
+		return GrantAnswer{Status: GrantNotHome}
+	case !pool.Started(now):
+		return GrantAnswer{Status: GrantStarting}
+	}
+	// Reservations that wait here came first.
+	waiting := a.waiting()
+	wait, ok := pool.Until(now, ask.Need+waiting)
+	if ok && wait == 0 {
+		want := max(ask.Need, min(ask.Want, int64(pool.Level(now))-waiting))
+		if id, tokens, issued := pool.Issue(now, ask.Need, want); issued {
+			a.granted.Add(tokens)
+			return GrantAnswer{Status: GrantIssued, Epoch: id.Epoch, Number: id.Number, Tokens: tokens}
+		}
+	}
+	return GrantAnswer{Status: GrantShort, RetryAfterMillis: wait.Milliseconds() + 1}
+}
+
+// handleGrantReturn takes back unspent tokens.
+func (l *FleetLimiter) handleGrantReturn(_ context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
+	var m GrantReturn
+	if err := msgpack.Unmarshal(request.Body, &m); err != nil {
+		return nil, errors.Wrapf(err, "decode grant return of host %s", from.HostID)
+	}
+	for _, r := range m.Returned {
+		a, now, _, err := l.lockCurrent(r.Account)
+		if err != nil {
+			continue
+		}
+		if pool := a.state.Pool(); pool != nil {
+			pool.Return(now, limit.GrantID{Epoch: r.Epoch, Number: r.Number}, r.Total)
+			l.serve(a, now)
+		}
+		a.mu.Unlock()
+	}
+	return &GrantReturnAck{}, nil
+}
+
+// ask requests grants for the waiters of an account from its owner and, if that
+// yields nothing, from the other homes.
+func (l *FleetLimiter) ask(a *account) {
+	a.mu.Lock()
+	revision := a.state.Role().Revision
+	homes := a.homes
+	now := l.clock()
+	need, want := l.demand(a, now)
+	a.mu.Unlock()
+
+	var last GrantAnswer
+	reached := false
+	retry := time.Duration(0)
+	for _, home := range homes {
+		if need <= 0 || l.isSelf(home) {
+			continue
+		}
+		request := &GrantRequest{Revision: revision, Asks: []GrantAsk{{Account: a.id, Need: need, Want: want}}}
+		answers := l.request(home, request)
+		if answers == nil {
+			continue
+		}
+		last = answers[0]
+		if last.Status == GrantIssued || last.Status == GrantShort {
+			reached = true
+		}
+		if last.Status == GrantShort && retry == 0 {
+			retry = time.Duration(last.RetryAfterMillis) * time.Millisecond
+		}
+		if last.Status == GrantIssued {
+			break
+		}
+	}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now = l.clock()
+	a.asking = false
+	a.homesOut = !reached && need > 0
+	a.askAfter = now
+	if last.Status != GrantIssued {
+		a.askAfter = now.Add(max(retry, retryPause))
+	}
+	l.serve(a, now)
+}
+
+// demand returns the tokens that the first waiter lacks, and those of all waiters
+// plus the use expected soon.
+func (l *FleetLimiter) demand(a *account, now time.Time) (need, want int64) {
+	if len(a.waiters) == 0 {
+		return 0, 0
+	}
+	available := a.state.Available(now)
+	need = a.waiters[0].tokens - available
+	return need, a.waiting() - available + a.state.Holder().Ask(now)
+}
+
+func (l *FleetLimiter) isSelf(m config.Member) bool {
+	self := l.view.Self()
+	return m.HostID == self.HostID && m.Incarnation == self.Incarnation
+}
+
+// request sends a request and accepts the grants of the reply. It returns the
+// answers, or nil if there is no valid reply.
+func (l *FleetLimiter) request(home config.Member, m *GrantRequest) []GrantAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), l.terms.GrantLifetime)
+	defer cancel()
+	sent := l.clock()
+	var reply GrantReply
+	if err := l.caller.Call(ctx, home.InnerAddress, m, &reply); err != nil {
+		l.log.Debug("grant request failed", "host", home.HostID, "error", err)
+		return nil
+	}
+	if reply.Revision != m.Revision || len(reply.Answers) != len(m.Asks) {
+		l.log.Warn("grant reply does not match its request", "host", home.HostID)
+		return nil
+	}
+	for i, answer := range reply.Answers {
+		if answer.Status == GrantIssued {
+			l.accept(home, m.Asks[i].Account, reply.Revision, answer, sent)
+		}
+	}
+	return reply.Answers
+}
+
+func (l *FleetLimiter) accept(home config.Member, accountID string, revision uint64, answer GrantAnswer, sent time.Time) {
+	a, now, _, err := l.lockCurrent(accountID)
+	if err != nil {
+		return
+	}
+	defer a.mu.Unlock()
+	g := &limit.Grant{
+		ID:       limit.GrantID{Epoch: answer.Epoch, Number: answer.Number},
+		Revision: revision, Issuer: home.InnerAddress,
+	}
+	a.state.Holder().Accept(now, g, answer.Tokens, sent)
+	l.serve(a, now)
+}
+
+// Run prefetches grants and returns unspent ones until ctx ends.
+func (l *FleetLimiter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.refresh()
+		}
+	}
+}
+
+// refresh starts one round of returns and prefetch per home that is concerned.
+func (l *FleetLimiter) refresh() {
+	l.sync()
+	returns := l.collectReturns(false)
+	requests := l.collectAsks()
+	for address, m := range returns {
+		go l.sendReturn(context.Background(), address, m)
+	}
+	for owner, m := range requests {
+		// An owner that does not answer must not pile up requests.
+		if _, busy := l.sending.LoadOrStore(owner.InnerAddress, struct{}{}); busy {
+			continue
+		}
+		go func() {
+			defer l.sending.Delete(owner.InnerAddress)
+			l.request(owner, m)
+		}()
+	}
+}
+
+func (l *FleetLimiter) collectAsks() map[config.Member]*GrantRequest {
+	requests := map[config.Member]*GrantRequest{}
+	for _, a := range l.all() {
+		a.mu.Lock()
+		now := l.clock()
+		role := a.state.Role()
+		if role.Rank != 0 && len(a.homes) > 0 {
+			if want := a.state.Holder().Ask(now); want > 0 {
+				owner := a.homes[0]
+				if requests[owner] == nil {
+					requests[owner] = &GrantRequest{Revision: role.Revision}
+				}
+				if requests[owner].Revision == role.Revision {
+					requests[owner].Asks = append(requests[owner].Asks, GrantAsk{Account: a.id, Want: want})
+				}
+			}
+		}
+		a.mu.Unlock()
+	}
+	return requests
+}
+
+func (l *FleetLimiter) collectReturns(all bool) map[string]*GrantReturn {
+	messages := map[string]*GrantReturn{}
+	for _, a := range l.all() {
+		a.mu.Lock()
+		due := a.state.Holder().Returns(l.clock(), all)
+		a.mu.Unlock()
+		for _, r := range due {
+			m := messages[r.Issuer]
+			if m == nil {
+				m = &GrantReturn{}
+				messages[r.Issuer] = m
+			}
+			m.Returned = append(m.Returned, ReturnedTokens{
+				Account: a.id, Epoch: r.ID.Epoch, Number: r.ID.Number, Total: r.Total,
+			})
+		}
+	}
+	return messages
+}
+
+func (l *FleetLimiter) sendReturn(ctx context.Context, address string, m *GrantReturn) error {
+	ctx, cancel := context.WithTimeout(ctx, l.terms.GrantLifetime)
+	defer cancel()
+	err := l.caller.Call(ctx, address, m, &GrantReturnAck{})
+	if err != nil {
+		l.log.Debug("grant return failed", "address", address, "error", err)
+	}
+	return errors.Wrapf(err, "return grants to %s", address)
+}
+
+// Return gives all unspent grants back, as before a planned stop. It tries every
+// home and returns the first error.
+func (l *FleetLimiter) Return(ctx context.Context) error {
+	var first error
+	for address, m := range l.collectReturns(true) {
+		if err := l.sendReturn(ctx, address, m); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// all returns the accounts of the applied revision.
+func (l *FleetLimiter) all() []*account {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	all := make([]*account, 0, len(l.accounts))
+	for _, a := range l.accounts {
+		all = append(all, a)
+	}
+	return all
+}
--- a/policy/config/change.go
+++ b/policy/config/change.go
@@ -37,6 +37,10 @@
 		return nil, err
 	}
 	next.Revision = d.Revision + 1
+	next.MembersRevision = d.MembersRevision
+	if !slices.Equal(d.Members, next.Members) {
+		next.MembersRevision = next.Revision
+	}
 	record.WithdrawnKeyIDs = withdrawnKeys(d, next)
 	record.OnlyWithdrawals = len(record.WithdrawnKeyIDs) > 0 && onlyWithdraws(d, next)
 	next.Change = record
--- a/policy/config/document.go
+++ b/policy/config/document.go
@@ -148,14 +148,17 @@
 
 // Document is one revision of the whole configuration.
 type Document struct {
-	Revision     uint64        `json:"revision"`
-	Preset       Preset        `json:"preset"`
-	Members      []Member      `json:"members"`
-	Accounts     []Account     `json:"accounts"`
-	ClientKeys   []ClientKey   `json:"client_keys"`
-	OperatorKeys []OperatorKey `json:"operator_keys"`
-	Routes       []Route       `json:"routes"`
-	Models       []Model       `json:"models"`
-	Targets      []Target      `json:"targets"`
-	Change       ChangeRecord  `json:"change"`
+	Revision uint64 `json:"revision"`
+	// MembersRevision is the revision that last changed Members. A host that skips
+	// revisions tells by it whether it missed a member list; zero means unknown.
+	MembersRevision uint64        `json:"members_revision,omitempty"`
+	Preset          Preset        `json:"preset"`
+	Members         []Member      `json:"members"`
+	Accounts        []Account     `json:"accounts"`
+	ClientKeys      []ClientKey   `json:"client_keys"`
+	OperatorKeys    []OperatorKey `json:"operator_keys"`
+	Routes          []Route       `json:"routes"`
+	Models          []Model       `json:"models"`
+	Targets         []Target      `json:"targets"`
+	Change          ChangeRecord  `json:"change"`
 }
--- /dev/null
+++ b/policy/limit/pool.go
@@ -0,0 +1,182 @@
+package limit
+
+import "time"
+
+// maxLapsedGrants bounds how many lapsed grants of a pool can still be refunded.
+// A refund of an older one is lost, which is safe.
+const maxLapsedGrants = 256
+
+// GrantID names a grant. Epoch is the revision under which the pool started, so
+// that no two pools of an account issue the same id.
+type GrantID struct {
+	Epoch  uint64
+	Number uint64
+}
+
+// issuedGrant is the issuer's record of a grant.
+type issuedGrant struct {
+	number   uint64
+	tokens   int64
+	returned int64
+	lapsesAt time.Time
+	lapsed   bool
+	mark     Mark // of the lapse
+}
+
+// Pool is a home's share of an account. It is empty and does not refill until its
+// start time.
+type Pool struct {
+	terms  Terms
+	epoch  uint64
+	limits Limits
+	share  float64
+	start  time.Time
+	// nextShare replaces share at raiseAt; equal to share if no raise is due.
+	nextShare float64
+	raiseAt   time.Time
+
+	bucket Bucket
+	issued map[uint64]*issuedGrant
+	// outstanding and lapsed are in order of lapse.
+	outstanding []*issuedGrant
+	lapsed      []*issuedGrant
+	nextNumber  uint64
+}
+
+// NewPool returns a pool that starts empty at start.
+func NewPool(terms Terms, epoch uint64, limits Limits, share float64, start time.Time) *Pool {
+	return &Pool{
+		terms: terms, epoch: epoch, limits: limits, share: share, nextShare: share, start: start,
+		bucket: *NewBucket(limits.scaled(share), start),
+		issued: map[uint64]*issuedGrant{},
+	}
+}
+
+// Epoch returns the revision under which the pool started.
+func (p *Pool) Epoch() uint64 { return p.epoch }
+
+// Started reports whether the wait of a new home is over.
+func (p *Pool) Started(now time.Time) bool { return !now.Before(p.start) }
+
+// Change applies a new revision. Lower limits or a lower share take force at once,
+// higher limits from now on. A higher share waits until no other host can still
+// spend a part of it.
+func (p *Pool) Change(now time.Time, limits Limits, share float64) {
+	p.advance(now)
+	p.limits = limits
+	switch {
+	case share <= p.share:
+		p.share, p.nextShare = share, share
+	case share != p.nextShare:
+		p.nextShare, p.raiseAt = share, now.Add(p.terms.TakeoverWait())
+	}
+	p.bucket.SetLimits(now, p.limits.scaled(p.share))
+}
+
+// advance applies lapses, a due raise of the share and refill, in order of time.
+func (p *Pool) advance(now time.Time) {
+	for len(p.outstanding) > 0 && !p.outstanding[0].lapsesAt.After(now) {
+		g := p.outstanding[0]
+		p.outstanding = p.outstanding[1:]
+		p.raiseShare(g.lapsesAt)
+		p.bucket.advance(g.lapsesAt)
+		g.mark, g.lapsed = p.bucket.lapse(float64(g.tokens-g.returned)), true
+		p.keepLapsed(g)
+	}
+	p.raiseShare(now)
+	p.bucket.advance(now)
+}
+
+func (p *Pool) raiseShare(now time.Time) {
+	if p.nextShare > p.share && !now.Before(p.raiseAt) {
+		p.share = p.nextShare
+		p.bucket.SetLimits(p.raiseAt, p.limits.scaled(p.share))
+	}
+}
+
+func (p *Pool) keepLapsed(g *issuedGrant) {
+	p.lapsed = append(p.lapsed, g)
+	if len(p.lapsed) > maxLapsedGrants {
+		delete(p.issued, p.lapsed[0].number)
+		p.lapsed = p.lapsed[1:]
+	}
+}
+
+// Take spends tokens on the pool's own host.
+func (p *Pool) Take(now time.Time, tokens int64) (Mark, bool) {
+	p.advance(now)
+	return p.bucket.Take(now, float64(tokens))
+}
+
+// Refund gives back tokens of a Take.
+func (p *Pool) Refund(now time.Time, mark Mark, tokens int64) {
+	p.advance(now)
+	p.bucket.Refund(now, mark, float64(tokens))
+}
+
+// Issue lends at least need and at most want tokens. Beyond need it lends at most
+// half of what is left, so that one holder's prefetch leaves tokens for others.
+func (p *Pool) Issue(now time.Time, need, want int64) (id GrantID, tokens int64, ok bool) {
+	p.advance(now)
+	need = max(0, need)
+	spare := p.bucket.level - float64(need)
+	if spare < 0 {
+		return GrantID{}, 0, false
+	}
+	tokens = need + max(0, min(want-need, int64(spare/2)))
+	if tokens == 0 {
+		return GrantID{}, 0, false
+	}
+	p.bucket.lend(float64(tokens))
+	p.nextNumber++
+	g := &issuedGrant{number: p.nextNumber, tokens: tokens, lapsesAt: now.Add(p.terms.GrantHold())}
+	p.issued[g.number] = g
+	p.outstanding = append(p.outstanding, g)
+	return GrantID{Epoch: p.epoch, Number: g.number}, tokens, true
+}
+
+// Return takes back tokens of a grant that were not spent. The total counts all
+// tokens returned from the grant so far, so that a repeated or late message
+// returns nothing twice. After its lapse a grant is refunded like a Take.
+func (p *Pool) Return(now time.Time, id GrantID, total int64) {
+	p.advance(now)
+	g := p.issued[id.Number]
+	if id.Epoch != p.epoch || g == nil {
+		return
+	}
+	tokens := min(total, g.tokens) - g.returned
+	if tokens <= 0 {
+		return
+	}
+	g.returned += tokens
+	if g.lapsed {
+		p.bucket.Refund(now, g.mark, float64(tokens))
+		return
+	}
+	p.bucket.restore(float64(tokens))
+}
+
+// Level returns the available tokens.
+func (p *Pool) Level(now time.Time) float64 {
+	p.advance(now)
+	return p.bucket.level
+}
+
+// Outstanding returns the tokens lent and neither returned nor lapsed.
+func (p *Pool) Outstanding(now time.Time) float64 {
+	p.advance(now)
+	return p.bucket.held
+}
+
+// Burst returns the capacity in force.
+func (p *Pool) Burst() float64 { return p.bucket.limits.Burst }
+
+// Rate returns the refill in force, in tokens per second.
+func (p *Pool) Rate() float64 { return p.bucket.limits.Rate * (1 - MaxClockDrift) }
+
+// Until returns how long refill takes to reach the tokens, and false if they
+// exceed the pool's burst. Lent tokens may make it longer.
+func (p *Pool) Until(now time.Time, tokens int64) (time.Duration, bool) {
+	p.advance(now)
+	return p.bucket.until(now, float64(tokens))
+}
--- /dev/null
+++ b/policy/limit/terms.go
@@ -0,0 +1,86 @@
+// Package limit holds the decisions of distributed rate limiting: token buckets,
+// pools that issue short grants, and the grants that a host holds.
+//
+// Every home of an account has a Pool with a share of the account's rate and
+// burst. The shares of all homes add up to one, and the owner's is the largest.
+// A Pool is spent by its own host or lent to another host as a grant with a short
+// lifetime. The package reads no clock: the caller passes monotonic times.
+package limit
+
+import "time"
+
+// MaxClockDrift bounds how much faster or slower than true time the monotonic
+// clock of a host may run. Kernels limit clock slewing to 500 ppm. Buckets refill
+// slower by this fraction, so that a fast clock never exceeds an account's rate.
+const MaxClockDrift = 500e-6
+
+// DefaultGrantLifetime is how long a holder may spend a grant.
+const DefaultGrantLifetime = time.Second
+
+// minDriftMargin covers the resolution of the clocks.
+const minDriftMargin = 10 * time.Millisecond
+
+// The parts of an account's rate and burst: the owner's pool and the floors,
+// which are split evenly over the homes.
+const (
+	ownerFraction  = 0.8
+	floorsFraction = 0.2
+)
+
+// Terms are the durations on which the bound over all hosts rests. They must be
+// equal on all hosts.
+type Terms struct {
+	// FreshnessDeadline is how long a host may act on a replaced revision.
+	FreshnessDeadline time.Duration
+	// GrantLifetime is counted by the holder from the sending of its request.
+	GrantLifetime time.Duration
+	// DriftMargin is added wherever one host waits for another host's clock.
+	DriftMargin time.Duration
+}
+
+// NewTerms returns the terms for a freshness deadline. The drift margin covers
+// two clocks that drift in opposite directions, with a factor of two to spare.
+func NewTerms(freshnessDeadline time.Duration) Terms {
+	longest := freshnessDeadline + DefaultGrantLifetime
+	return Terms{
+		FreshnessDeadline: freshnessDeadline,
+		GrantLifetime:     DefaultGrantLifetime,
+		DriftMargin:       minDriftMargin + time.Duration(4*MaxClockDrift*float64(longest)),
+	}
+}
+
+// TakeoverWait is the time after which no host acts on an earlier revision and no
+// grant issued under it can be spent.
+func (t Terms) TakeoverWait() time.Duration {
+	return t.FreshnessDeadline + t.GrantLifetime + t.DriftMargin
+}
+
+// GrantHold is how long the issuer counts a grant as outstanding.
+func (t Terms) GrantHold() time.Duration { return t.GrantLifetime + t.DriftMargin }
+
+// Limits are the rate and burst of an account, in tokens per second and tokens.
+type Limits struct {
+	Rate  float64
+	Burst float64
+}
+
+func (l Limits) scaled(share float64) Limits {
+	return Limits{Rate: l.Rate * share, Burst: l.Burst * share}
+}
+
+// Share is the part of an account's limits that the home with the given rank
+// holds. Rank 0 is the owner; a negative rank means that the host is no home.
+func Share(rank, homes int) float64 {
+	if rank < 0 || homes <= 0 {
+		return 0
+	}
+	floor := floorsFraction / float64(homes)
+	if rank == 0 {
+		return ownerFraction + floor
+	}
+	return floor
+}
+
+// LargestRequest is the size in tokens above which a request can never be
+// admitted: the owner's share of the burst.
+func LargestRequest(l Limits, homes int) int64 { return int64(l.Burst * Share(0, homes)) }
