--- /dev/null
+++ b/internal/target/sse.go
@@ -0,0 +1,88 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event of a stream, so that a broken engine can't fill the
+// host's memory.
+const maxEventBytes = 256 << 10
+
+var errEventTooLong = errors.Errorf("an event is longer than %d bytes", maxEventBytes)
+
+// sseReader reads the data of server-sent events. Fields other than data are of no
+// use here and are skipped.
+type sseReader struct {
+	buffer *bufio.Reader
+}
+
+func newSSEReader(r io.Reader) *sseReader {
+	return &sseReader{bufio.NewReaderSize(r, 4096)}
+}
+
+// next returns the data of the next event. io.ErrUnexpectedEOF means that the stream
+// ended within an event; its part is not returned.
+func (s *sseReader) next() ([]byte, error) {
+	var data []byte
+	hasData, partial := false, false
+	for {
+		line, err := s.line()
+		if err == io.EOF && (partial || len(line) > 0) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 0 {
+			if hasData {
+				return data, nil
+			}
+			partial = false
+			continue
+		}
+		partial = true
+		value, ok := dataField(line)
+		if !ok {
+			continue
+		}
+		if hasData {
+			data = append(data, '\n')
+		}
+		data = append(data, value...)
+		hasData = true
+		if len(data) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+	}
+}
+
+func dataField(line []byte) ([]byte, bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != "data" {
+		return nil, false
+	}
+	return bytes.TrimPrefix(value, []byte(" ")), true
+}
+
+// line returns a line without its end, which is LF or CRLF.
+func (s *sseReader) line() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := s.buffer.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > maxEventBytes {
+			return nil, errEventTooLong
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err != nil {
+			return line, err
+		}
+		return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+	}
+}
--- /dev/null
+++ b/internal/target/transport.go
@@ -0,0 +1,147 @@
+package target
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout = 3 * time.Second
+	// headerLimitBytes bounds the headers of a target's response.
+	headerLimitBytes    = 64 << 10
+	idleConnections     = 32
+	idleConnectionLimit = 30 * time.Second
+)
+
+var errSealed = errors.New("the call is over")
+
+// countingConn counts the bytes that are handed to the socket. Once sealed it
+// writes no more, so that the count is final.
+type countingConn struct {
+	net.Conn
+	mu      sync.Mutex
+	written int64
+	sealed  bool
+}
+
+// Write counts before it writes: a failed write may still have sent something.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.written += int64(len(p))
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+func (c *countingConn) count() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal ends writing and returns the count.
+func (c *countingConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+// writeProof knows whether a call wrote anything on the connections that it got.
+type writeProof struct {
+	mu       sync.Mutex
+	conns    map[*countingConn]int64 // bytes written before the call
+	unproved bool
+	sealed   bool
+}
+
+func newWriteProof(ctx context.Context) (*writeProof, context.Context) {
+	p := &writeProof{conns: map[*countingConn]int64{}}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { p.gotConn(info.Conn) }}
+	return p, httptrace.WithClientTrace(ctx, trace)
+}
+
+func (p *writeProof) gotConn(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counting, ok := conn.(*countingConn)
+	if !ok {
+		p.unproved = true
+		return
+	}
+	if p.sealed {
+		counting.seal()
+		return
+	}
+	if _, known := p.conns[counting]; !known {
+		p.conns[counting] = counting.count()
+	}
+}
+
+// nothingWritten seals the connections of a failed call and reports whether it is
+// proved that no byte of the request was written.
+func (p *writeProof) nothingWritten() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sealed = true
+	nothing := !p.unproved
+	for c, before := range p.conns {
+		if c.seal() != before {
+			nothing = false
+		}
+	}
+	return nothing
+}
+
+// reached reports whether the call got a connection.
+func (p *writeProof) reached() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
+}
+
+// newTransport returns a transport for targets. It ignores proxy settings, since a
+// proxy would see requests. With keepAlive off, each call gets its own connection,
+// and net/http then never repeats a call by itself, which it otherwise does on reused
+// connections, for instance for requests with an Idempotency-Key header.
+func newTransport(keepAlive bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		},
+		DisableKeepAlives:      !keepAlive,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleConnectionLimit,
+		MaxResponseHeaderBytes: headerLimitBytes,
+		// HTTP/2 would share a connection between calls, whose bytes could not be told apart.
+		TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+// httpClient returns a client that does not follow redirects: a target's redirect is
+// an answer for the caller.
+func httpClient(t http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
