--- /dev/null
+++ b/internal/orders/lease.go
@@ -0,0 +1,119 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/policy/lease"
+)
+
+// errHeld means that another process holds the lease.
+var errHeld = errors.New("the lease is held by another process")
+
+// leaseRow is one lease row. Only one goroutine of the process uses it at a time:
+// the local lock must be taken before.
+type leaseRow struct {
+	store    platform.Store
+	table    string
+	key      string
+	self     string
+	now      func() time.Time
+	lock     chan struct{}
+	observer lease.Observer
+}
+
+func (s *Service) newLeaseRow(table, key string) *leaseRow {
+	return &leaseRow{
+		store: s.options.Store, table: table, key: key, self: s.holder,
+		now: s.options.Clock, lock: make(chan struct{}, 1),
+	}
+}
+
+func (l *leaseRow) tryLock() bool {
+	select {
+	case l.lock <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *leaseRow) unlock() { <-l.lock }
+
+func (l *leaseRow) load(ctx context.Context) (*lease.Row, uint64, error) {
+	stored, err := l.store.Get(ctx, l.table, l.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	row := &lease.Row{}
+	if err := json.Unmarshal(stored.Value, row); err != nil {
+		return nil, 0, errors.WithMessagef(err, "decode row %s/%s", l.table, l.key)
+	}
+	return row, stored.Version, nil
+}
+
+// tryTake reads the row and takes the lease if it may; errHeld if not.
+func (l *leaseRow) tryTake(ctx context.Context, p lease.Params) (lease.Held, error) {
+	row, version, err := l.load(ctx)
+	if err != nil {
+		return lease.Held{}, err
+	}
+	l.observer.See(version, l.now())
+	if !l.observer.MayTake(row, l.self, l.now(), p) {
+		return lease.Held{}, errHeld
+	}
+	next := lease.Next(row, l.self, uuid.NewString())
+	sentAt := l.now()
+	version, err = l.put(ctx, next, version)
+	if err != nil {
+		return lease.Held{}, err
+	}
+	return lease.Taken(row, next, version, sentAt, p), nil
+}
+
+func (l *leaseRow) renew(ctx context.Context, held lease.Held, p lease.Params) (lease.Held, error) {
+	row := held.Renewal(uuid.NewString())
+	sentAt := l.now()
+	version, err := l.put(ctx, row, held.Version)
+	if err != nil {
+		return held, err
+	}
+	return held.Renewed(row, version, sentAt, p), nil
+}
+
+func (l *leaseRow) release(ctx context.Context, held lease.Held) error {
+	_, err := l.put(ctx, held.Release(uuid.NewString()), held.Version)
+	return err
+}
+
+// put writes the row conditionally; after a lost answer it reads the attempt id
+// back. A write that is still on its way counts as failed: if it arrives later,
+// the row shows a lease of this process on which nobody acts.
+func (l *leaseRow) put(ctx context.Context, row lease.Row, version uint64) (uint64, error) {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return 0, errors.WithMessage(err, "encode lease")
+	}
+	written, err := l.store.Commit(ctx,
+		[]platform.Condition{{Table: l.table, Key: l.key, Version: version}},
+		[]platform.Write{{Table: l.table, Key: l.key, Value: value}})
+	if errors.Is(err, platform.ErrConflict) {
+		return 0, errHeld
+	}
+	if !errors.Is(err, platform.ErrUnknownOutcome) {
+		return written, err
+	}
+	found, foundVersion, readErr := l.load(ctx)
+	if readErr == nil && found != nil && found.AttemptID == row.AttemptID {
+		return foundVersion, nil
+	}
+	return 0, err
+}
