Add the internal protocol, freshness rules and a first fleet

Cause: hosts had contracts but no way to talk to each other, to agree on a configuration or to know whether theirs is current.

Ruled out: comparing pending pushes by revision number when a host decides whether it enforces what a peer knows. Two racing proposers can push different changes as the same revision, so attempts are compared by id.

Before: nothing to run.

Conclusion: other packages can build on the constructors.

--- /dev/null
+++ b/internal/fleet/messages.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+)
+
+// probe asks a host for its state and tells it about the sender.
+type probe struct {
+	Sender config.Member
+}
+
+// probeReply is the state of a host. It also answers a committed message.
+type probeReply struct {
+	Member      config.Member
+	Report      freshness.Report
+	Draining    bool
+	Fresh       bool
+	HasEvidence bool
+	EvidenceAge time.Duration
+	// Withdrawals lists withdrawals that no accepted revision contains yet.
+	Withdrawals []withdrawnKey
+}
+
+// withdrawnKey is a withdrawal that was heard before it was accepted. The hash
+// tells the key from a later one with the same id. Revision is the revision that
+// was to contain the withdrawal.
+type withdrawnKey struct {
+	KeyID    string
+	Hash     config.KeyHash
+	Revision uint64
+}
+
+// push asks a member to acknowledge an attempt.
+type push struct {
+	Attempt  freshness.Attempt
+	Document []byte
+	// Listed is the entry of the receiver in the replaced revision.
+	Listed freshness.Member
+	// Withdrawals lists the keys that the attempt removes.
+	Withdrawals []withdrawnKey
+}
+
+type pushReply struct {
+	// Acked says that the receiver acknowledges the attempt for push.Listed.
+	Acked   bool
+	Applied uint64
+}
+
+// committed says that an attempt was accepted.
+type committed struct {
+	Attempt freshness.Attempt
+}
+
+// abort says that an attempt will never be written.
+type abort struct {
+	AttemptID string
+}
+
+// withdrawal withdraws keys at once.
+type withdrawal struct {
+	Keys []withdrawnKey
+}
+
+// fetch asks for the applied document if it is above a revision.
+type fetch struct {
+	Above uint64
+}
+
+type fetchReply struct {
+	// Document is empty if the host has nothing newer.
+	Document []byte
+}
+
+func (*probe) WireType() wire.Type      { return wire.TypeProbe }
+func (*probeReply) WireType() wire.Type { return wire.TypeProbeReply }
+func (*push) WireType() wire.Type       { return wire.TypePush }
+func (*pushReply) WireType() wire.Type  { return wire.TypePushReply }
+func (*committed) WireType() wire.Type  { return wire.TypeCommitted }
+func (*abort) WireType() wire.Type      { return wire.TypeAbort }
+func (*withdrawal) WireType() wire.Type { return wire.TypeWithdrawal }
+func (*fetch) WireType() wire.Type      { return wire.TypeFetch }
+func (*fetchReply) WireType() wire.Type { return wire.TypeFetchReply }
--- /dev/null
+++ b/policy/freshness/freshness.go
@@ -0,0 +1,305 @@
+// Package freshness decides whether a host may act on its configuration. It holds
+// the state of one process: the applied revision, pending pushes and the time of
+// its evidence.
+//
+// Evidence at time E means: every revision accepted before E is at most the
+// applied revision, or the host enforces it. Applying a higher revision keeps
+// evidence valid, so E only grows.
+package freshness
+
+import (
+	"slices"
+	"time"
+)
+
+// Member is one process that counts for a majority.
+type Member struct {
+	HostID      string
+	Incarnation string
+}
+
+// Attempt is one try to commit a revision. Racing proposers push different
+// attempts for the same revision.
+type Attempt struct {
+	Revision uint64
+	ID       string
+}
+
+// maxPending bounds the pending attempts. Further pushes are not acknowledged,
+// since an acknowledged attempt may not be forgotten.
+const maxPending = 64
+
+// pending is an acknowledged push whose outcome is not known.
+type pending struct {
+	attempt Attempt
+	// enforced says that the push contains only withdrawals, which took effect when
+	// it was received.
+	enforced bool
+	since    time.Time
+}
+
+// evidence is a time of evidence that holds for hosts that enforce all excused
+// attempts.
+type evidence struct {
+	at      time.Time
+	excused []Attempt
+}
+
+// Evidence is evidence as a host reports it.
+type Evidence struct {
+	// Known is false if the host has no evidence of this kind.
+	Known bool
+	// Age is the age when the report was made.
+	Age time.Duration
+	// Excused lists pending attempts that the evidence does not cover.
+	Excused []Attempt
+}
+
+// Report is a host's answer to a probe.
+type Report struct {
+	From    Member
+	Applied uint64
+	// Pending lists the acknowledged attempts above Applied. Together with Applied
+	// it is what the host reports as known.
+	Pending []Attempt
+	// Full is evidence without exceptions, Conditional may have some.
+	Full        Evidence
+	Conditional Evidence
+}
+
+// heard is the newest answer of a member, by the time its probe was sent.
+type heard struct {
+	sentAt  time.Time
+	applied uint64
+	pending []Attempt
+}
+
+// State is the freshness state of one process. It is not safe for concurrent use.
+type State struct {
+	self        Member
+	applied     uint64
+	members     []Member
+	pendings    []pending
+	answers     map[Member]heard
+	full        evidence
+	conditional evidence
+}
+
+// New returns the state of a process that has applied no revision.
+func New(self Member) *State {
+	return &State{self: self, answers: map[Member]heard{}}
+}
+
+// Applied returns the applied revision; zero means none.
+func (s *State) Applied() uint64 { return s.applied }
+
+// Enforced returns the highest revision that the host enforces: the applied one,
+// or a pending one that contains only withdrawals.
+func (s *State) Enforced() uint64 {
+	enforced := s.applied
+	for _, p := range s.pendings {
+		if p.enforced {
+			enforced = max(enforced, p.attempt.Revision)
+		}
+	}
+	return enforced
+}
+
+// Apply records an accepted revision and its members. It returns false and changes
+// nothing unless the revision is higher than the applied one. Attempts at or below
+// the revision can no longer be accepted and stop being pending.
+func (s *State) Apply(revision uint64, members []Member) bool {
+	if revision <= s.applied {
+		return false
+	}
+	s.applied = revision
+	s.members = slices.Clone(members)
+	s.pendings = slices.DeleteFunc(s.pendings, func(p pending) bool { return p.attempt.Revision <= revision })
+	for m := range s.answers {
+		if !slices.Contains(s.members, m) {
+			delete(s.answers, m)
+		}
+	}
+	return true
+}
+
+// Push records a push. Enforced says that the attempt contains only withdrawals
+// and that the host enforces them from now on. The host may acknowledge the push
+// only if the result is true: false means that the revision is not above the
+// applied one, or that maxPending attempts are pending.
+func (s *State) Push(attempt Attempt, enforced bool, now time.Time) bool {
+	if attempt.Revision <= s.applied {
+		return false
+	}
+	for i := range s.pendings {
+		if s.pendings[i].attempt == attempt {
+			s.pendings[i].enforced = s.pendings[i].enforced || enforced
+			return true
+		}
+	}
+	if len(s.pendings) >= maxPending {
+		return false
+	}
+	s.pendings = append(s.pendings, pending{attempt: attempt, enforced: enforced, since: now})
+	return true
+}
+
+// Abort removes an attempt that its proposer has given up before it sent the write
+// to the store. Nothing else but a higher applied revision removes an attempt: a
+// paused proposer may commit it after any time.
+func (s *State) Abort(attemptID string) {
+	s.pendings = slices.DeleteFunc(s.pendings, func(p pending) bool { return p.attempt.ID == attemptID })
+}
+
+// PendingCount returns the number of pending attempts.
+func (s *State) PendingCount() int { return len(s.pendings) }
+
+// OldestPending returns when the oldest pending attempt was received.
+func (s *State) OldestPending() (time.Time, bool) {
+	if len(s.pendings) == 0 {
+		return time.Time{}, false
+	}
+	oldest := s.pendings[0].since
+	for _, p := range s.pendings {
+		if p.since.Before(oldest) {
+			oldest = p.since
+		}
+	}
+	return oldest, true
+}
+
+// StoreRead records a read of the current row that was sent at sentAt (rule 1).
+// It is evidence only if the host has applied what the read returned.
+func (s *State) StoreRead(revision uint64, sentAt time.Time) {
+	if revision <= s.applied {
+		s.full.raise(sentAt, nil)
+	}
+}
+
+// Observe records the answer to a probe that was sent at sentAt (rules 2 and 3).
+// The age is measured from sentAt, since an answer may arrive at any later time.
+func (s *State) Observe(report Report, sentAt, now time.Time) {
+	s.observeEvidence(report, sentAt)
+	if !slices.Contains(s.members, report.From) {
+		return
+	}
+	if last, ok := s.answers[report.From]; ok && !sentAt.After(last.sentAt) {
+		return
+	}
+	s.answers[report.From] = heard{sentAt: sentAt, applied: report.Applied, pending: report.Pending}
+	s.evaluateMajority(now)
+}
+
+// observeEvidence applies rule 2. The peer's evidence held when it answered, which
+// was after sentAt, so its time is at least sentAt minus the reported age.
+func (s *State) observeEvidence(report Report, sentAt time.Time) {
+	if report.Applied > s.applied {
+		return
+	}
+	if report.Full.Known {
+		s.full.raise(sentAt.Add(-report.Full.Age), nil)
+	}
+	if report.Conditional.Known && s.enforcesAll(report.Conditional.Excused) {
+		s.conditional.raise(sentAt.Add(-report.Conditional.Age), report.Conditional.Excused)
+	}
+}
+
+// evaluateMajority applies rule 3: a commit of the next revision needs
+// acknowledgements from a majority of the applied revision's members, and each of
+// these answers precedes any acknowledgement of its sender for a revision that the
+// host does not enforce. Without members nothing can be concluded.
+func (s *State) evaluateMajority(now time.Time) {
+	var times []time.Time
+	var excused []Attempt
+	for _, m := range s.members {
+		answer, ok := s.answers[m]
+		if m == s.self {
+			answer, ok = heard{sentAt: now, applied: s.applied, pending: s.pendingAttempts()}, true
+		}
+		if !ok || answer.applied > s.applied || !s.enforcesAll(answer.pending) {
+			continue
+		}
+		times = append(times, answer.sentAt)
+		for _, a := range answer.pending {
+			if a.Revision > s.applied && !slices.Contains(excused, a) {
+				excused = append(excused, a)
+			}
+		}
+	}
+	needed := majority(len(s.members))
+	if len(s.members) == 0 || len(times) < needed {
+		return
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	s.conditional.raise(times[needed-1], excused)
+}
+
+// enforcesAll reports whether each attempt is settled by the applied revision or
+// enforced. Attempts are compared by id: two attempts for one revision may differ.
+func (s *State) enforcesAll(attempts []Attempt) bool {
+	for _, a := range attempts {
+		if a.Revision <= s.applied {
+			continue
+		}
+		enforced := slices.ContainsFunc(s.pendings, func(p pending) bool { return p.attempt == a && p.enforced })
+		if !enforced {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) pendingAttempts() []Attempt {
+	attempts := make([]Attempt, len(s.pendings))
+	for i, p := range s.pendings {
+		attempts[i] = p.attempt
+	}
+	return attempts
+}
+
+// raise replaces the evidence by a newer one.
+func (e *evidence) raise(at time.Time, excused []Attempt) {
+	if at.After(e.at) {
+		e.at = at
+		e.excused = slices.Clone(excused)
+	}
+}
+
+func (e *evidence) report(now time.Time) Evidence {
+	if e.at.IsZero() {
+		return Evidence{}
+	}
+	return Evidence{Known: true, Age: now.Sub(e.at), Excused: slices.Clone(e.excused)}
+}
+
+// Report returns the answer to a probe.
+func (s *State) Report(now time.Time) Report {
+	s.evaluateMajority(now)
+	return Report{
+		From:        s.self,
+		Applied:     s.applied,
+		Pending:     s.pendingAttempts(),
+		Full:        s.full.report(now),
+		Conditional: s.conditional.report(now),
+	}
+}
+
+// EvidenceAt returns the time of the newest evidence; the zero time means none.
+func (s *State) EvidenceAt() time.Time {
+	if s.conditional.at.After(s.full.at) {
+		return s.conditional.at
+	}
+	return s.full.at
+}
+
+// FreshUntil returns the end of freshness for a deadline; the zero time means that
+// the host has never been fresh.
+func (s *State) FreshUntil(deadline time.Duration) time.Time {
+	at := s.EvidenceAt()
+	if at.IsZero() {
+		return at
+	}
+	return at.Add(deadline)
+}
+
+func majority(members int) int { return members/2 + 1 }
