Add index of cached blocks per target

Cause: target selection needs the longest cached chain per target, and must never name an entry of a dead epoch, another account or older weights.

Change: a hash table of 32-byte entries with chaining by index. At the limit a second-chance hand evicts.

Ruled out: a Go map by hash, which needs about 70 bytes per entry with the key held twice; per-target block lists, which a new epoch would have to walk.

--- /dev/null
+++ b/policy/prefix/export.go
@@ -0,0 +1,93 @@
+package prefix
+
+import (
+	"math/bits"
+	"slices"
+)
+
+// Export is the content of an index in a form that can be stored. Block i is held
+// by the targets Targets[Holders[i][...]].
+type Export struct {
+	Targets []ExportTarget
+	Hashes  []BlockHash
+	Holders [][]uint16
+}
+
+// ExportTarget is the identity of one target's cache.
+type ExportTarget struct {
+	ID      string
+	Epoch   string
+	Weights string
+}
+
+// Export returns at most maxBlocks live blocks, those used since the last eviction
+// pass first.
+func (x *Index) Export(maxBlocks int) Export {
+	var out Export
+	positions := map[uint16]uint16{}
+	for _, t := range x.targets {
+		positions[t.slot] = uint16(len(out.Targets))
+		out.Targets = append(out.Targets, ExportTarget{t.id, t.epoch, t.weights})
+	}
+	for _, used := range []bool{true, false} {
+		for i := uint32(0); i < x.table.length && len(out.Hashes) < maxBlocks; i++ {
+			e := x.table.at(i)
+			if e.count == 0 || e.used != used {
+				continue
+			}
+			if holders := x.exportHolders(e, positions); len(holders) > 0 {
+				out.Hashes = append(out.Hashes, e.hash)
+				out.Holders = append(out.Holders, holders)
+			}
+		}
+	}
+	return out
+}
+
+func (x *Index) exportHolders(e *entry, positions map[uint16]uint16) []uint16 {
+	var holders []uint16
+	add := func(slot uint16) {
+		if position, ok := positions[slot]; ok {
+			holders = append(holders, position)
+		}
+	}
+	if e.count != usesBits {
+		for _, slot := range e.holders[:e.count] {
+			add(slot)
+		}
+		return holders
+	}
+	for w, set := range x.table.bitsOf(e) {
+		for ; set != 0; set &= set - 1 {
+			add(uint16(w*64 + bits.TrailingZeros64(set)))
+		}
+	}
+	return holders
+}
+
+// Import adds exported blocks. Targets of which an epoch is known already keep what
+// is known. Imported entries are uncertain until the target's next full list.
+func (x *Index) Import(in Export) {
+	targets := make([]*indexTarget, len(in.Targets))
+	for i, from := range in.Targets {
+		if from.Epoch == "" || x.knowsEpoch(from.ID) {
+			continue
+		}
+		t := x.target(from.ID)
+		x.forget(t)
+		t.epoch, t.weights, t.sequence, t.uncertain = from.Epoch, from.Weights, 0, true
+		targets[i] = t
+	}
+	for i := range min(len(in.Hashes), len(in.Holders)) {
+		for _, position := range in.Holders[i] {
+			if int(position) < len(targets) && targets[position] != nil {
+				x.store(targets[position], &in.Hashes[i])
+			}
+		}
+	}
+}
+
+func (x *Index) knowsEpoch(id string) bool {
+	t := x.targets[id]
+	return t != nil && (t.epoch != "" || slices.ContainsFunc(t.past, func(e string) bool { return e != "" }))
+}
--- /dev/null
+++ b/policy/prefix/table.go
@@ -0,0 +1,246 @@
+package prefix
+
+import "encoding/binary"
+
+const (
+	// inlineHolders is how many targets an entry names without a bit set. Most blocks
+	// are held by one or two targets.
+	inlineHolders = 5
+	// chunkEntries is the number of entries allocated at once, so that growth neither
+	// copies entries nor leaves much memory unused.
+	chunkEntries = 4096
+	noEntry      = ^uint32(0)
+	noSlot       = ^uint16(0)
+	usesBits     = 0xff
+)
+
+// entry is one cached block: 32 bytes.
+type entry struct {
+	hash BlockHash
+	// next is the following entry of the bucket, or of the free list.
+	next    uint32
+	holders [inlineHolders]uint16
+	// count is the number of inline holders, or usesBits; then the first two holders
+	// are the index of the bit set.
+	count uint8
+	// used says that the block was looked up since the eviction hand passed it.
+	used bool
+}
+
+// table is a hash table of entries with chaining by index. Unlike a Go map it holds
+// no key twice and lets the eviction hand walk its entries in order.
+type table struct {
+	seed    uint64
+	buckets []uint32
+	chunks  []*[chunkEntries]entry
+	// length counts entries ever taken from chunks, live those in use.
+	length   uint32
+	live     int
+	free     uint32
+	bits     [][]uint64
+	freeBits []uint32
+}
+
+func newTable(seed uint64) *table {
+	t := &table{seed: seed | 1, free: noEntry}
+	t.resize(1024)
+	return t
+}
+
+func (t *table) at(i uint32) *entry { return &t.chunks[i/chunkEntries][i%chunkEntries] }
+
+func (t *table) bucket(h *BlockHash) *uint32 {
+	// The seed keeps callers, who choose prompts, from filling one bucket.
+	x := (binary.LittleEndian.Uint64(h[:]) ^ t.seed) * (t.seed*0x9e3779b97f4a7c15 | 1)
+	return &t.buckets[(x>>32)&uint64(len(t.buckets)-1)]
+}
+
+func (t *table) find(h *BlockHash) uint32 {
+	for i := *t.bucket(h); i != noEntry; {
+		e := t.at(i)
+		if e.hash == *h {
+			return i
+		}
+		i = e.next
+	}
+	return noEntry
+}
+
+// insert adds an entry for a hash that is not in the table.
+func (t *table) insert(h *BlockHash) uint32 {
+	if t.live >= len(t.buckets) {
+		t.resize(2 * len(t.buckets))
+	}
+	i := t.free
+	if i != noEntry {
+		t.free = t.at(i).next
+	} else {
+		i = t.length
+		if i/chunkEntries == uint32(len(t.chunks)) {
+			t.chunks = append(t.chunks, new([chunkEntries]entry))
+		}
+		t.length++
+	}
+	b := t.bucket(h)
+	*t.at(i) = entry{hash: *h, next: *b}
+	*b = i
+	t.live++
+	return i
+}
+
+// remove takes the entry out of its bucket and frees it.
+func (t *table) remove(i uint32) {
+	e := t.at(i)
+	for link := t.bucket(&e.hash); ; link = &t.at(*link).next {
+		if *link == i {
+			*link = e.next
+			break
+		}
+	}
+	t.releaseBits(e)
+	*e = entry{next: t.free}
+	t.free = i
+	t.live--
+}
+
+func (t *table) resize(size int) {
+	old := t.buckets
+	t.buckets = make([]uint32, size)
+	for i := range t.buckets {
+		t.buckets[i] = noEntry
+	}
+	for _, head := range old {
+		for i := head; i != noEntry; {
+			e := t.at(i)
+			next := e.next
+			b := t.bucket(&e.hash)
+			e.next, *b = *b, i
+			i = next
+		}
+	}
+}
+
+func (e *entry) bitsIndex() uint32 { return uint32(e.holders[0])<<16 | uint32(e.holders[1]) }
+
+func (t *table) bitsOf(e *entry) []uint64 { return t.bits[e.bitsIndex()] }
+
+func (t *table) releaseBits(e *entry) {
+	if e.count == usesBits {
+		t.bits[e.bitsIndex()] = nil
+		t.freeBits = append(t.freeBits, e.bitsIndex())
+	}
+}
+
+// add makes the slot a holder of the entry.
+func (t *table) add(e *entry, slot uint16) {
+	if e.count != usesBits {
+		for _, h := range e.holders[:e.count] {
+			if h == slot {
+				return
+			}
+		}
+		if e.count < inlineHolders {
+			e.holders[e.count] = slot
+			e.count++
+			return
+		}
+		t.spread(e)
+	}
+	set := t.bitsOf(e)
+	word := int(slot / 64)
+	if word >= len(set) {
+		set = append(set, make([]uint64, word+1-len(set))...)
+		t.bits[e.bitsIndex()] = set
+	}
+	set[word] |= 1 << (slot % 64)
+}
+
+// spread moves inline holders to a bit set.
+func (t *table) spread(e *entry) {
+	var index uint32
+	if n := len(t.freeBits); n > 0 {
+		index, t.freeBits = t.freeBits[n-1], t.freeBits[:n-1]
+	} else {
+		index = uint32(len(t.bits))
+		t.bits = append(t.bits, nil)
+	}
+	highest := uint16(0)
+	for _, h := range e.holders {
+		highest = max(highest, h)
+	}
+	set := make([]uint64, highest/64+1)
+	for _, h := range e.holders {
+		set[h/64] |= 1 << (h % 64)
+	}
+	t.bits[index] = set
+	e.holders = [inlineHolders]uint16{uint16(index >> 16), uint16(index)}
+	e.count = usesBits
+}
+
+// drop removes the slot from the holders and reports whether none is left.
+func (t *table) drop(e *entry, slot uint16) bool {
+	if e.count == usesBits {
+		set := t.bitsOf(e)
+		if word := int(slot / 64); word < len(set) {
+			set[word] &^= 1 << (slot % 64)
+		}
+		for _, w := range set {
+			if w != 0 {
+				return false
+			}
+		}
+		return true
+	}
+	for i, h := range e.holders[:e.count] {
+		if h == slot {
+			e.count--
+			e.holders[i] = e.holders[e.count]
+			break
+		}
+	}
+	return e.count == 0
+}
+
+// keep removes all holders that are not in the set and reports whether none is left.
+func (t *table) keep(e *entry, set []uint64) bool {
+	if e.count == usesBits {
+		left := uint64(0)
+		own := t.bitsOf(e)
+		for i := range own {
+			if i >= len(set) {
+				own[i] = 0
+			} else {
+				own[i] &= set[i]
+			}
+			left |= own[i]
+		}
+		return left == 0
+	}
+	n := uint8(0)
+	for _, h := range e.holders[:e.count] {
+		if contains(set, h) {
+			e.holders[n] = h
+			n++
+		}
+	}
+	e.count = n
+	return n == 0
+}
+
+// holds reports whether the slot is a holder.
+func (t *table) holds(e *entry, slot uint16) bool {
+	if e.count == usesBits {
+		return contains(t.bitsOf(e), slot)
+	}
+	for _, h := range e.holders[:e.count] {
+		if h == slot {
+			return true
+		}
+	}
+	return false
+}
+
+func contains(set []uint64, slot uint16) bool {
+	word := int(slot / 64)
+	return word < len(set) && set[word]>>(slot%64)&1 == 1
+}
