--- /dev/null
+++ b/internal/admin/types.go
@@ -0,0 +1,163 @@
+// Package admin is the operators' HTTP API of a host, its request and response
+// types, and the client that sequoiaroadctl uses.
+package admin
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+)
+
+// ErrorCode is the stable name of a failed call.
+type ErrorCode string
+
+// The error codes of the API.
+const (
+	CodeUnauthorized ErrorCode = "unauthorized"
+	CodeForbidden    ErrorCode = "forbidden"
+	CodeInvalid      ErrorCode = "invalid"
+	CodeNotFound     ErrorCode = "not_found"
+	CodeConflict     ErrorCode = "conflict"
+	CodeNoQuorum     ErrorCode = "no_quorum"
+	CodeUnavailable  ErrorCode = "unavailable"
+	CodeUnknown      ErrorCode = "outcome_unknown"
+	CodeInternal     ErrorCode = "internal"
+)
+
+// ErrorBody is the body of each response that is not a success.
+type ErrorBody struct {
+	Error struct {
+		Code    ErrorCode `json:"code"`
+		Message string    `json:"message"`
+		Faults  []string  `json:"faults,omitempty"`
+	} `json:"error"`
+}
+
+// Change reports an accepted revision and how far it has spread.
+type Change struct {
+	Revision  uint64   `json:"revision"`
+	Confirmed []string `json:"confirmed"`
+	// Expired hosts did not confirm but refuse keyed requests by now.
+	Expired []string `json:"expired"`
+	// Pending hosts may still act on the earlier revision.
+	Pending []string `json:"pending"`
+}
+
+// AccountStatus is a client account with its use of the limit at this host.
+type AccountStatus struct {
+	config.Account
+	Keys int `json:"keys"`
+}
+
+// KeyInfo describes a client key without its hash.
+type KeyInfo struct {
+	ID        string    `json:"id"`
+	AccountID string    `json:"account_id"`
+	CreatedAt time.Time `json:"created_at"`
+}
+
+// IssueKeyRequest asks for a new client key.
+type IssueKeyRequest struct {
+	AccountID string `json:"account_id"`
+	// ID is chosen by the host if empty.
+	ID string `json:"id,omitempty"`
+}
+
+// IssuedKey holds a new key in clear; it is shown once.
+type IssuedKey struct {
+	KeyInfo
+	Key    string `json:"key"`
+	Change Change `json:"change"`
+}
+
+// IssueOperatorKeyRequest asks for a new operator key.
+type IssueOperatorKeyRequest struct {
+	ID   string      `json:"id"`
+	Role config.Role `json:"role"`
+}
+
+// IssuedOperatorKey holds a new operator key in clear; it is shown once.
+type IssuedOperatorKey struct {
+	ID     string      `json:"id"`
+	Role   config.Role `json:"role"`
+	Key    string      `json:"key"`
+	Change Change      `json:"change"`
+}
+
+// PresetStatus names the preset in force and its knobs.
+type PresetStatus struct {
+	Preset config.Preset `json:"preset"`
+	Knobs  preset.Knobs  `json:"knobs"`
+}
+
+// PresetDifference lists the knobs that differ between two presets.
+type PresetDifference struct {
+	From        config.Preset    `json:"from"`
+	To          config.Preset    `json:"to"`
+	Differences []KnobDifference `json:"differences"`
+}
+
+// KnobDifference is one knob with both values.
+type KnobDifference struct {
+	Knob string `json:"knob"`
+	From any    `json:"from"`
+	To   any    `json:"to"`
+}
+
+// SetPresetRequest chooses a preset.
+type SetPresetRequest struct {
+	Preset config.Preset `json:"preset"`
+}
+
+// HostInfo is a host as the asked host sees it.
+type HostInfo struct {
+	HostID        string `json:"host_id"`
+	Incarnation   string `json:"incarnation"`
+	Zone          string `json:"zone"`
+	Region        string `json:"region"`
+	CallerAddress string `json:"caller_address"`
+	AdminAddress  string `json:"admin_address"`
+	Listed        bool   `json:"listed"`
+	Live          bool   `json:"live"`
+	Fresh         bool   `json:"fresh"`
+	Draining      bool   `json:"draining"`
+	Revision      uint64 `json:"revision"`
+	EvidenceAgeMs int64  `json:"evidence_age_ms"`
+	Self          bool   `json:"self"`
+}
+
+// HistoryEntry is one revision in the history.
+type HistoryEntry struct {
+	Revision        uint64    `json:"revision"`
+	Operator        string    `json:"operator"`
+	At              time.Time `json:"at"`
+	Summary         string    `json:"summary"`
+	WithdrawnKeyIDs []string  `json:"withdrawn_key_ids,omitempty"`
+}
+
+// ResolveRequest stores an outcome for an unresolved request.
+type ResolveRequest struct {
+	// Status and Body form the answer that repeats of the request get; without a
+	// status, repeats get an error that the request was resolved.
+	Status int    `json:"status,omitempty"`
+	Body   string `json:"body,omitempty"`
+	Note   string `json:"note"`
+}
+
+// OrderRequest is an order to an engine.
+type OrderRequest struct {
+	TargetID string `json:"target_id"`
+	// Kind is load_model, load_adapter, load_version or change_role.
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+}
+
+// OrderResult reports an order that the engine took.
+type OrderResult struct {
+	TargetID      string `json:"target_id"`
+	FencingNumber uint64 `json:"fencing_number"`
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,217 @@
+// Package ctl is the command line of sequoiaroadctl, the operators' tool.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/admin"
+)
+
+// Exit codes, so that scripts can tell failures apart.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitConflict    = 4
+	ExitUnreachable = 5
+	ExitUnknown     = 6
+)
+
+// Environment variables that stand in for the flags --address and --key.
+const (
+	EnvAddress = "SEQUOIAROADCTL_ADDRESS"
+	EnvKey     = "SEQUOIAROADCTL_KEY"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// usageError marks errors of the command line itself.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+// tool holds the global flags.
+type tool struct {
+	address string
+	key     string
+	output  string
+	timeout time.Duration
+	change  admin.ChangeOptions
+	out     io.Writer
+}
+
+// Main runs the tool and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	root := NewCommand(stdout)
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(context.Background())
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "sequoiaroadctl:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var refused *admin.Error
+	var unreachable *admin.UnreachableError
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case errors.As(err, &refused) && refused.Code == admin.CodeConflict:
+		return ExitConflict
+	case errors.As(err, &refused) && refused.Code == admin.CodeUnknown:
+		return ExitUnknown
+	case errors.As(err, &refused):
+		return ExitRefused
+	case strings.HasPrefix(err.Error(), "unknown command"):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+// NewCommand returns the root command.
+func NewCommand(out io.Writer) *cobra.Command {
+	t := &tool{out: out}
+	root := &cobra.Command{
+		Use:           "sequoiaroadctl",
+		Short:         "Operate a sequoiaroad fleet",
+		Long:          "Operate a sequoiaroad fleet through the administration API of any of its hosts.\n\nExit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 host unreachable, 6 outcome unknown.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&t.address, "address", os.Getenv(EnvAddress), "administration address of a host, IP:port (or "+EnvAddress+")")
+	flags.StringVar(&t.key, "key", "", "operator key (better given as "+EnvKey+")")
+	flags.StringVarP(&t.output, "output", "o", outputTable, "table or json")
+	flags.DurationVar(&t.timeout, "timeout", 30*time.Second, "longest wait for an answer")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if t.output != outputTable && t.output != outputJSON {
+			return &usageError{errors.Errorf("--output %q is not table or json", t.output)}
+		}
+		return nil
+	}
+	root.AddCommand(
+		t.accountsCommand(), t.keysCommand(), t.operatorKeysCommand(), t.routesCommand(), t.modelsCommand(),
+		t.targetsCommand(), t.presetCommand(), t.configCommand(), t.hostsCommand(), t.ordersCommand(),
+		t.unresolvedCommand(), t.explainCommand(), t.initCommand(),
+	)
+	return root
+}
+
+// client returns a client for the chosen host.
+func (t *tool) client() (*admin.Client, error) {
+	if t.key == "" {
+		t.key = os.Getenv(EnvKey)
+	}
+	if t.address == "" || t.key == "" {
+		return nil, &usageError{errors.Errorf("--address and --key (or %s and %s) are required", EnvAddress, EnvKey)}
+	}
+	return &admin.Client{Address: t.address, Key: t.key, HTTP: &http.Client{Timeout: t.timeout}}, nil
+}
+
+// call runs f with a client and prints its result.
+func call[T any](t *tool, f func(context.Context, *admin.Client) (T, error), table func(*tabwriter.Writer, T)) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, _ []string) error {
+		client, err := t.client()
+		if err != nil {
+			return err
+		}
+		result, err := f(cmd.Context(), client)
+		if err != nil {
+			return err
+		}
+		return t.print(result, func(w *tabwriter.Writer) { table(w, result) })
+	}
+}
+
+func (t *tool) print(value any, table func(*tabwriter.Writer)) error {
+	if t.output == outputJSON {
+		encoder := json.NewEncoder(t.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	const minWidth, tabWidth, padding = 0, 8, 2
+	w := tabwriter.NewWriter(t.out, minWidth, tabWidth, padding, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// row writes one line of a table.
+func row(w io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, c := range cells {
+		texts[i] = fmt.Sprint(c)
+	}
+	fmt.Fprintln(w, strings.Join(texts, "\t"))
+}
+
+// changeTable prints an accepted change and the hosts that have not confirmed it.
+func changeTable(w *tabwriter.Writer, c admin.Change) {
+	row(w, "revision", c.Revision)
+	row(w, "confirmed by", listOrNone(c.Confirmed))
+	if len(c.Expired) > 0 {
+		row(w, "refusing keyed requests", listOrNone(c.Expired))
+	}
+	if len(c.Pending) > 0 {
+		row(w, "not yet in force at", listOrNone(c.Pending))
+	}
+}
+
+func listOrNone(list []string) string {
+	if len(list) == 0 {
+		return "none"
+	}
+	return strings.Join(list, ", ")
+}
+
+// addChangeFlags adds the flags that apply to each change.
+func (t *tool) addChangeFlags(cmd *cobra.Command) *cobra.Command {
+	cmd.Flags().Uint64Var(&t.change.ExpectedRevision, "expected-revision", 0, "refuse unless the change follows this revision; zero accepts any")
+	cmd.Flags().BoolVar(&t.change.Force, "force", false, "commit without acknowledgements of a majority of hosts; hosts that are cut off may go on with the old configuration")
+	return cmd
+}
+
+// group returns a command that only holds subcommands.
+func group(use, short string, subcommands ...*cobra.Command) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, RunE: func(cmd *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return &usageError{errors.Errorf("unknown command %q for %q", args[0], cmd.CommandPath())}
+		}
+		return cmd.Help()
+	}}
+	cmd.AddCommand(subcommands...)
+	return cmd
+}
+
+// exactArgs requires n arguments.
+func exactArgs(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) != n {
+			return &usageError{errors.Errorf("%s takes %d arguments, not %d", cmd.CommandPath(), n, len(args))}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,291 @@
+// Package host composes the router process of one host from its parts.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/admin"
+	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
+	"github.com/sequoiaroad/sequoiaroad/internal/gateway"
+	"github.com/sequoiaroad/sequoiaroad/internal/idempotency"
+	"github.com/sequoiaroad/sequoiaroad/internal/orders"
+	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/internal/quota"
+	"github.com/sequoiaroad/sequoiaroad/internal/settings"
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout ends unused caller connections.
+	idleTimeout = 2 * time.Minute
+	// stopTimeout bounds each step of a stop after all requests have ended.
+	stopTimeout = 3 * time.Second
+)
+
+// Platform is the platform as the host uses it.
+type Platform struct {
+	Store    platform.Store
+	Objects  platform.Objects
+	HostList platform.HostList
+}
+
+// Options are what a host is made from.
+type Options struct {
+	Settings  settings.Host
+	Platform  Platform
+	Telemetry *telemetry.Telemetry
+}
+
+// Host is the router process of one host.
+type Host struct {
+	options Options
+	logger  hclog.Logger
+	self    config.Member
+
+	callerListener net.Listener
+	adminListener  net.Listener
+
+	wireServer *wire.Server
+	wireClient *wire.Client
+	fleet      *fleet.Fleet
+	limiter    *quota.FleetLimiter
+	dispatcher *dispatch.Dispatcher
+	pollers    *target.Pollers
+	claims     *idempotency.Claims
+	gateway    http.Handler
+	admin      http.Handler
+
+	stop      stopState
+	drainOnce sync.Once
+	drain     chan struct{}
+}
+
+// New binds the listeners and connects the parts. Nothing runs before Run.
+func New(o Options) (*Host, error) {
+	h := &Host{options: o, logger: o.Telemetry.Logger, drain: make(chan struct{})}
+	for _, step := range []func() error{h.listen, h.connectPeers, h.connectTargets, h.buildClaims, h.buildAPIs} {
+		if err := step(); err != nil {
+			h.closeListeners()
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func (h *Host) listen() (err error) {
+	s := &h.options.Settings
+	if h.callerListener, err = net.Listen("tcp", s.CallerListen); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if h.adminListener, err = net.Listen("tcp", s.AdminListen); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	incarnation, err := fleet.NewIncarnation()
+	if err != nil {
+		return err
+	}
+	peer := wire.Peer{HostID: s.HostID, Incarnation: incarnation, Address: s.InnerAddress}
+	credentials, err := h.credentials()
+	if err != nil {
+		return err
+	}
+	h.wireServer = wire.NewServer(wire.ServerOptions{Self: peer, Credentials: credentials, Logger: h.logger.Named("wire")})
+	innerAddress, err := h.wireServer.Listen(s.InnerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for hosts")
+	}
+	h.self = config.Member{
+		HostID: s.HostID, Incarnation: incarnation, Zone: s.Zone, Region: s.Region, Weight: s.Weight,
+		CallerAddress: advertised(s.CallerAddress, h.callerListener.Addr()),
+		InnerAddress:  advertised(s.InnerAddress, innerAddress),
+		AdminAddress:  advertised(s.AdminAddress, h.adminListener.Addr()),
+	}
+	peer.Address = h.self.InnerAddress
+	h.wireClient = wire.NewClient(wire.ClientOptions{Self: peer, Credentials: credentials, Logger: h.logger.Named("wire")})
+	return nil
+}
+
+// advertised replaces port 0 by the port that was bound.
+func advertised(setting string, bound net.Addr) string {
+	ip, port, err := net.SplitHostPort(setting)
+	if err != nil || port != "0" {
+		return setting
+	}
+	_, boundPort, err := net.SplitHostPort(bound.String())
+	if err != nil {
+		return setting
+	}
+	return net.JoinHostPort(ip, boundPort)
+}
+
+func (h *Host) credentials() (*wire.Credentials, error) {
+	s := &h.options.Settings
+	if s.TLSCert != "" {
+		return wire.TLSCredentials(s.TLSCert, s.TLSKey, s.TLSCA)
+	}
+	return wire.SecretCredentials([]byte(s.FleetSecret))
+}
+
+func (h *Host) connectPeers() (err error) {
+	s := &h.options.Settings
+	h.fleet, err = fleet.New(fleet.Options{
+		Self: h.self, Store: h.options.Platform.Store, HostList: h.options.Platform.HostList,
+		Caller: h.wireClient, Registry: h.wireServer,
+		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("fleet"),
+	})
+	if err != nil {
+		return err
+	}
+	maxWait := s.LimitWait
+	if maxWait == 0 {
+		maxWait = -1 // zero means the default to quota
+	}
+	h.limiter = quota.New(quota.Options{
+		View: h.fleet, Caller: h.wireClient, Registry: h.wireServer,
+		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"), MaxWait: maxWait,
+	})
+	return nil
+}
+
+func (h *Host) connectTargets() (err error) {
+	engines := target.NewEngineClient()
+	h.dispatcher, err = dispatch.New(dispatch.Options{
+		Config: h.fleet.Index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
+		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
+	})
+	if err != nil {
+		return err
+	}
+	h.pollers = target.NewPollers(target.PollerOptions{
+		Client: engines, Observer: h.dispatcher, Index: h.fleet.Index, Subscribe: h.fleet.Subscribe,
+	})
+	return nil
+}
+
+func (h *Host) buildClaims() (err error) {
+	h.claims, err = idempotency.New(idempotency.Options{
+		Store: h.options.Platform.Store, Objects: h.options.Platform.Objects,
+		HostID: h.self.HostID, Incarnation: h.self.Incarnation,
+		HolderLive: h.holderLive, Fresh: h.fleet.Fresh, Logger: h.logger.Named("idempotency"),
+	})
+	return err
+}
+
+// holderLive reports whether the holder of a claim may still be running it.
+func (h *Host) holderLive(hostID, incarnation string) bool {
+	for _, status := range h.fleet.Hosts() {
+		if status.Member.HostID == hostID && status.Member.Incarnation == incarnation {
+			return status.Live
+		}
+	}
+	return false
+}
+
+func (h *Host) buildAPIs() error {
+	s := &h.options.Settings
+	api, err := gateway.New(gateway.Options{
+		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
+		StreamSecret: []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, MaxBodyBytes: s.MaxBodyBytes,
+		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+	})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
+	mux.Handle("/", h.stop.count(api))
+	h.gateway = mux
+	h.admin = admin.NewServer(admin.Options{
+		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
+		Orders: &orderAdapter{service: orders.New(orders.Options{})}, Drain: h.Drain, Logger: h.logger,
+	})
+	return nil
+}
+
+// Member returns the identity and addresses of this host.
+func (h *Host) Member() config.Member { return h.self }
+
+// View returns the host's view of the fleet.
+func (h *Host) View() fleet.View { return h.fleet }
+
+// Ready reports that the host serves keyed requests.
+func (h *Host) Ready() bool { return h.fleet.Ready() && h.fleet.Fresh() }
+
+// Drain starts the planned stop.
+func (h *Host) Drain() { h.drainOnce.Do(func() { close(h.drain) }) }
+
+func (h *Host) closeListeners() {
+	for _, l := range []net.Listener{h.callerListener, h.adminListener} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Run serves until the planned stop has ended. The end of ctx starts it, as Drain
+// does. It returns nil after a planned stop.
+func (h *Host) Run(ctx context.Context) error {
+	h.logger.Info("host starts", "incarnation", h.self.Incarnation, "callers", h.self.CallerAddress,
+		"hosts", h.self.InnerAddress, "operators", h.self.AdminAddress)
+	var group run.Group
+	h.addTask(&group, "wire server", h.wireServer.Serve)
+	h.addTask(&group, "fleet", h.fleet.Run)
+	h.addTask(&group, "quota", h.limiter.Run)
+	h.addTask(&group, "dispatch", h.dispatcher.Run)
+	h.addTask(&group, "pollers", h.pollers.Run)
+	h.addTask(&group, "claims", h.claims.Run)
+	h.addTask(&group, "target list", h.watchLeavingTargets)
+	h.addServer(&group, "caller server", h.callerListener, h.gateway)
+	h.addServer(&group, "admin server", h.adminListener, h.admin)
+
+	stopCtx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return h.plannedStop(ctx, stopCtx) }, func(error) { cancel() })
+	err := group.Run()
+	h.wireClient.Close()
+	h.logger.Info("host stopped", "error", err)
+	return err
+}
+
+// addTask adds a task that runs until its context ends.
+func (h *Host) addTask(group *run.Group, name string, task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		err := task(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return errors.Wrap(err, name)
+	}, func(error) { cancel() })
+}
+
+func (h *Host) addServer(group *run.Group, name string, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: h.logger.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})}
+	group.Add(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrap(err, name)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	})
+}
--- /dev/null
+++ b/test/scenario/caller_test.go
@@ -0,0 +1,254 @@
+package scenario
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+)
+
+// callerMain is a client program: "caller http METHOD URL", "caller stream ADDRESS" and
+// "caller load ADDRESS,ADDRESS".
+func callerMain() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: caller http|stream|load ...")
+		os.Exit(2)
+	}
+	kind := os.Args[1]
+	c := parseCaller(os.Args[2:])
+	var err error
+	switch kind {
+	case "http":
+		err = c.plain()
+	case "stream":
+		err = c.stream(c.args[0], c.prompt)
+	case "load":
+		err = c.load()
+	default:
+		err = fmt.Errorf("unknown kind %s", kind)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type headerFlags []string
+
+func (h *headerFlags) String() string     { return strings.Join(*h, ",") }
+func (h *headerFlags) Set(s string) error { *h = append(*h, s); return nil }
+
+type caller struct {
+	key, model, prompt, body, weights string
+	tokens, workers                   int
+	status                            int
+	timeout                           time.Duration
+	headers                           headerFlags
+	args                              []string
+	client                            *http.Client
+}
+
+func parseCaller(args []string) *caller {
+	c := &caller{}
+	set := flag.NewFlagSet("caller", flag.ContinueOnError)
+	set.StringVar(&c.key, "key", "", "client key")
+	set.StringVar(&c.model, "model", "m1", "model")
+	set.StringVar(&c.prompt, "prompt", "Hello", "prompt")
+	set.StringVar(&c.body, "body", "", "request body")
+	set.StringVar(&c.weights, "weights", "1", "weights version of the expected text")
+	set.IntVar(&c.tokens, "tokens", 16, "tokens to generate")
+	set.IntVar(&c.workers, "workers", 4, "callers at once")
+	set.IntVar(&c.status, "status", 0, "expected HTTP status; zero means any 2xx")
+	set.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait")
+	set.Var(&c.headers, "header", "Name: value")
+	if err := set.Parse(args); err != nil {
+		os.Exit(2)
+	}
+	c.args = set.Args()
+	c.client = &http.Client{Timeout: c.timeout}
+	return c
+}
+
+func (c *caller) send(method, url, body string) (*http.Response, error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	for _, h := range c.headers {
+		name, value, _ := strings.Cut(h, ":")
+		r.Header.Set(name, strings.TrimSpace(value))
+	}
+	return c.client.Do(r)
+}
+
+// plain prints status and body of one request.
+func (c *caller) plain() error {
+	response, err := c.send(c.args[0], c.args[1], c.body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d %s\n", response.StatusCode, text)
+	if c.status == response.StatusCode || c.status == 0 && response.StatusCode/100 == 2 {
+		return nil
+	}
+	return fmt.Errorf("status %d", response.StatusCode)
+}
+
+// refusedError is a refusal of the router.
+type refusedError struct {
+	status int
+	code   string
+	run    string
+}
+
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("refused: %d %s run=%s", e.status, e.code, e.run)
+}
+
+func readRefusal(response *http.Response) error {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+			Run  string `json:"run"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&body)
+	return &refusedError{response.StatusCode, body.Error.Code, body.Error.Run}
+}
+
+// stream checks that a streamed completion is whole and in order.
+func (c *caller) stream(address, prompt string) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, c.model, prompt, c.tokens)
+	response, err := c.send(http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return readRefusal(response)
+	}
+	text, err := readStream(response.Body)
+	if err != nil {
+		return err
+	}
+	if want := engine.Text([]byte(prompt), c.tokens, c.weights); text != want {
+		return fmt.Errorf("the text is %q, not %q", text, want)
+	}
+	fmt.Printf("stream of %d tokens is complete\n", c.tokens)
+	return nil
+}
+
+func readStream(body io.Reader) (string, error) {
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return text.String(), nil
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			Error *struct {
+				Code string `json:"code"`
+				Run  string `json:"run"`
+			} `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return "", fmt.Errorf("bad event %q: %w", data, err)
+		}
+		if chunk.Error != nil {
+			return "", fmt.Errorf("stream error %s run=%s", chunk.Error.Code, chunk.Error.Run)
+		}
+		for _, choice := range chunk.Choices {
+			text.WriteString(choice.Text)
+		}
+	}
+	return "", fmt.Errorf("the stream ended without its end marker: %w", lines.Err())
+}
+
+// load sends streams from several workers until SIGTERM. Each worker asks the hosts
+// in turn, goes to the next one on a refusal that says not_run or on a refused
+// connection, and counts any other failure as a lost request.
+func (c *caller) load() error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	ended := make(chan struct{})
+	go func() { <-stop; close(ended) }()
+	addresses := strings.Split(c.args[0], ",")
+	var mu sync.Mutex
+	done, refused := 0, 0
+	var failures []string
+	var workers sync.WaitGroup
+	for w := range c.workers {
+		workers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				retries, err := c.streamAnywhere(addresses, w+i, fmt.Sprintf("worker %d request %d", w, i), ended)
+				mu.Lock()
+				done++
+				refused += retries
+				if err != nil {
+					failures = append(failures, err.Error())
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	fmt.Printf("requests %d refused-not-run %d failed %d\n", done, refused, len(failures))
+	if len(failures) > 0 {
+		return fmt.Errorf("lost requests: %s", strings.Join(failures, "; "))
+	}
+	return nil
+}
+
+func (c *caller) streamAnywhere(addresses []string, first int, prompt string, ended chan struct{}) (int, error) {
+	deadline := time.Now().Add(c.timeout)
+	for retries := 0; ; retries++ {
+		err := c.stream(addresses[(first+retries)%len(addresses)], prompt)
+		if err == nil || !safeToRepeat(err) || time.Now().After(deadline) {
+			return retries, err
+		}
+		select {
+		case <-ended:
+			return retries, nil
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func safeToRepeat(err error) bool {
+	if refused, ok := err.(*refusedError); ok {
+		return refused.run == "not_run"
+	}
+	return strings.Contains(err.Error(), "connection refused")
+}
--- /dev/null
+++ b/test/scenario/process_test.go
@@ -0,0 +1,219 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+type processesKey struct{}
+
+// process is a background process of a script.
+type process struct {
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	code int
+}
+
+type processTable struct {
+	mu      sync.Mutex
+	dir     string
+	running map[string]*process
+}
+
+func (p *processTable) get(ts *testscript.TestScript, name string) *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.running[name]
+	if found == nil {
+		ts.Fatalf("there is no process %s", name)
+	}
+	return found
+}
+
+// killAll ends all processes of the script, by id.
+func (p *processTable) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, running := range p.running {
+		_ = running.cmd.Process.Kill()
+		<-running.done
+	}
+}
+
+func processes(ts *testscript.TestScript) *processTable {
+	return ts.Value(processesKey{}).(*processTable)
+}
+
+const retryInterval = 50 * time.Millisecond
+
+func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"start":   cmdStart,
+		"signal":  cmdSignal,
+		"exited":  cmdExited,
+		"waitfor": cmdWaitFor,
+		"capture": cmdCapture,
+		"inlog":   cmdInLog,
+	}
+}
+
+// cmdStart runs "start NAME PROGRAM ARGS..." in the background. A name can be used
+// again once its process has ended.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
+	}
+	table := processes(ts)
+	path, err := exec.LookPath(args[1])
+	if err != nil {
+		path = filepath.Join(filepath.Dir(os.Args[0]), args[1])
+	}
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		if candidate := filepath.Join(dir, args[1]); isFile(candidate) {
+			path = candidate
+			break
+		}
+	}
+	cmd := exec.Command(path, args[2:]...)
+	cmd.Dir = ts.Getenv("WORK")
+	for _, name := range []string{"PATH", "HOME", "TMPDIR", "NET", "SEQUOIAROAD_FLEET_SECRET", "SEQUOIAROADCTL_KEY", "SEQUOIAROADCTL_ADDRESS"} {
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	log := filepath.Join(table.dir, args[0]+".log")
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	cmd.Stdout, cmd.Stderr = file, file
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, log: log, done: make(chan struct{})}
+	table.mu.Lock()
+	old := table.running[args[0]]
+	table.running[args[0]] = p
+	table.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		_ = file.Close()
+		p.code = cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	if old == nil {
+		return
+	}
+	select {
+	case <-old.done:
+	default:
+		ts.Fatalf("process %s is still running", args[0])
+	}
+}
+
+func isFile(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular()
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+// cmdSignal runs "signal NAME KILL|STOP|CONT|TERM". KILL waits for the end.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: signal NAME SIGNAL")
+	}
+	signal, ok := signals[args[1]]
+	if !ok {
+		ts.Fatalf("unknown signal %s", args[1])
+	}
+	p := processes(ts).get(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(signal))
+	if signal == syscall.SIGKILL {
+		<-p.done
+	}
+}
+
+// cmdExited runs "exited NAME CODE TIMEOUT" and fails unless the process ends in time
+// with the code.
+func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 3 {
+		ts.Fatalf("usage: exited NAME CODE TIMEOUT")
+	}
+	timeout, err := time.ParseDuration(args[2])
+	ts.Check(err)
+	p := processes(ts).get(ts, args[0])
+	select {
+	case <-p.done:
+	case <-time.After(timeout):
+		ts.Fatalf("process %s did not end within %v", args[0], timeout)
+	}
+	if strconv.Itoa(p.code) != args[1] {
+		ts.Fatalf("process %s ended with code %d\n%s", args[0], p.code, tail(p.log))
+	}
+}
+
+// cmdWaitFor runs "waitfor TIMEOUT PATTERN PROGRAM ARGS..." again and again until the
+// program ends with 0 and its output matches; with "!", until it does not.
+func cmdWaitFor(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: waitfor TIMEOUT PATTERN PROGRAM ARGS...")
+	}
+	timeout, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	pattern, err := regexp.Compile("(?s)" + args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(timeout)
+	for {
+		err := ts.Exec(args[2], args[3:]...)
+		output := ts.ReadFile("stdout")
+		matched := err == nil && pattern.MatchString(output)
+		if matched != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %v: %v\nstdout: %s\nstderr: %s", timeout, err, output, ts.ReadFile("stderr"))
+		}
+		time.Sleep(retryInterval)
+	}
+}
+
+// cmdCapture runs "capture NAME PATTERN" and sets the variable to the first group of
+// the pattern in the last standard output.
+func cmdCapture(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: capture NAME PATTERN")
+	}
+	match := regexp.MustCompile(args[1]).FindStringSubmatch(ts.ReadFile("stdout"))
+	if len(match) < 2 {
+		ts.Fatalf("the output has no match of %s", args[1])
+	}
+	ts.Setenv(args[0], match[1])
+}
+
+// cmdInLog runs "inlog NAME PATTERN" on what a process has printed.
+func cmdInLog(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: inlog NAME PATTERN")
+	}
+	data, err := os.ReadFile(processes(ts).get(ts, args[0]).log)
+	ts.Check(err)
+	if regexp.MustCompile(args[1]).Match(data) == neg {
+		ts.Fatalf("the log of %s: match of %s is %v", args[0], args[1], !neg)
+	}
+}
+
+func tail(path string) string {
+	const tailBytes = 4096
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Sprint(err)
+	}
+	return string(data[max(0, len(data)-tailBytes):])
+}
--- /dev/null
+++ b/test/scenario/scenario_test.go
@@ -0,0 +1,58 @@
+// Package scenario runs scripts with the router, the operators' tool and stand-ins as
+// separate processes on loopback addresses.
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/command"
+	"github.com/sequoiaroad/sequoiaroad/internal/ctl"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sequoiaroad":      func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"sequoiaroadctl":   func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"platform-standin": platformMain,
+		"engine-standin":   engineMain,
+		"service-standin":  serviceMain,
+		"relay-standin":    relayMain,
+		"caller":           callerMain,
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		Setup:               setup,
+		Cmds:                scriptCommands(),
+		RequireExplicitExec: true,
+	})
+}
+
+// setup gives each script loopback addresses of its own, so that scripts can run at
+// the same time on fixed ports.
+func setup(env *testscript.Env) error {
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "%d %s", os.Getpid(), env.WorkDir)
+	sum := h.Sum32()
+	env.Setenv("NET", fmt.Sprintf("127.%d.%d", 16+sum%200, sum>>8%250))
+	env.Setenv("SEQUOIAROAD_FLEET_SECRET", "scenario-secret-0123456789")
+	env.Setenv("HOME", env.WorkDir)
+	processes := &processTable{running: map[string]*process{}, dir: env.WorkDir}
+	env.Values[processesKey{}] = processes
+	env.Defer(processes.killAll)
+	return nil
+}
+
+func parseFlags(set *flag.FlagSet) {
+	if err := set.Parse(os.Args[1:]); err != nil {
+		os.Exit(2)
+	}
+}
