Test the limits over generated histories

Change: a simulation of five hosts with drifting clocks, kills, restarts, member changes, lost, late and repeated messages, refunds and limit changes checks each window that ends at a reservation. A pause inside a step equals one after it, since a step uses one clock reading and counts at it. The same histories with one mechanism removed must violate the limits.

--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -130,7 +130,7 @@
 // the reverse order could pair new evidence with an old role.
 func (l *FleetLimiter) mayAct(a *account, now time.Time) (fresh, current bool) {
 	fresh = now.Before(l.view.FreshUntil())
-	return fresh, l.view.Index().Document().Revision == a.state.Role().Revision
+	return fresh, l.view.Index().Document().Revision <= a.state.Role().Revision
 }
 
 // lockCurrent returns the account with its lock held and the role of the view's
--- /dev/null
+++ b/policy/limit/limit_test.go
@@ -0,0 +1,207 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var (
+	testStart = time.Unix(1000, 0)
+	testTerms = NewTerms(3 * time.Second)
+)
+
+// exactRate makes up for the drift reserve, so that a bucket gains whole tokens.
+func exactRate(rate float64) float64 { return rate / (1 - MaxClockDrift) }
+
+func fullBucket(rate, burst float64) *Bucket {
+	b := NewBucket(Limits{Rate: exactRate(rate), Burst: burst}, testStart.Add(-time.Hour))
+	b.advance(testStart)
+	return b
+}
+
+// Guards against an idle account that loses its refund because the bucket was full
+// just before the reservation.
+func TestRefundAfterTakeFromFullBucketIsComplete(t *testing.T) {
+	g := NewWithT(t)
+	b := fullBucket(10, 100)
+	mark, ok := b.Take(testStart, 80)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(b.Refund(testStart.Add(time.Second), mark, 50)).To(BeNumerically("~", 50, 1e-6))
+	g.Expect(b.Level(testStart.Add(time.Second))).To(BeNumerically("~", 80, 1e-6))
+}
+
+// Guards against a refund of tokens that refill has already replaced.
+func TestRefundStopsAtHeadroomSinceTake(t *testing.T) {
+	g := NewWithT(t)
+	b := fullBucket(10, 100)
+	mark, _ := b.Take(testStart, 80)
+	later := testStart.Add(7 * time.Second) // 90 in the bucket, headroom 10
+	_, ok := b.Take(later, 89)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(b.Refund(later, mark, 80)).To(BeNumerically("~", 10, 1e-6))
+}
+
+// referenceBucket keeps all operations and replays them with what was used, the
+// definition of "as if the tokens had never been taken".
+type referenceBucket struct {
+	limits     Limits
+	operations []*referenceTake
+}
+
+type referenceTake struct {
+	at     time.Time
+	tokens float64
+}
+
+func (r *referenceBucket) level(now time.Time) float64 {
+	level, last := r.limits.Burst, testStart
+	for _, o := range r.operations {
+		level = min(r.limits.Burst, level+o.at.Sub(last).Seconds()*r.limits.Rate*(1-MaxClockDrift)) - o.tokens
+		last = o.at
+	}
+	return min(r.limits.Burst, level+now.Sub(last).Seconds()*r.limits.Rate*(1-MaxClockDrift))
+}
+
+// Guards against refunds that give more, or needlessly less, than a bucket from which
+// the tokens had never been taken.
+func TestRefundsEqualReplayWithoutTheTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Rate: 10, Burst: 100}
+		b := fullBucket(10, 100)
+		b.limits.Rate = limits.Rate
+		reference := &referenceBucket{limits: limits}
+		marks := map[*referenceTake]Mark{}
+		var open []*referenceTake
+		now := testStart
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			if len(open) > 0 && rapid.Bool().Draw(t, "settle") {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				o := open[i]
+				open = append(open[:i:i], open[i+1:]...)
+				unused := float64(rapid.IntRange(0, int(o.tokens)).Draw(t, "unused"))
+				b.Refund(now, marks[o], unused)
+				o.tokens -= unused
+			} else {
+				tokens := float64(rapid.IntRange(1, 60).Draw(t, "tokens"))
+				if mark, ok := b.Take(now, tokens); ok {
+					o := &referenceTake{now, tokens}
+					reference.operations = append(reference.operations, o)
+					open = append(open, o)
+					marks[o] = mark
+				}
+			}
+			if want, got := reference.level(now), b.Level(now); got > want+1e-6 || got < want-1e-6 {
+				t.Fatalf("level %.6f, replay %.6f", got, want)
+			}
+		}
+	})
+}
+
+// Guards against a history that grows without bound, and against merged records that
+// allow larger refunds.
+func TestHistoryIsBoundedAndMergesTowardsSmallerRefunds(t *testing.T) {
+	g := NewWithT(t)
+	var h headroomHistory
+	marks := make([]Mark, 0, 1000)
+	for i := range 1000 {
+		marks = append(marks, h.record(float64(i)))
+	}
+	g.Expect(len(h.records)).To(BeNumerically("<=", maxHeadroomRecords))
+	for i, m := range marks[:len(marks)-1] {
+		first := h.after(m)
+		g.Expect(h.records[first].headroom).To(BeNumerically("<=", float64(i+1)))
+	}
+}
+
+// Guards against a lowered limit that takes force late, and a raised one that adds
+// tokens for the time before it.
+func TestLimitChange(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(testTerms, 1, Limits{exactRate(10), 100}, 1, testStart.Add(-time.Hour))
+	_, tokens, ok := p.Issue(testStart, 60, 60)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(tokens).To(Equal(int64(60)))
+	p.Change(testStart, Limits{exactRate(10), 50}, 1)
+	g.Expect(p.Level(testStart) + p.Outstanding(testStart)).To(BeNumerically("~", 50, 1e-6))
+	p.Change(testStart, Limits{exactRate(20), 200}, 1)
+	g.Expect(p.Level(testStart) + p.Outstanding(testStart)).To(BeNumerically("~", 50, 1e-6))
+	soon := testStart.Add(time.Second)
+	g.Expect(p.Level(soon) + p.Outstanding(soon)).To(BeNumerically("~", 70, 1e-6))
+}
+
+// Guards against a repeated or late return that credits spent tokens.
+func TestReturnIsIdempotent(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool(testTerms, 1, Limits{exactRate(10), 100}, 1, testStart.Add(-time.Hour))
+	id, _, _ := p.Issue(testStart, 60, 60)
+	for range 3 {
+		p.Return(testStart, id, 20)
+	}
+	g.Expect(p.Level(testStart)).To(BeNumerically("~", 60, 1e-6))
+	g.Expect(p.Outstanding(testStart)).To(BeNumerically("~", 40, 1e-6))
+	// After the lapse 40 tokens count as spent; refill has replaced some of them.
+	lapsed := testStart.Add(testTerms.GrantHold() + 3*time.Second)
+	level := p.Level(lapsed)
+	p.Return(lapsed, id, 60)
+	g.Expect(p.Level(lapsed)).To(BeNumerically("<=", 100))
+	g.Expect(p.Level(lapsed)).To(BeNumerically(">", level))
+	other := GrantID{Epoch: 2, Number: id.Number}
+	level = p.Level(lapsed)
+	p.Return(lapsed, other, 60)
+	g.Expect(p.Level(lapsed)).To(Equal(level))
+}
+
+// Guards against a holder that spends a grant after its lifetime from the sending of
+// the request, or that loses tokens settled after that.
+func TestGrantExpiresFromSending(t *testing.T) {
+	g := NewWithT(t)
+	a := NewAccount(testTerms)
+	a.Apply(testStart, Role{Revision: 1, Limits: Limits{10, 100}, Rank: -1, Homes: 3})
+	received := testStart.Add(900 * time.Millisecond)
+	a.Holder().Accept(received, &Grant{ID: GrantID{1, 1}, Issuer: "owner"}, 30, testStart)
+	r, ok := a.Reserve(received, 20)
+	g.Expect(ok).To(BeTrue())
+	expired := testStart.Add(time.Second)
+	_, ok = a.Reserve(expired, 1)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(a.Holder().Returns(expired, false)).To(ConsistOf(Return{"owner", GrantID{1, 1}, 10}))
+	a.Settle(expired, r, 5)
+	g.Expect(a.Holder().Returns(expired, false)).To(ConsistOf(Return{"owner", GrantID{1, 1}, 25}))
+	g.Expect(a.Holder().Returns(expired, false)).To(BeEmpty())
+}
+
+// Guards against prefetch that follows no use, or that asks for tokens it holds.
+func TestAskFollowsRecentUse(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHolder(testTerms)
+	g.Expect(h.Ask(testStart)).To(BeZero())
+	now := testStart
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		h.noteUse(now, 100)
+	}
+	ask := h.Ask(now)
+	g.Expect(ask).To(BeNumerically("~", 1000, 100))
+	h.Accept(now, &Grant{}, ask, now)
+	g.Expect(h.Ask(now)).To(BeZero())
+	g.Expect(h.Ask(now.Add(time.Minute))).To(BeZero())
+}
+
+// Guards against shares that add up to more than the account's limits, or leave a part
+// of them unused.
+func TestSharesAddUpToOne(t *testing.T) {
+	g := NewWithT(t)
+	for homes := 1; homes <= 3; homes++ {
+		sum := 0.0
+		for rank := range homes {
+			sum += Share(rank, homes)
+		}
+		g.Expect(sum).To(BeNumerically("~", 1, 1e-12))
+	}
+	g.Expect(Share(-1, 3)).To(BeZero())
+	g.Expect(LargestRequest(Limits{10, 300}, 3)).To(Equal(int64(260)))
+}
--- /dev/null
+++ b/policy/limit/simulation_test.go
@@ -0,0 +1,466 @@
+package limit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
+)
+
+// chooser returns a number below n. It makes a history reproducible, from rapid or
+// from a seeded generator.
+type chooser func(n int) int
+
+// fault removes one mechanism, to show that the property depends on it.
+type fault int
+
+const (
+	noFault fault = iota
+	ownerDoesNotWait
+	refundIgnoresHeadroom
+	refundKeepsHistory
+	restartedHomeKeepsFloor
+	outstandingNotCounted
+	grantExpiresFromReply
+	skippedMembersIgnored
+	shareRaisedAtOnce
+)
+
+var simulationTerms = NewTerms(3 * time.Second)
+
+// revision is a committed configuration of the simulated account.
+type revision struct {
+	limits          Limits
+	members         []*process // by host
+	membersRevision int
+	committed       time.Duration // true time
+}
+
+// process is one incarnation of a host.
+type process struct {
+	host       string
+	rate       float64 // of its clock
+	dead       bool
+	applied    int // index of its revision, or -1
+	freshUntil time.Time
+	account    *Account
+	open       []*openReservation
+}
+
+type openReservation struct {
+	process *process
+	state   *Reservation
+	spent   *spending
+}
+
+// spending is a reservation as the checker sees it.
+type spending struct {
+	at     time.Duration // true time
+	tokens float64
+}
+
+// message is in flight until the simulation ends; it may be delivered late, in any
+// order, more than once or never.
+type message struct {
+	to      *process
+	deliver func(to *process)
+}
+
+type simulation struct {
+	choose    chooser
+	fault     fault
+	now       time.Duration // true time
+	processes []*process    // the latest of each host
+	revisions []revision
+	messages  []message
+	spent     []*spending
+	violation string
+}
+
+var simulatedHosts = []string{"a", "b", "c", "d", "e"}
+
+// simulate runs one history and returns the first violation, or "".
+func simulate(choose chooser, f fault) string {
+	s := &simulation{choose: choose, fault: f}
+	for _, h := range simulatedHosts {
+		s.processes = append(s.processes, s.newProcess(h))
+	}
+	s.commit()
+	// Most histories start with homes that have passed their wait.
+	for _, p := range s.processes {
+		s.apply(p, 0)
+	}
+	s.now += time.Duration(choose(8)) * time.Second
+	steps := 40 + choose(120)
+	for i := 0; i < steps && s.violation == ""; i++ {
+		s.step()
+	}
+	return s.violation
+}
+
+func (s *simulation) newProcess(host string) *process {
+	terms := simulationTerms
+	if s.fault == ownerDoesNotWait {
+		terms.FreshnessDeadline = -terms.GrantHold()
+	}
+	drift := float64(s.choose(3)-1) * MaxClockDrift
+	return &process{host: host, rate: 1 + drift, applied: -1, account: NewAccount(terms)}
+}
+
+// clock returns the process's monotonic time.
+func (s *simulation) clock(p *process) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(float64(s.now) * p.rate))
+}
+
+func (s *simulation) step() {
+	p := s.processes[s.choose(len(s.processes))]
+	if homes := s.homes(len(s.revisions) - 1); len(homes) > 0 && s.choose(2) == 0 {
+		p = homes[s.choose(len(homes))] // the hosts that matter most; it may be dead
+	}
+	switch s.choose(23) {
+	case 0, 1:
+		s.pass()
+	case 2:
+		if s.choose(3) == 0 {
+			s.commit()
+		}
+	case 3:
+		if s.choose(4) == 0 {
+			s.restart(p)
+		}
+	case 4, 5:
+		s.apply(p, s.newer(p))
+	case 6, 7:
+		s.renewAll()
+	case 8, 9, 10:
+		s.request(p)
+	case 11, 12, 13:
+		s.deliver()
+	case 14:
+		s.sendReturns(p)
+	case 15, 16:
+		s.settle(p)
+	case 17:
+		for len(p.open) > 0 {
+			s.settle(p)
+		}
+	case 18:
+		// All hosts spend what they have: the tightest windows.
+		for _, p := range s.processes {
+			s.reserve(p, 0)
+		}
+	case 19:
+		for _, p := range s.processes {
+			s.apply(p, s.newer(p))
+		}
+		s.renewAll()
+	default:
+		s.reserve(p, int64(s.choose(2)*(1+s.choose(100))))
+	}
+}
+
+func (s *simulation) pass() {
+	steps := []time.Duration{
+		time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond,
+		1010 * time.Millisecond, 1700 * time.Millisecond, 2900 * time.Millisecond, 4100 * time.Millisecond,
+	}
+	s.now += steps[s.choose(len(steps))]
+}
+
+// commit accepts a revision with random members; some of them may be dead or
+// replaced, and none may have applied it yet.
+func (s *simulation) commit() {
+	limits := []Limits{{100, 100}, {100, 400}, {300, 200}}
+	r := revision{limits: limits[s.choose(len(limits))], committed: s.now}
+	k := len(s.revisions)
+	if k > 0 {
+		last := s.revisions[k-1]
+		r.members, r.membersRevision = last.members, last.membersRevision
+		if s.choose(2) == 0 {
+			r.limits = last.limits
+		}
+	}
+	if k == 0 || s.choose(2) == 0 {
+		r.members, r.membersRevision = nil, k
+		for _, p := range s.processes {
+			if s.choose(4) > 0 {
+				r.members = append(r.members, p)
+			}
+		}
+	}
+	s.revisions = append(s.revisions, r)
+}
+
+// restart replaces a process; the old one is gone with its memory.
+func (s *simulation) restart(p *process) {
+	for i := range s.processes {
+		if s.processes[i] == p {
+			p.dead = true
+			s.processes[i] = s.newProcess(p.host)
+		}
+	}
+}
+
+func (s *simulation) newer(p *process) int {
+	first := p.applied + 1
+	if first >= len(s.revisions) {
+		return -1
+	}
+	return first + s.choose(len(s.revisions)-first)
+}
+
+func (s *simulation) homes(k int) []*process {
+	var nodes []placement.Node
+	members := map[string]*process{}
+	for _, m := range s.revisions[k].members {
+		nodes = append(nodes, placement.Node{ID: m.host})
+		members[m.host] = m
+	}
+	var homes []*process
+	for _, n := range placement.Homes("account", nodes) {
+		homes = append(homes, members[n.ID])
+	}
+	return homes
+}
+
+func (s *simulation) apply(p *process, k int) {
+	if k < 0 {
+		return
+	}
+	homes := s.homes(k)
+	role := Role{Revision: uint64(k), Limits: s.revisions[k].limits, Rank: -1, Homes: len(homes)}
+	for i, h := range homes {
+		if h == p {
+			role.Rank = i
+		}
+	}
+	if p.applied >= 0 {
+		role.Continuous = k == p.applied+1 || s.revisions[k].membersRevision <= p.applied ||
+			s.fault == skippedMembersIgnored
+	}
+	before := p.account.Pool()
+	p.account.Apply(s.clock(p), role)
+	p.applied = k
+	if pool := p.account.Pool(); pool != nil {
+		switch {
+		case s.fault == restartedHomeKeepsFloor && before == nil:
+			pool.start, pool.bucket.updated = s.clock(p), s.clock(p)
+			pool.bucket.level = pool.Burst()
+		case s.fault == shareRaisedAtOnce:
+			pool.raiseAt = s.clock(p)
+		}
+	}
+}
+
+// renewAll gives new evidence to each process that applies the newest revision,
+// except for random ones that are cut off.
+func (s *simulation) renewAll() {
+	for _, p := range s.processes {
+		if p.applied == len(s.revisions)-1 && s.choose(4) > 0 {
+			p.freshUntil = s.clock(p).Add(simulationTerms.FreshnessDeadline)
+		}
+	}
+}
+
+func (s *simulation) fresh(p *process) bool {
+	return !p.dead && p.applied >= 0 && s.clock(p).Before(p.freshUntil)
+}
+
+// request sends a grant request to a home of the process's revision.
+func (s *simulation) request(p *process) {
+	if p.applied < 0 {
+		return
+	}
+	homes := s.homes(p.applied)
+	if len(homes) == 0 {
+		return
+	}
+	home := homes[min(s.choose(4)/2*s.choose(3), len(homes)-1)]
+	if home == p {
+		return
+	}
+	sent, k := s.clock(p), p.applied
+	need := int64(s.choose(3) * s.choose(150))
+	want := need + int64(s.choose(300))
+	s.send(home, func(home *process) { s.answer(home, p, k, need, want, sent) })
+}
+
+func (s *simulation) answer(home, p *process, k int, need, want int64, sent time.Time) {
+	pool := home.account.Pool()
+	if home.applied != k || !s.fresh(home) || pool == nil {
+		return
+	}
+	id, tokens, ok := pool.Issue(s.clock(home), need, want)
+	if !ok {
+		return
+	}
+	if s.fault == outstandingNotCounted {
+		pool.outstanding, pool.bucket.held = nil, 0
+	}
+	g := Grant{ID: id, Issuer: home.host, Revision: uint64(k)}
+	accepted := false
+	s.send(p, func(p *process) {
+		// A reply is matched with its call once.
+		if accepted {
+			return
+		}
+		accepted = true
+		if s.fault == grantExpiresFromReply {
+			sent = s.clock(p)
+		}
+		p.account.Holder().Accept(s.clock(p), &g, tokens, sent)
+	})
+}
+
+func (s *simulation) send(to *process, deliver func(*process)) {
+	if s.choose(8) > 0 {
+		s.messages = append(s.messages, message{to, deliver})
+	}
+}
+
+func (s *simulation) deliver() {
+	if len(s.messages) == 0 {
+		return
+	}
+	// The newest message is the likely one, so that most calls are quick.
+	i := len(s.messages) - 1
+	if s.choose(3) == 0 {
+		i = s.choose(len(s.messages))
+	}
+	m := s.messages[i]
+	if s.choose(6) > 0 {
+		s.messages = append(s.messages[:i:i], s.messages[i+1:]...)
+	}
+	if !m.to.dead {
+		m.deliver(m.to)
+	}
+}
+
+func (s *simulation) sendReturns(p *process) {
+	for _, r := range p.account.Holder().Returns(s.clock(p), s.choose(4) == 0) {
+		for _, issuer := range s.processes {
+			if issuer.host == r.Issuer {
+				s.send(issuer, func(to *process) {
+					if pool := to.account.Pool(); pool != nil {
+						pool.Return(s.clock(to), r.ID, r.Total)
+					}
+				})
+			}
+		}
+	}
+}
+
+// reserve takes tokens at a host; 0 means all that it has.
+func (s *simulation) reserve(p *process, tokens int64) {
+	if !s.fresh(p) {
+		return
+	}
+	now := s.clock(p)
+	if tokens == 0 {
+		tokens = p.account.Available(now)
+	}
+	if tokens <= 0 {
+		return
+	}
+	r, ok := p.account.Reserve(now, tokens)
+	if !ok {
+		return
+	}
+	e := &spending{at: s.now, tokens: float64(tokens)}
+	s.spent = append(s.spent, e)
+	p.open = append(p.open, &openReservation{process: p, state: r, spent: e})
+	s.check()
+}
+
+func (s *simulation) settle(p *process) {
+	if len(p.open) == 0 {
+		return
+	}
+	i := s.choose(len(p.open))
+	o := p.open[i]
+	p.open = append(p.open[:i:i], p.open[i+1:]...)
+	used := int64(s.choose(int(o.state.Tokens) + 1))
+	if s.choose(2) == 0 {
+		used = 0
+	}
+	o.spent.tokens = float64(used)
+	switch s.fault {
+	case refundIgnoresHeadroom:
+		for _, part := range o.state.parts {
+			if part.grant == nil && part.pool == p.account.pool {
+				part.pool.bucket.history = headroomHistory{}
+			}
+		}
+		p.account.Settle(s.clock(p), o.state, used)
+	case refundKeepsHistory:
+		s.settleKeepingHistory(p, o, used)
+	default:
+		p.account.Settle(s.clock(p), o.state, used)
+	}
+}
+
+func (s *simulation) settleKeepingHistory(p *process, o *openReservation, used int64) {
+	var before headroomHistory
+	if p.account.pool != nil {
+		h := p.account.pool.bucket.history
+		before = headroomHistory{records: append([]headroomRecord(nil), h.records...), last: h.last}
+	}
+	p.account.Settle(s.clock(p), o.state, used)
+	if p.account.pool != nil {
+		p.account.pool.bucket.history = before
+	}
+}
+
+// inForce returns the largest rate and burst of the revisions that some host may
+// act on, or may hold grants of, at true time t.
+func (s *simulation) inForce(t time.Duration) Limits {
+	// No clock may stretch the wait by more than the drift bound.
+	wait := time.Duration(float64(simulationTerms.TakeoverWait()) / (1 - MaxClockDrift))
+	var most Limits
+	for k, r := range s.revisions {
+		replaced := k+1 < len(s.revisions) && s.revisions[k+1].committed+wait < t
+		if r.committed <= t && !replaced {
+			most.Rate, most.Burst = max(most.Rate, r.limits.Rate), max(most.Burst, r.limits.Burst)
+		}
+	}
+	return most
+}
+
+// refill returns the integral of the largest rate in force over [from, to].
+func (s *simulation) refill(from, to time.Duration) float64 {
+	wait := time.Duration(float64(simulationTerms.TakeoverWait()) / (1 - MaxClockDrift))
+	cuts := []time.Duration{to}
+	for _, r := range s.revisions {
+		cuts = append(cuts, r.committed, r.committed+wait)
+	}
+	var sum float64
+	for at := from; at < to; {
+		next := to
+		for _, c := range cuts {
+			if c > at && c < next {
+				next = c
+			}
+		}
+		sum += (next - at).Seconds() * s.inForce((at+next)/2).Rate
+		at = next
+	}
+	return sum
+}
+
+// check compares each window that ends now with the account's limits. Windows that
+// ended earlier were checked then, and settling only lowers what was spent.
+func (s *simulation) check() {
+	const rounding = 1e-6
+	var sum, refill float64
+	last := s.now
+	for i := len(s.spent) - 1; i >= 0; i-- {
+		e := s.spent[i]
+		sum += e.tokens
+		refill += s.refill(e.at, last)
+		last = e.at
+		if bound := refill + s.inForce(e.at).Burst; sum > bound+rounding {
+			s.violation = fmt.Sprintf("%.3f tokens spent in [%v, %v], at most %.3f allowed", sum, e.at, s.now, bound)
+			return
+		}
+	}
+}
