Add the caller-facing gateway

Cause: callers need completions, plain services, the locator and health.

Change: internal/gateway with admission, streams with authenticated event ids, a bounded ring per stream, and at-most-once calls under claims.

--- /dev/null
+++ b/internal/gateway/complete.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+	"github.com/sequoiaroad/sequoiaroad/internal/quota"
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+)
+
+const (
+	lastEventIDHeader = "Last-Event-ID"
+	// maxWholeBytes bounds an answer that is not streamed.
+	maxWholeBytes = 16 << 20
+)
+
+// complete answers a completion request.
+func (c *call) complete(chat bool) error {
+	if err := c.admit(); err != nil {
+		return err
+	}
+	if err := c.setDeadline(); err != nil {
+		return err
+	}
+	data, err := c.readBody()
+	if err != nil {
+		return err
+	}
+	parsed, err := c.parseCompletion(data, chat)
+	if err != nil {
+		return err
+	}
+	run := &completionRun{call: c, request: parsed, created: time.Now().Unix()}
+	run.ids = eventIDs{secret: c.g.options.StreamSecret, accountID: c.accountID(), fingerprint: parsed.fingerprint}
+	if run.resume, err = run.resumePosition(); err != nil {
+		return err
+	}
+	reservation, err := c.reserve(run.tokensToReserve())
+	if err != nil {
+		return err
+	}
+	return run.serve(reservation)
+}
+
+func (c *call) reserve(tokens int64) (quota.Reservation, error) {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	ctx, span := c.span(ctx, "limit")
+	defer span.End()
+	return c.g.options.Limiter.Reserve(ctx, c.accountID(), tokens)
+}
+
+// completionRun is the execution of one completion.
+type completionRun struct {
+	*call
+	request *completionRequest
+	ids     eventIDs
+	resume  *dispatch.StreamPosition
+	created int64
+	// offset counts the tokens that were taken for the caller.
+	offset int
+	// allowed says that an attempt was allowed, after which a refusal of a further
+	// attempt can't prove that the request did not run.
+	allowed atomic.Bool
+	ring    *eventRing
+	written chan struct{} // closed when the ring's writer has ended
+}
+
+// resumePosition reads Last-Event-ID; nil without one.
+func (r *completionRun) resumePosition() (*dispatch.StreamPosition, error) {
+	id := r.r.Header.Get(lastEventIDHeader)
+	if id == "" {
+		return nil, nil
+	}
+	if !r.request.stream {
+		return nil, invalid("%s needs stream to be true", lastEventIDHeader)
+	}
+	position, ok := r.ids.parse(id)
+	if !ok || position.Offset > r.request.maxTokens {
+		return nil, refusal.New(refusal.StreamNotResumable, "%s is not of a stream of this account and body", lastEventIDHeader)
+	}
+	r.offset = position.Offset
+	return &position, nil
+}
+
+func (r *completionRun) tokensToReserve() int64 {
+	return r.request.reservedTokens() - int64(r.offset)
+}
+
+func (r *completionRun) serve(reservation quota.Reservation) error {
+	ctx, cancel := context.WithDeadline(r.r.Context(), r.deadline)
+	defer cancel()
+	ctx, unwatch := r.g.watchKey(ctx, r.call)
+	defer unwatch()
+	ctx, span := r.span(ctx, "stream")
+	defer span.End()
+
+	start := r.offset
+	var whole strings.Builder
+	finish := ""
+	sink := func(t dispatch.Token) error {
+		if err := r.takeToken(t); err != nil {
+			return err
+		}
+		if t.FinishReason != "" {
+			finish = t.FinishReason
+		}
+		if r.request.stream {
+			return r.writeToken(ctx, t)
+		}
+		if whole.Len()+len(t.Text) > maxWholeBytes {
+			return errors.Errorf("the answer is longer than %d bytes", maxWholeBytes)
+		}
+		whole.WriteString(t.Text)
+		return nil
+	}
+	result, err := r.g.options.Completer.Complete(ctx, r.completion(reservation), sink)
+	err = r.judge(ctx, err)
+	r.settle(reservation, result, err, r.offset-start)
+	if r.request.stream {
+		return r.endStream(result, err)
+	}
+	if err != nil {
+		return err
+	}
+	r.writeJSON(http.StatusOK, r.wholeBody(whole.String(), finish, result))
+	return nil
+}
+
+func (r *completionRun) completion(reservation quota.Reservation) *dispatch.Completion {
+	return &dispatch.Completion{
+		RequestID: r.id, AccountID: r.accountID(), Model: r.request.model, Chat: r.request.chat,
+		Body: r.request.body, Prompt: r.request.prompt, MaxOutputTokens: r.request.maxTokens,
+		Deadline: r.deadline, ResumeFrom: r.resume,
+		AllowDispatch: func() error { return r.allowDispatch(reservation) },
+	}
+}
+
+// allowDispatch is the last check before an attempt is sent.
+func (r *completionRun) allowDispatch(reservation quota.Reservation) error {
+	err := r.mayDispatch(reservation)
+	if err == nil {
+		r.allowed.Store(true)
+		return nil
+	}
+	if r.allowed.Load() {
+		return refusal.From(err).WithRun(refusal.Unknown)
+	}
+	return err
+}
+
+func (c *call) mayDispatch(reservation quota.Reservation) error {
+	if err := c.beforeDeadline(); err != nil {
+		return err
+	}
+	if reservation != nil && !reservation.Valid() {
+		return refusal.New(refusal.Overloaded, "the request waited longer than its token reservation")
+	}
+	if c.key != nil {
+		if err := c.fresh(); err != nil {
+			return err
+		}
+	}
+	return c.keyValid()
+}
+
+// takeToken checks that a token is the next one and that the key is still valid.
+func (r *completionRun) takeToken(t dispatch.Token) error {
+	if t.Position.Offset != r.offset+1 {
+		return refusal.New(refusal.TargetFailed, "the answer has a gap").WithRun(refusal.Unknown).
+			WithCause(errors.Errorf("token %d follows token %d", t.Position.Offset, r.offset))
+	}
+	if err := r.keyValid(); err != nil {
+		return refusal.From(err).WithRun(refusal.Unknown)
+	}
+	r.offset++
+	return nil
+}
+
+// judge turns the outcome into the refusal that the caller sees. A request that may
+// have run is never reported as not run.
+func (r *completionRun) judge(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	var withdrawn *refusal.Refusal
+	answer := refusal.From(err)
+	if errors.As(context.Cause(ctx), &withdrawn) {
+		run := answer.Run
+		if !r.allowed.Load() {
+			run = refusal.NotRun
+		}
+		answer = withdrawn.WithRun(run).WithCause(err)
+	}
+	if answer.Run == refusal.NotRun && (r.ring != nil || r.offset > 0) {
+		answer = answer.WithRun(refusal.Unknown)
+	}
+	return answer
+}
+
+// settle gives unused tokens back. A request that did not run used none; otherwise the
+// engine's count applies, or the prompt's estimate and the tokens seen.
+func (r *completionRun) settle(reservation quota.Reservation, result dispatch.Result, err error, seen int) {
+	if err != nil && refusal.From(err).Run == refusal.NotRun {
+		reservation.Settle(0)
+		return
+	}
+	prompt := result.Usage.PromptTokens
+	if prompt == 0 {
+		prompt = prefix.Tokens(len(r.request.prompt))
+	}
+	used := int64(prompt + max(seen, result.Usage.CompletionTokens))
+	if r.resume != nil {
+		used = int64(prompt + seen)
+	}
+	reservation.Settle(min(used, r.tokensToReserve()+int64(seen)))
+}
+
+// startStream sends the headers with the first event, so that a refusal before it has
+// its own status.
+func (r *completionRun) startStream() {
+	h := r.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	r.w.WriteHeader(http.StatusOK)
+	r.ring, r.written = newEventRing(), make(chan struct{})
+	go func() {
+		defer close(r.written)
+		r.ring.drainTo(r.w, r.g.options.WriteTimeout)
+	}()
+}
+
+func (r *completionRun) writeToken(ctx context.Context, t dispatch.Token) error {
+	first := r.ring == nil
+	if first {
+		r.startStream()
+	}
+	data, err := json.Marshal(r.chunkBody(t, first))
+	if err != nil {
+		return err
+	}
+	return r.ring.put(ctx, encodeEvent(r.ids.format(t.Position), "", data))
+}
+
+// encodeEvent returns a server-sent event; data has no line breaks.
+func encodeEvent(id, name string, data []byte) []byte {
+	var event []byte
+	if id != "" {
+		event = append(append(event, "id: "...), id...)
+		event = append(event, '\n')
+	}
+	if name != "" {
+		event = append(append(event, "event: "...), name...)
+		event = append(event, '\n')
+	}
+	event = append(append(event, "data: "...), data...)
+	return append(event, "\n\n"...)
+}
+
+// endStream writes the end marker after a whole answer, or an error event.
+func (r *completionRun) endStream(result dispatch.Result, err error) error {
+	if r.ring == nil {
+		if err != nil {
+			return err
+		}
+		r.startStream() // a resumed stream that had all its tokens
+	}
+	if err == nil {
+		r.ring.close(r.lastEvents(result), false)
+		<-r.written
+		return nil
+	}
+	answer := refusal.From(err)
+	r.logRefusal(answer)
+	data, marshalErr := json.Marshal(r.errorBody(answer))
+	if marshalErr != nil {
+		data = []byte(`{"error":{"code":"target_failed","run":"unknown"}}`)
+	}
+	r.ring.close(encodeEvent("", "error", data), answer.Code == refusal.KeyWithdrawn)
+	<-r.written
+	return nil
+}
+
+func (r *completionRun) lastEvents(result dispatch.Result) []byte {
+	var events []byte
+	if r.request.includeUsage {
+		if data, err := json.Marshal(r.usageChunk(result)); err == nil {
+			events = encodeEvent("", "", data)
+		}
+	}
+	return append(events, encodeEvent("", "", []byte("[DONE]"))...)
+}
--- /dev/null
+++ b/internal/gateway/eventid.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+)
+
+const (
+	eventIDMACBytes  = 16
+	maxEventIDLength = 1024
+	// eventIDDomain keeps these MACs apart from other uses of the secret.
+	eventIDDomain = "sequoiaroad event id 1"
+)
+
+// eventIDs makes and checks the ids of events, `<token>:<offset>`. The token's MAC
+// binds request, target and epoch to the client account and the request body.
+type eventIDs struct {
+	secret      []byte
+	accountID   string
+	fingerprint [sha256.Size]byte
+
+	last  dispatch.StreamPosition
+	token string
+}
+
+func (e *eventIDs) mac(payload []byte) []byte {
+	h := hmac.New(sha256.New, e.secret)
+	for _, part := range [][]byte{[]byte(eventIDDomain), []byte(e.accountID), e.fingerprint[:], payload} {
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		h.Write(part)
+	}
+	return h.Sum(nil)[:eventIDMACBytes]
+}
+
+// format returns the id of the event after which the caller has position.Offset tokens.
+func (e *eventIDs) format(position dispatch.StreamPosition) string {
+	offset := position.Offset
+	position.Offset = 0
+	if e.token == "" || position != e.last {
+		var payload []byte
+		for _, part := range []string{position.EngineRequestID, position.TargetID, position.Epoch} {
+			payload = binary.AppendUvarint(payload, uint64(len(part)))
+			payload = append(payload, part...)
+		}
+		e.last = position
+		e.token = base64.RawURLEncoding.EncodeToString(append(e.mac(payload), payload...))
+	}
+	return e.token + ":" + strconv.Itoa(offset)
+}
+
+// parse returns the position of an id, and false unless it was made for this account
+// and body.
+func (e *eventIDs) parse(id string) (dispatch.StreamPosition, bool) {
+	var p dispatch.StreamPosition
+	token, offsetText, ok := strings.Cut(id, ":")
+	offset, err := strconv.Atoi(offsetText)
+	if !ok || err != nil || offset < 0 || len(id) > maxEventIDLength {
+		return p, false
+	}
+	data, err := base64.RawURLEncoding.Strict().DecodeString(token)
+	if err != nil || len(data) < eventIDMACBytes {
+		return p, false
+	}
+	payload := data[eventIDMACBytes:]
+	if !hmac.Equal(data[:eventIDMACBytes], e.mac(payload)) {
+		return p, false
+	}
+	for _, field := range []*string{&p.EngineRequestID, &p.TargetID, &p.Epoch} {
+		length, n := binary.Uvarint(payload)
+		if n <= 0 || uint64(len(payload)-n) < length {
+			return p, false
+		}
+		*field = string(payload[n : n+int(length)])
+		payload = payload[n+int(length):]
+	}
+	p.Offset = offset
+	return p, true
+}
