Compose one host, the dev mode and the command lines

Cause: the packages of the request path were not joined; no request could be served end to end.

The first members that a fleet ever lists start with full pools, since no other host can have spent from them. The relay stand-in can block source addresses.

Ruled out: waiting 4.5 s for the first pool of a new fleet, which made the self-test fail with request_exceeds_burst and a burst of 0.

Before: the self-test failed at its first check with that refusal; an idempotent call was logged as refused although it was answered, because a nil error was turned into a refusal.

--- a/cmd/sequoiaroadctl/main.go
+++ b/cmd/sequoiaroadctl/main.go
@@ -1,4 +1,10 @@
 // Command sequoiaroadctl is the operators' tool.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -199,6 +199,9 @@
 	var tried []string
 	mayHaveRun := false
 	refuse := func(err error) error {
+		if err == nil {
+			return nil
+		}
 		r := refusal.From(err)
 		if mayHaveRun && r.Run == refusal.NotRun {
 			r = r.WithRun(refusal.Unknown)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -65,7 +65,8 @@
 	limiter    *quota.FleetLimiter
 	dispatcher *dispatch.Dispatcher
 	pollers    *target.Pollers
-	claims     *idempotency.Claims
+	claims     *idempotency.Service
+	orders     *orders.Service
 	gateway    http.Handler
 	admin      http.Handler
 
@@ -164,7 +165,7 @@
 func (h *Host) connectTargets() (err error) {
 	engines := target.NewEngineClient()
 	h.dispatcher, err = dispatch.New(dispatch.Options{
-		Config: h.fleet.Index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
+		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
 		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
 	})
 	if err != nil {
@@ -182,9 +183,28 @@
 		HostID: h.self.HostID, Incarnation: h.self.Incarnation,
 		HolderLive: h.holderLive, Fresh: h.fleet.Fresh, Logger: h.logger.Named("idempotency"),
 	})
+	if err != nil {
+		return err
+	}
+	h.orders, err = orders.New(orders.Options{
+		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
+		Target: h.targetByID, Logger: h.logger.Named("orders"),
+	})
 	return err
 }
 
+// emptyIndex stands for the configuration until one is applied.
+var emptyIndex = config.NewIndex(&config.Document{})
+
+func (h *Host) index() *config.Index {
+	if index := h.fleet.Index(); index != nil {
+		return index
+	}
+	return emptyIndex
+}
+
+func (h *Host) targetByID(id string) *config.Target { return h.index().Target(id) }
+
 // holderLive reports whether the holder of a claim may still be running it.
 func (h *Host) holderLive(hostID, incarnation string) bool {
 	for _, status := range h.fleet.Hosts() {
@@ -197,21 +217,19 @@
 
 func (h *Host) buildAPIs() error {
 	s := &h.options.Settings
-	api, err := gateway.New(gateway.Options{
+	api := gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
-		StreamSecret: []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, MaxBodyBytes: s.MaxBodyBytes,
+		ServiceClient: target.NewServiceClient(),
+		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
 		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
-	if err != nil {
-		return err
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
 	mux.Handle("/", h.stop.count(api))
 	h.gateway = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
-		Orders: &orderAdapter{service: orders.New(orders.Options{})}, Drain: h.Drain, Logger: h.logger,
+		Orders: &orderAdapter{service: h.orders}, Drain: h.Drain, Logger: h.logger,
 	})
 	return nil
 }
@@ -222,8 +240,9 @@
 // View returns the host's view of the fleet.
 func (h *Host) View() fleet.View { return h.fleet }
 
-// Ready reports that the host serves keyed requests.
-func (h *Host) Ready() bool { return h.fleet.Ready() && h.fleet.Fresh() }
+// Ready reports that the host is fresh and that some host holds the limits of the
+// client accounts.
+func (h *Host) Ready() bool { return h.fleet.Fresh() && len(h.index().Document().Members) > 0 }
 
 // Drain starts the planned stop.
 func (h *Host) Drain() { h.drainOnce.Do(func() { close(h.drain) }) }
--- /dev/null
+++ b/internal/host/orders.go
@@ -0,0 +1,20 @@
+package host
+
+import (
+	"context"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/admin"
+	"github.com/sequoiaroad/sequoiaroad/internal/orders"
+)
+
+// orderAdapter lets the operators' API send orders.
+type orderAdapter struct{ service *orders.Service }
+
+// Execute implements admin.Orders.
+func (a *orderAdapter) Execute(ctx context.Context, r admin.OrderRequest) (admin.OrderResult, error) {
+	result, err := a.service.Execute(ctx, orders.Order{
+		TargetID: r.TargetID, Kind: orders.Kind(r.Kind), Model: r.Model,
+		WeightsVersion: r.Version, Adapter: r.Adapter, Role: r.Role,
+	})
+	return admin.OrderResult{TargetID: r.TargetID, FencingNumber: result.FencingNumber}, err
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -23,6 +23,9 @@
 // DefaultFreshnessDeadline is the default of the setting --freshness-deadline.
 const DefaultFreshnessDeadline = 3 * time.Second
 
+// noHomeRetry is about the time until a starting fleet lists its first member.
+const noHomeRetry = time.Second
+
 // Options are the parts and settings of a FleetLimiter.
 type Options struct {
 	View     fleet.View
@@ -108,6 +111,12 @@
 		return nil, refusal.New(refusal.HostNotFresh, "the host may not act on its configuration")
 	}
 	role := a.state.Role()
+	if role.Homes == 0 {
+		a.mu.Unlock()
+		l.refusedWithinRate.Add(1)
+		return nil, refusal.New(refusal.Overloaded, "no host holds the tokens of client account %q yet", accountID).
+			WithRetryAfter(noHomeRetry)
+	}
 	if largest := limit.LargestRequest(role.Limits, role.Homes); tokens > largest {
 		a.mu.Unlock()
 		return nil, refusal.New(refusal.RequestExceedsBurst,
@@ -214,11 +223,12 @@
 	for _, c := range next.Accounts {
 		a := l.accounts[c.ID]
 		role := limit.Role{
-			Revision:   next.Revision,
-			Limits:     limit.Limits{Rate: float64(c.RateTokensPerSecond), Burst: float64(c.BurstTokens)},
-			Rank:       -1,
-			Continuous: change.continuous,
-			NewAccount: a == nil && change.sameMembers,
+			Revision:     next.Revision,
+			Limits:       limit.Limits{Rate: float64(c.RateTokensPerSecond), Burst: float64(c.BurstTokens)},
+			Rank:         -1,
+			Continuous:   change.continuous,
+			NewAccount:   a == nil && change.sameMembers,
+			FirstMembers: change.firstMembers,
 		}
 		if a == nil {
 			a = &account{id: c.ID, state: limit.NewAccount(l.terms)}
@@ -256,6 +266,8 @@
 	continuous bool
 	// sameMembers says that the member list did not change at all.
 	sameMembers bool
+	// firstMembers says that the next revision lists the first members ever.
+	firstMembers bool
 }
 
 func compare(previous *config.Index, next *config.Document) revisionChange {
@@ -264,7 +276,11 @@
 	}
 	old := previous.Document()
 	if next.Revision == old.Revision+1 {
-		return revisionChange{continuous: true, sameMembers: slices.Equal(old.Members, next.Members)}
+		return revisionChange{
+			continuous:   true,
+			sameMembers:  slices.Equal(old.Members, next.Members),
+			firstMembers: old.MembersRevision == 0 && len(old.Members) == 0,
+		}
 	}
 	unchanged := next.MembersRevision != 0 && next.MembersRevision <= old.Revision
 	return revisionChange{continuous: unchanged, sameMembers: unchanged}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,13 @@
 	flags.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
 }
 
+// Defaults returns the settings that hold without flags and variables.
+func Defaults() *Host {
+	var s Host
+	s.Register(pflag.NewFlagSet("defaults", pflag.ContinueOnError))
+	return &s
+}
+
 // EnvName returns the environment variable of a flag.
 func EnvName(flag string) string {
 	return EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
--- a/internal/telemetry/measures.go
+++ b/internal/telemetry/measures.go
@@ -30,6 +30,7 @@
 	timeToFirstToken metric.Float64Histogram
 	refused          metric.Int64Counter
 	refusedInRate    metric.Int64Counter
+	retries          metric.Int64Counter
 
 	worst worstAccount
 }
@@ -47,7 +48,7 @@
 // NewMeasures defines the instruments on a meter.
 func NewMeasures(meter metric.Meter) (*Measures, error) {
 	m := &Measures{worst: worstAccount{now: time.Now}}
-	var errs [7]error
+	var errs [8]error
 	m.promptTokens, errs[0] = meter.Int64Counter("sequoiaroad.prompt_tokens",
 		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens of completed requests"))
 	m.cachedTokens, errs[1] = meter.Int64Counter("sequoiaroad.cached_prompt_tokens",
@@ -61,6 +62,8 @@
 		metric.WithUnit("{request}"), metric.WithDescription("requests refused, by code and run state"))
 	m.refusedInRate, errs[5] = meter.Int64Counter("sequoiaroad.refused_within_rate_requests",
 		metric.WithUnit("{request}"), metric.WithDescription("requests refused while the client account was within its rate"))
+	m.retries, errs[7] = meter.Int64Counter("sequoiaroad.retries",
+		metric.WithUnit("{attempt}"), metric.WithDescription("further attempts after a failure, by target and reason"))
 	_, errs[6] = meter.Float64ObservableGauge("sequoiaroad.worst_account_time_to_first_token",
 		metric.WithUnit("s"), metric.WithDescription("99th percentile over the last minute of the worst-served client account"),
 		metric.WithFloat64Callback(m.observeWorst))
@@ -87,6 +90,11 @@
 	m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", code), attribute.String("run", run)))
 }
 
+// Retried records a further attempt.
+func (m *Measures) Retried(ctx context.Context, attributes ...attribute.KeyValue) {
+	m.retries.Add(ctx, 1, metric.WithAttributes(attributes...))
+}
+
 // RefusedWithinRate records a refusal of an account that was within its rate.
 func (m *Measures) RefusedWithinRate(ctx context.Context, accountID string) {
 	m.refusedInRate.Add(ctx, 1, metric.WithAttributes(attribute.String("account", accountID)))
--- a/policy/limit/account.go
+++ b/policy/limit/account.go
@@ -16,6 +16,9 @@
 	// NewAccount says that the account was absent under the same member list, so
 	// that no other host can have been its home.
 	NewAccount bool
+	// FirstMembers says that no earlier revision listed any member, so that no host
+	// has been a home of any account.
+	FirstMembers bool
 }
 
 // Account is the state of one account on one host.
@@ -39,6 +42,8 @@
 	switch {
 	case share == 0:
 		a.pool = nil
+	case a.pool == nil && role.FirstMembers && role.Continuous:
+		a.pool = NewFullPool(a.terms, role.Revision, role.Limits, share, now)
 	case a.pool == nil || !role.Continuous:
 		// An account deleted and created again may have grants outstanding.
 		wait := a.terms.TakeoverWait()
--- a/policy/limit/pool.go
+++ b/policy/limit/pool.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// NewFullPool returns a pool that is full at once. It is safe only for an account
+// that no host can have been a home of before.
+func NewFullPool(terms Terms, epoch uint64, limits Limits, share float64, now time.Time) *Pool {
+	p := NewPool(terms, epoch, limits, share, now)
+	p.bucket.level = p.bucket.limits.Burst
+	return p
+}
+
 // Epoch returns the revision under which the pool started.
 func (p *Pool) Epoch() uint64 { return p.epoch }
 
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -38,15 +38,19 @@
 	upLimit   int64
 	downLimit int64
 	pairs     map[*pair]bool
+	blocked   map[string]bool // source addresses whose connections are refused
 	closed    bool
 	accepted  int
 }
 
-// New starts a relay to an address. Close ends it.
-func New(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// New starts a relay to an address on a free loopback port. Close ends it.
+func New(target string) (*Relay, error) { return Listen("127.0.0.1:0", target) }
+
+// Listen starts a relay to an address on a given one. Close ends it.
+func Listen(address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen on loopback")
+		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	r := &Relay{target: target, listener: listener, pairs: map[*pair]bool{}, upLimit: -1, downLimit: -1}
 	go r.accept()
@@ -87,6 +91,29 @@
 	}
 }
 
+// BlockSources resets the connections from these source IP addresses, and new ones,
+// until the next call. It stands in for a network partition between hosts.
+func (r *Relay) BlockSources(addresses []string) {
+	blocked := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		blocked[a] = true
+	}
+	r.mu.Lock()
+	r.blocked = blocked
+	pairs := r.copyPairs()
+	r.mu.Unlock()
+	for _, p := range pairs {
+		if blocked[sourceIP(p.client)] {
+			p.reset()
+		}
+	}
+}
+
+func sourceIP(conn net.Conn) string {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return host
+}
+
 // Restore ends a cut.
 func (r *Relay) Restore() {
 	r.mu.Lock()
@@ -140,7 +167,7 @@
 	p := &pair{client: client, gone: make(chan struct{})}
 	r.mu.Lock()
 	r.accepted++
-	refuse := r.cut == Reset || r.closed
+	refuse := r.cut == Reset || r.closed || r.blocked[sourceIP(client)]
 	up, down := r.upLimit, r.downLimit
 	if !refuse {
 		r.pairs[p] = true
