Let hosts borrow from the homes and test the fleet limiter

Waits without hope also lasted until MaxWait. Change: after the owner a host asks the other homes, which lend at most half of what they have, so that a floor is left when the owner fails. A wait ends as soon as neither the own pool nor the homes can help in time. Specs cover order, refusals, freshness, revisions, takeover, returns and concurrent load with the race detector. Ruled out: lending a whole floor, since it would leave nothing for the time after the owner's failure.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -26,8 +26,10 @@
 	timer   *time.Timer     // calls serve when refill should reach the first waiter
 	asking  bool
 	removed bool // from the configuration
-	// askAfter is the earliest time of the next request for grants.
-	askAfter time.Time
+	// askAfter is the earliest time of the next request for shortNeed tokens or
+	// more, as far as the homes have said.
+	askAfter  time.Time
+	shortNeed int64
 	// homesOut says that the last request for grants reached no home that could
 	// tell whether the account exceeds its rate.
 	homesOut bool
@@ -56,20 +58,19 @@
 	return sum
 }
 
-// wait queues a reservation. a.mu is held on entry and free on return.
+// wait queues a reservation if tokens are expected in time. a.mu is held on entry
+// and free on return.
 func (l *FleetLimiter) wait(ctx context.Context, a *account, now time.Time, tokens int64) (Reservation, error) {
 	maxWait := time.Duration(l.maxWait.Load())
-	if own, ok := l.ownWait(a, now, tokens); ok && own > maxWait && a.state.Role().Rank == 0 {
-		err := l.refuse(a, now, tokens)
-		a.mu.Unlock()
-		return nil, err
+	w := &waiter{tokens: tokens, deadline: now.Add(maxWait), result: make(chan waitResult, 1)}
+	if tokens < a.shortNeed && len(a.waiters) == 0 {
+		a.askAfter = now
 	}
-	if maxWait == 0 || len(a.waiters) >= maxWaiters {
+	if maxWait == 0 || len(a.waiters) >= maxWaiters || l.hopeless(a, now, a.waiting()+tokens, w.deadline) {
 		err := l.refuse(a, now, tokens)
 		a.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{tokens: tokens, deadline: now.Add(maxWait), result: make(chan waitResult, 1)}
 	a.waiters = append(a.waiters, w)
 	l.serve(a, now)
 	a.mu.Unlock()
@@ -85,14 +86,42 @@
 	return l.abandon(ctx, a, w)
 }
 
-// ownWait returns when the host's own pool alone reaches the tokens of all waiters
-// and of one more request.
+// hopeless reports whether neither the host's own pool nor the other homes can be
+// expected to provide the tokens before the deadline.
+func (l *FleetLimiter) hopeless(a *account, now time.Time, tokens int64, deadline time.Time) bool {
+	if a.asking || a.askAfter.Before(deadline) && l.hasOtherHomes(a) {
+		return false
+	}
+	own, ok := l.ownWait(a, now, tokens)
+	return !ok || now.Add(own).After(deadline)
+}
+
+func (l *FleetLimiter) hasOtherHomes(a *account) bool {
+	return len(a.homes) > 1 || len(a.homes) == 1 && !l.isSelf(a.homes[0])
+}
+
+// refuseHopeless ends the waits that cannot succeed, so that a caller learns early
+// when to try again. a.mu is held.
+func (l *FleetLimiter) refuseHopeless(a *account, now time.Time) {
+	waiters := a.waiters
+	a.waiters = nil
+	for _, w := range waiters {
+		if l.hopeless(a, now, a.waiting()+w.tokens, w.deadline) {
+			w.result <- waitResult{err: l.refuse(a, now, w.tokens)}
+			continue
+		}
+		a.waiters = append(a.waiters, w)
+	}
+}
+
+// ownWait returns when the host's own pool alone provides the tokens, and false if
+// it has none.
 func (l *FleetLimiter) ownWait(a *account, now time.Time, tokens int64) (time.Duration, bool) {
 	pool := a.state.Pool()
 	if pool == nil {
 		return 0, false
 	}
-	short := a.waiting() + tokens - a.state.Holder().Free(now)
+	short := tokens - a.state.Holder().Free(now)
 	level := pool.Level(now)
 	rate := pool.Rate()
 	if wait, ok := pool.Until(now, short); ok {
@@ -138,7 +167,7 @@
 	r := refusal.New(refusal.RateLimited, "client account %q has too few tokens left for %d", a.id, tokens)
 	retry := time.Duration(0)
 	if pool != nil {
-		retry, _ = l.ownWait(a, now, tokens)
+		retry, _ = l.ownWait(a, now, a.waiting()+tokens)
 	}
 	if wait := a.askAfter.Sub(now); pool == nil && wait > 0 {
 		retry = wait
@@ -205,7 +234,7 @@
 			next = min(next, wait)
 		}
 	}
-	if !a.asking && len(a.homes) > 0 {
+	if !a.asking && l.hasOtherHomes(a) {
 		if wait := a.askAfter.Sub(now); wait > 0 {
 			next = min(next, wait)
 		} else {
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -84,50 +84,66 @@
 	return &GrantReturnAck{}, nil
 }
 
-// ask requests grants for the waiters of an account from its owner and, if that
-// yields nothing, from the other homes.
+// ask requests grants for the waiters of an account: all that the first one lacks
+// from the owner or, failing that, any part of it from the other homes.
 func (l *FleetLimiter) ask(a *account) {
 	a.mu.Lock()
-	revision := a.state.Role().Revision
-	homes := a.homes
-	now := l.clock()
-	need, want := l.demand(a, now)
+	revision, homes := a.state.Role().Revision, a.homes
+	need, want := l.demand(a, l.clock())
 	a.mu.Unlock()
 
-	var last GrantAnswer
-	reached := false
-	retry := time.Duration(0)
-	for _, home := range homes {
-		if need <= 0 || l.isSelf(home) {
-			continue
+	result := askResult{need: need}
+	for rank, home := range homes {
+		if result.lent >= need {
+			break
 		}
-		request := &GrantRequest{Revision: revision, Asks: []GrantAsk{{Account: a.id, Need: need, Want: want}}}
-		answers := l.request(home, request)
-		if answers == nil {
+		if l.isSelf(home) {
+			result.reached = result.reached || rank == 0
 			continue
 		}
-		last = answers[0]
-		if last.Status == GrantIssued || last.Status == GrantShort {
-			reached = true
+		ask := GrantAsk{Account: a.id, Need: need, Want: want}
+		if rank > 0 {
+			ask.Need, ask.Want = 0, need-result.lent
 		}
-		if last.Status == GrantShort && retry == 0 {
-			retry = time.Duration(last.RetryAfterMillis) * time.Millisecond
-		}
-		if last.Status == GrantIssued {
-			break
+		if answers := l.request(home, &GrantRequest{Revision: revision, Asks: []GrantAsk{ask}}); answers != nil {
+			result.add(rank, answers[0])
 		}
 	}
+	l.finishAsk(a, result)
+}
+
+// askResult sums up the answers of the homes.
+type askResult struct {
+	need, lent int64
+	// reached says that a home's answer shows what the account has left.
+	reached bool
+	// retry is the owner's estimate; zero if it gave none.
+	retry time.Duration
+}
+
+func (r *askResult) add(rank int, answer GrantAnswer) {
+	r.lent += answer.Tokens
+	if rank != 0 {
+		return
+	}
+	r.reached = answer.Status == GrantIssued || answer.Status == GrantShort
+	if answer.Status == GrantShort {
+		r.retry = time.Duration(answer.RetryAfterMillis) * time.Millisecond
+	}
+}
 
+func (l *FleetLimiter) finishAsk(a *account, r askResult) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now = l.clock()
-	a.asking = false
-	a.homesOut = !reached && need > 0
+	now := l.clock()
+	a.asking, a.shortNeed = false, 0
+	a.homesOut = !r.reached && r.need > 0
 	a.askAfter = now
-	if last.Status != GrantIssued {
-		a.askAfter = now.Add(max(retry, retryPause))
+	if r.lent < r.need {
+		a.askAfter, a.shortNeed = now.Add(max(r.retry, retryPause)), r.need
 	}
 	l.serve(a, now)
+	l.refuseHopeless(a, now)
 }
 
 // demand returns the tokens that the first waiter lacks, and those of all waiters
--- /dev/null
+++ b/internal/quota/limiter_test.go
@@ -0,0 +1,298 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+var club = config.Account{ID: "club", RateTokensPerSecond: 1000, BurstTokens: 3000}
+
+func reserve(h *testHost, tokens int64) (Reservation, error) {
+	return h.limiter.Reserve(context.Background(), club.ID, tokens)
+}
+
+// refused checks the code of a refusal and that it says that nothing ran.
+func refused(err error, code refusal.Code) *refusal.Refusal {
+	GinkgoHelper()
+	Expect(err).To(BeAssignableToTypeOf(&refusal.Refusal{}))
+	r := refusal.From(err)
+	Expect(r.Code).To(Equal(code))
+	Expect(r.Run).To(Equal(refusal.NotRun))
+	return r
+}
+
+func statusOf(h *testHost) AccountStatus {
+	GinkgoHelper()
+	all := h.limiter.Status()
+	Expect(all).To(HaveLen(1))
+	return all[0]
+}
+
+var _ = Describe("FleetLimiter", func() {
+	// Guards against messages on the request path of the owner.
+	It("reserves on the owner without messages", func() {
+		f := newTestFleet(5, Options{})
+		f.settled(club)
+		owner := f.ranked(club.ID)[0]
+		r, err := reserve(owner, 2000)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Valid()).To(BeTrue())
+		Expect(f.calls.Load()).To(BeZero())
+		r.Settle(500)
+		Expect(statusOf(owner).Level).To(BeNumerically(">=", 2100-1))
+	})
+
+	// Guards against hosts without a share that cannot serve the account.
+	It("reserves from grants on other hosts", func() {
+		f := newTestFleet(5, Options{})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		_, err := reserve(ranked[4], 1000)
+		Expect(err).NotTo(HaveOccurred())
+		s := statusOf(ranked[0])
+		Expect(s.Granted).To(BeNumerically(">=", 1000))
+		Expect(s.Outstanding).To(Equal(s.Granted))
+		Expect(s.Level + s.Outstanding).To(BeNumerically("<=", s.BurstTokens))
+	})
+
+	// Guards against a request that waits for tokens that can never be there.
+	It("refuses what exceeds the burst", func() {
+		f := newTestFleet(3, Options{})
+		f.settled(club)
+		_, err := reserve(f.ranked(club.ID)[1], 2601)
+		refused(err, refusal.RequestExceedsBurst)
+	})
+
+	// Guards against an exceeded rate that is counted as a fault of the fleet, and
+	// against a refusal without a hint when to retry.
+	It("refuses at once when refill takes too long", func() {
+		f := newTestFleet(3, Options{MaxWait: 100 * time.Millisecond})
+		f.settled(club)
+		for _, h := range f.ranked(club.ID) {
+			_, err := reserve(h, min(2600, statusOf(h).Level))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		start := time.Now()
+		_, err := reserve(f.ranked(club.ID)[0], 2000)
+		r := refused(err, refusal.RateLimited)
+		Expect(time.Since(start)).To(BeNumerically("<", 90*time.Millisecond))
+		Expect(r.RetryAfter).To(BeNumerically(">", time.Second))
+		Expect(r.Addresses).To(HaveLen(3))
+		Expect(f.ranked(club.ID)[0].limiter.RefusedWithinRate()).To(BeZero())
+	})
+
+	// Guards against small requests that overtake a large one for ever.
+	It("serves waiting reservations in their order", func() {
+		f := newTestFleet(1, Options{MaxWait: 2 * time.Second})
+		f.settled(club)
+		h := f.ranked(club.ID)[0]
+		_, err := reserve(h, 3000)
+		Expect(err).NotTo(HaveOccurred())
+		var order []int64
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for i, tokens := range []int64{200, 1, 50} {
+			group.Go(func() {
+				_, err := reserve(h, tokens)
+				mu.Lock()
+				defer mu.Unlock()
+				Expect(err).NotTo(HaveOccurred())
+				order = append(order, tokens)
+			})
+			Eventually(func() int { return statusOf(h).Waiting }).Should(Equal(i + 1))
+		}
+		group.Wait()
+		Expect(order).To(HaveExactElements(int64(200), int64(1), int64(50)))
+	})
+
+	// Guards against a wait that keeps its place after the caller has gone.
+	It("ends a wait with its context", func() {
+		f := newTestFleet(1, Options{MaxWait: 5 * time.Second})
+		f.settled(club)
+		h := f.ranked(club.ID)[0]
+		_, err := reserve(h, 3000)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err = h.limiter.Reserve(ctx, club.ID, 2000)
+		refused(err, refusal.RateLimited)
+		Expect(statusOf(h).Waiting).To(BeZero())
+	})
+
+	// Guards against a lost owner that stops its account, and against refusals of
+	// that kind that nobody counts.
+	It("spends floors while the owner is out of reach", func() {
+		f := newTestFleet(4, Options{MaxWait: 50 * time.Millisecond})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		ranked[0].down.Store(true)
+		_, err := reserve(ranked[1], 150)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = reserve(ranked[2], 1500)
+		refused(err, refusal.RateLimited)
+		Expect(ranked[2].limiter.RefusedWithinRate()).To(Equal(int64(1)))
+		// A host without a floor borrows from the homes that are left.
+		_, err = reserve(ranked[3], 30)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a host that spends or grants without fresh evidence.
+	It("neither spends nor grants when it is not fresh", func() {
+		f := newTestFleet(4, Options{MaxWait: 50 * time.Millisecond})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		f.advance(DefaultFreshnessDeadline + time.Second)
+		ranked[3].renew()
+		_, err := reserve(ranked[0], 1)
+		refused(err, refusal.HostNotFresh)
+		_, err = reserve(ranked[3], 1)
+		refused(err, refusal.RateLimited)
+		Expect(statusOf(ranked[0]).Granted).To(BeZero())
+	})
+
+	// Guards against grants between hosts that disagree about the owner.
+	It("refuses requests of another revision", func() {
+		f := newTestFleet(4, Options{})
+		d := f.settled(club)
+		owner := f.ranked(club.ID)[0]
+		answer := owner.limiter.answer(d.Revision+1, GrantAsk{Account: club.ID, Need: 1, Want: 1})
+		Expect(answer.Status).To(Equal(GrantOtherRevision))
+		notHome := f.ranked(club.ID)[3]
+		answer = notHome.limiter.answer(d.Revision, GrantAsk{Account: club.ID, Need: 1, Want: 1})
+		Expect(answer.Status).To(Equal(GrantNotHome))
+	})
+
+	// Guards against a new owner that spends while the old one still may, and against
+	// a change of other settings that empties the pools.
+	It("waits after a takeover and keeps its tokens otherwise", func() {
+		o := Options{MaxWait: 10 * time.Millisecond}
+		f := newTestFleet(3, o)
+		d := f.settled(club)
+		ranked := f.ranked(club.ID)
+
+		next := d.Clone()
+		next.Preset = config.PresetPeak
+		next.Revision++
+		f.apply(next)
+		_, err := reserve(ranked[0], 2600)
+		Expect(err).NotTo(HaveOccurred())
+
+		restarted := f.add(ranked[0].member.HostID, "2", o)
+		last := next.Clone()
+		last.Revision++
+		last.MembersRevision = last.Revision
+		last.Members = f.members()
+		f.apply(last)
+		f.renew()
+		// More than the two floors of 200 tokens can lend.
+		_, err = reserve(restarted, 500)
+		refused(err, refusal.RateLimited)
+		Expect(restarted.limiter.RefusedWithinRate()).To(Equal(int64(1)))
+		f.advance(restarted.limiter.terms.TakeoverWait() + 500*time.Millisecond)
+		f.renew()
+		Expect(statusOf(restarted).Level).To(And(BeNumerically(">", 100), BeNumerically("<", 1000)))
+		_, err = reserve(restarted, 100)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against tokens that are lost when a host stops.
+	It("returns unspent grants", func() {
+		f := newTestFleet(4, Options{})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		r, err := reserve(ranked[3], 1000)
+		Expect(err).NotTo(HaveOccurred())
+		r.Settle(0)
+		Expect(statusOf(ranked[3]).Held).To(BeNumerically(">=", 1000))
+		Expect(ranked[3].limiter.Return(context.Background())).To(Succeed())
+		Expect(statusOf(ranked[3]).Held).To(BeZero())
+		Expect(statusOf(ranked[0]).Outstanding).To(BeZero())
+		Expect(statusOf(ranked[0]).Level).To(Equal(int64(2600)))
+		ranked[0].down.Store(true)
+		r, err = reserve(ranked[1], 100)
+		Expect(err).NotTo(HaveOccurred())
+		r.Settle(0)
+	})
+
+	// Guards against a first request after each grant that waits for a message.
+	It("prefetches in proportion to recent use", func() {
+		f := newTestFleet(4, Options{})
+		f.settled(club)
+		h := f.ranked(club.ID)[3]
+		_, err := reserve(h, 1000)
+		Expect(err).NotTo(HaveOccurred())
+		h.limiter.refresh()
+		Eventually(func() int64 { return statusOf(h).Held }).Should(BeNumerically(">", 100))
+		calls := f.calls.Load()
+		_, err = reserve(h, 100)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.calls.Load()).To(Equal(calls))
+	})
+
+	// Guards against state of accounts that the configuration no longer names.
+	It("drops removed accounts and ends their waits", func() {
+		f := newTestFleet(1, Options{MaxWait: 5 * time.Second})
+		d := f.settled(club)
+		h := f.ranked(club.ID)[0]
+		_, err := reserve(h, 3000)
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan error)
+		go func() {
+			_, err := reserve(h, 2900)
+			done <- err
+		}()
+		Eventually(func() int { return statusOf(h).Waiting }).Should(Equal(1))
+		next := d.Clone()
+		next.Revision++
+		next.Accounts = nil
+		f.apply(next)
+		var result error
+		Eventually(done).Should(Receive(&result))
+		refused(result, refusal.NotFound)
+		Expect(h.limiter.Status()).To(BeEmpty())
+		_, err = reserve(h, 1)
+		refused(err, refusal.NotFound)
+	})
+
+	// Guards against concurrent use that exceeds the limits or leaves most of the
+	// rate unused. It also gives the race detector something to look at.
+	It("stays within rate and burst under concurrent load on all hosts", func() {
+		f := newTestFleet(5, Options{MaxWait: 50 * time.Millisecond})
+		f.settled(club)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		var spent atomic.Int64
+		start := time.Now()
+		for _, h := range f.hosts {
+			group.Go(func() { _ = h.limiter.Run(ctx) })
+			for range 4 {
+				group.Go(func() {
+					for ctx.Err() == nil {
+						r, err := reserve(h, 20)
+						if err != nil {
+							Expect(refusal.From(err).Code).To(Equal(refusal.RateLimited))
+							continue
+						}
+						spent.Add(10)
+						r.Settle(10)
+					}
+				})
+			}
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		group.Wait()
+		elapsed := time.Since(start).Seconds()
+		allowed := float64(club.BurstTokens) + elapsed*float64(club.RateTokensPerSecond)
+		Expect(float64(spent.Load())).To(BeNumerically("<=", allowed))
+		Expect(float64(spent.Load())).To(BeNumerically(">", 0.8*allowed))
+	})
+})
--- /dev/null
+++ b/internal/quota/quota_suite_test.go
@@ -0,0 +1,170 @@
+package quota
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+// testFleet is a set of limiters that call each other in memory. Its clock is the
+// real one plus a skip, so that waits of seconds need not be waited for.
+type testFleet struct {
+	mu    sync.Mutex
+	hosts map[string]*testHost // by inner address
+	skip  atomic.Int64
+	calls atomic.Int64
+}
+
+type testHost struct {
+	fleet    *testFleet
+	member   config.Member
+	index    atomic.Pointer[config.Index]
+	fresh    atomic.Int64 // end of the evidence in nanoseconds of the fleet's clock
+	down     atomic.Bool
+	applied  func()
+	handlers map[wire.Type]wire.Handler
+	limiter  *FleetLimiter
+}
+
+var clockStart = time.Now()
+
+func (f *testFleet) clock() time.Time { return time.Now().Add(time.Duration(f.skip.Load())) }
+
+func (f *testFleet) advance(d time.Duration) { f.skip.Add(int64(d)) }
+
+func newTestFleet(hosts int, o Options) *testFleet {
+	f := &testFleet{hosts: map[string]*testHost{}}
+	for i := range hosts {
+		f.add(fmt.Sprintf("h%d", i), "1", o)
+	}
+	return f
+}
+
+// add starts a host, in place of an earlier one with the same id.
+func (f *testFleet) add(id, incarnation string, o Options) *testHost {
+	h := &testHost{
+		fleet: f, handlers: map[wire.Type]wire.Handler{},
+		member: config.Member{
+			HostID: id, Incarnation: incarnation, InnerAddress: id + ":1", CallerAddress: id + ":2",
+		},
+	}
+	h.index.Store(config.NewIndex(&config.Document{Revision: 1}))
+	o.View, o.Caller, o.Registry, o.Clock = h, h, h, f.clock
+	f.mu.Lock()
+	f.hosts[h.member.InnerAddress] = h
+	f.mu.Unlock()
+	h.limiter = New(o)
+	return h
+}
+
+func (f *testFleet) members() []config.Member {
+	var members []config.Member
+	for _, h := range f.hosts {
+		members = append(members, h.member)
+	}
+	return members
+}
+
+// apply puts a document into force on all hosts.
+func (f *testFleet) apply(d *config.Document) {
+	index := config.NewIndex(d)
+	for _, h := range f.hosts {
+		h.apply(index)
+	}
+}
+
+// settled applies a first document and skips the wait of its homes and the time in
+// which their pools fill.
+func (f *testFleet) settled(accounts ...config.Account) *config.Document {
+	d := &config.Document{Revision: 2, MembersRevision: 2, Members: f.members(), Accounts: accounts}
+	f.apply(d)
+	f.advance(time.Hour)
+	f.renew()
+	return d
+}
+
+func (f *testFleet) renew() {
+	for _, h := range f.hosts {
+		h.renew()
+	}
+}
+
+// ranked returns the hosts of an account, its homes first.
+func (f *testFleet) ranked(accountID string) []*testHost {
+	var nodes []placement.Node
+	for _, m := range f.members() {
+		nodes = append(nodes, placement.Node{ID: m.HostID})
+	}
+	var ranked []*testHost
+	for _, n := range placement.Rank("account/"+accountID, nodes) {
+		ranked = append(ranked, f.hosts[n.ID+":1"])
+	}
+	return ranked
+}
+
+func (h *testHost) apply(index *config.Index) {
+	h.index.Store(index)
+	h.applied()
+}
+
+func (h *testHost) renew() {
+	h.fresh.Store(int64(h.fleet.clock().Add(DefaultFreshnessDeadline).Sub(clockStart)))
+}
+
+// The read side of a fleet.
+
+func (h *testHost) Index() *config.Index      { return h.index.Load() }
+func (h *testHost) Self() config.Member       { return h.member }
+func (h *testHost) Fresh() bool               { return h.fleet.clock().Before(h.FreshUntil()) }
+func (h *testHost) FreshUntil() time.Time     { return clockStart.Add(time.Duration(h.fresh.Load())) }
+func (h *testHost) Withdrawn(string) bool     { return false }
+func (h *testHost) Hosts() []fleet.HostStatus { return nil }
+func (h *testHost) Subscribe(f func())        { h.applied = f }
+
+// Handle implements wire.Registry.
+func (h *testHost) Handle(t wire.Type, handler wire.Handler) { h.handlers[t] = handler }
+
+// Call implements wire.Caller.
+func (h *testHost) Call(ctx context.Context, address string, request, reply wire.Message) error {
+	h.fleet.calls.Add(1)
+	h.fleet.mu.Lock()
+	peer := h.fleet.hosts[address]
+	h.fleet.mu.Unlock()
+	if peer == nil || peer.down.Load() || h.down.Load() {
+		return errors.New("connection refused")
+	}
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	from := wire.Peer{HostID: h.member.HostID, Incarnation: h.member.Incarnation}
+	answer, err := peer.handlers[request.WireType()](ctx, from, wire.Request{Type: request.WireType(), Body: body})
+	if err != nil {
+		return err
+	}
+	if answer.WireType() != reply.WireType() {
+		return errors.Errorf("reply has type %d", answer.WireType())
+	}
+	if body, err = msgpack.Marshal(answer); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body, reply)
+}
