Test the stand-ins and check calls right before the first byte

Cause: a check before dialling leaves the time of the dial between the check and the send; the ring dropped its events when it was full at the end; order kinds of the engine stand-in differed from those of internal/orders.

Change: target connections ask a gate right before the first byte; the ring has a slot for the last event; a completion without a last token is an error; the engine stand-in takes load_model, load_adapter, load_version and change_role.

Ruled out: asking in the httptrace hook, which can't stop a call.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -64,8 +64,14 @@
 	ids     eventIDs
 	resume  *dispatch.StreamPosition
 	created int64
-	// offset counts the tokens that were taken for the caller.
+	// offset counts the tokens that the caller has or that were taken for it in this
+	// call, which began at start.
 	offset int
+	start  int
+	// finish is the reason on the last token.
+	finish string
+	// sinkErr is the error that ended the completion from this side.
+	sinkErr error
 	// allowed says that an attempt was allowed, after which a refusal of a further
 	// attempt can't prove that the request did not run.
 	allowed atomic.Bool
@@ -86,12 +92,12 @@
 	if !ok || position.Offset > r.request.maxTokens {
 		return nil, refusal.New(refusal.StreamNotResumable, "%s is not of a stream of this account and body", lastEventIDHeader)
 	}
-	r.offset = position.Offset
+	r.offset, r.start = position.Offset, position.Offset
 	return &position, nil
 }
 
 func (r *completionRun) tokensToReserve() int64 {
-	return r.request.reservedTokens() - int64(r.offset)
+	return r.request.reservedTokens() - int64(r.start)
 }
 
 func (r *completionRun) serve(reservation quota.Reservation) error {
@@ -102,35 +108,36 @@
 	ctx, span := r.span(ctx, "stream")
 	defer span.End()
 
-	start := r.offset
 	var whole strings.Builder
-	finish := ""
 	sink := func(t dispatch.Token) error {
-		if err := r.takeToken(t); err != nil {
-			return err
-		}
-		if t.FinishReason != "" {
-			finish = t.FinishReason
-		}
-		if r.request.stream {
-			return r.writeToken(ctx, t)
-		}
-		if whole.Len()+len(t.Text) > maxWholeBytes {
-			return errors.Errorf("the answer is longer than %d bytes", maxWholeBytes)
-		}
-		whole.WriteString(t.Text)
-		return nil
+		r.sinkErr = r.deliver(ctx, t, &whole)
+		return r.sinkErr
 	}
 	result, err := r.g.options.Completer.Complete(ctx, r.completion(reservation), sink)
 	err = r.judge(ctx, err)
-	r.settle(reservation, result, err, r.offset-start)
+	r.settle(reservation, result, err)
 	if r.request.stream {
 		return r.endStream(result, err)
 	}
 	if err != nil {
 		return err
 	}
-	r.writeJSON(http.StatusOK, r.wholeBody(whole.String(), finish, result))
+	r.writeJSON(http.StatusOK, r.wholeBody(whole.String(), result))
+	return nil
+}
+
+// deliver takes a token for the caller.
+func (r *completionRun) deliver(ctx context.Context, t dispatch.Token, whole *strings.Builder) error {
+	if err := r.takeToken(t); err != nil {
+		return err
+	}
+	if r.request.stream {
+		return r.writeToken(ctx, t)
+	}
+	if whole.Len()+len(t.Text) > maxWholeBytes {
+		return refusal.New(refusal.TargetFailed, "the answer is longer than %d bytes", maxWholeBytes).WithRun(refusal.Unknown)
+	}
+	whole.WriteString(t.Text)
 	return nil
 }
 
@@ -181,13 +188,19 @@
 		return refusal.From(err).WithRun(refusal.Unknown)
 	}
 	r.offset++
+	r.finish = t.FinishReason
 	return nil
 }
 
 // judge turns the outcome into the refusal that the caller sees. A request that may
 // have run is never reported as not run.
 func (r *completionRun) judge(ctx context.Context, err error) error {
-	if err == nil {
+	switch {
+	case r.sinkErr != nil:
+		err = r.sinkErr
+	case err == nil && r.offset > r.start && r.finish == "":
+		err = refusal.New(refusal.TargetFailed, "the answer has no last token").WithRun(refusal.Unknown)
+	case err == nil:
 		return nil
 	}
 	var withdrawn *refusal.Refusal
@@ -199,7 +212,7 @@
 		}
 		answer = withdrawn.WithRun(run).WithCause(err)
 	}
-	if answer.Run == refusal.NotRun && (r.ring != nil || r.offset > 0) {
+	if answer.Run == refusal.NotRun && r.offset > r.start {
 		answer = answer.WithRun(refusal.Unknown)
 	}
 	return answer
@@ -207,7 +220,7 @@
 
 // settle gives unused tokens back. A request that did not run used none; otherwise the
 // engine's count applies, or the prompt's estimate and the tokens seen.
-func (r *completionRun) settle(reservation quota.Reservation, result dispatch.Result, err error, seen int) {
+func (r *completionRun) settle(reservation quota.Reservation, result dispatch.Result, err error) {
 	if err != nil && refusal.From(err).Run == refusal.NotRun {
 		reservation.Settle(0)
 		return
@@ -216,11 +229,11 @@
 	if prompt == 0 {
 		prompt = prefix.Tokens(len(r.request.prompt))
 	}
-	used := int64(prompt + max(seen, result.Usage.CompletionTokens))
-	if r.resume != nil {
-		used = int64(prompt + seen)
+	seen := r.offset - r.start
+	if r.resume == nil {
+		seen = max(seen, result.Usage.CompletionTokens) // counts from the first token
 	}
-	reservation.Settle(min(used, r.tokensToReserve()+int64(seen)))
+	reservation.Settle(min(int64(prompt+seen), r.tokensToReserve()))
 }
 
 // startStream sends the headers with the first event, so that a refusal before it has
--- a/internal/gateway/formats.go
+++ b/internal/gateway/formats.go
@@ -66,10 +66,10 @@
 	return body
 }
 
-func (r *completionRun) wholeBody(text, finish string, result dispatch.Result) answerBody {
+func (r *completionRun) wholeBody(text string, result dispatch.Result) answerBody {
 	choice := choiceBody{}
-	if finish != "" {
-		choice.FinishReason = &finish
+	if r.finish != "" {
+		choice.FinishReason = &r.finish
 	}
 	if r.request.chat {
 		choice.Message = &messageBody{Role: "assistant", Content: text}
--- a/internal/gateway/ring.go
+++ b/internal/gateway/ring.go
@@ -14,6 +14,8 @@
 const (
 	ringEvents = 64
 	ringBytes  = 64 << 10
+	// ringSlots has room for the last event of a full ring.
+	ringSlots = ringEvents + 1
 )
 
 var errRingClosed = errors.New("the caller's stream is closed")
@@ -22,7 +24,7 @@
 type eventRing struct {
 	mu     sync.Mutex
 	moved  *sync.Cond
-	events [ringEvents][]byte
+	events [ringSlots][]byte
 	head   int
 	count  int
 	bytes  int
@@ -68,7 +70,7 @@
 }
 
 func (r *eventRing) add(event []byte) {
-	r.events[(r.head+r.count)%ringEvents] = event
+	r.events[(r.head+r.count)%ringSlots] = event
 	r.count++
 	r.bytes += len(event)
 	r.moved.Broadcast()
@@ -86,7 +88,7 @@
 	}
 	event := r.events[r.head]
 	r.events[r.head] = nil
-	r.head = (r.head + 1) % ringEvents
+	r.head = (r.head + 1) % ringSlots
 	r.count--
 	r.bytes -= len(event)
 	r.moved.Broadcast()
@@ -98,9 +100,8 @@
 func (r *eventRing) close(last []byte, discard bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if discard || r.count == ringEvents {
-		// A full ring is closed with discard only: put waits until there is room.
-		r.events, r.head, r.count, r.bytes = [ringEvents][]byte{}, 0, 0, 0
+	if discard {
+		r.clear()
 	}
 	if last != nil && r.err == nil {
 		r.add(last)
@@ -113,11 +114,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.err = err
-	r.events, r.head, r.count, r.bytes = [ringEvents][]byte{}, 0, 0, 0
+	r.clear()
 	r.closed = true
 	r.moved.Broadcast()
 }
 
+func (r *eventRing) clear() {
+	r.events, r.head, r.count, r.bytes = [ringSlots][]byte{}, 0, 0, 0
+}
+
 // drainTo writes events to the caller until the ring is closed and empty. Each write
 // has a deadline, so that a caller that takes nothing does not hold the stream.
 func (r *eventRing) drainTo(w http.ResponseWriter, timeout time.Duration) {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -175,11 +175,11 @@
 }
 
 // send makes one attempt at a target. An error is a *target.CallError.
-func (s *serviceCall) send(ctx context.Context, t *config.Target, once bool) (*target.ServiceResponse, error) {
+func (s *serviceCall) send(ctx context.Context, t *config.Target, once bool, beforeWrite func() error) (*target.ServiceResponse, error) {
 	s.attempt++
 	attempt := s.request
 	attempt.RequestID = s.id + "." + strconv.Itoa(s.attempt)
-	attempt.Once = once
+	attempt.Once, attempt.BeforeWrite = once, beforeWrite
 	ctx, span := s.span(ctx, "target")
 	defer span.End()
 	return s.g.options.ServiceClient.Call(ctx, t, &attempt)
@@ -206,20 +206,23 @@
 		return r
 	}
 	for {
-		if err := s.mayDispatch(s.reservation); err != nil {
-			return refuse(err)
-		}
 		t, done, err := s.g.options.Services.ChooseService(s.name, tried)
 		if err != nil {
 			return refuse(err)
 		}
 		attemptCtx, cancelAttempt := s.attemptContext(ctx)
-		response, err := s.send(attemptCtx, t, false)
+		response, err := s.send(attemptCtx, t, false, s.allowSend)
 		cancelAttempt()
-		done(err)
 		if err == nil {
-			return refuse(s.relay(response))
+			done(nil)
+			return refuseIf(refuse, s.relay(response))
+		}
+		var refused *refusal.Refusal
+		if errors.As(err, &refused) { // by allowSend, which is no fault of the target
+			done(nil)
+			return refuse(refused)
 		}
+		done(err)
 		mayHaveRun = mayHaveRun || !provedNotRun(err)
 		tried = append(tried, t.ID)
 		if len(tried) == maxServiceAttempts || ctx.Err() != nil {
@@ -229,6 +232,16 @@
 	}
 }
 
+func refuseIf(refuse func(error) error, err error) error {
+	if err == nil {
+		return nil
+	}
+	return refuse(err)
+}
+
+// allowSend holds the last checks before the first byte is sent.
+func (s *serviceCall) allowSend() error { return s.mayDispatch(s.reservation) }
+
 // attemptContext leaves half of the time that remains for a further attempt.
 func (s *serviceCall) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if s.attempt+1 >= maxServiceAttempts {
@@ -335,13 +348,14 @@
 	if err != nil {
 		return "", notRun(err)
 	}
-	if err := s.allowOnce(claim); err != nil {
-		done(nil)
-		return "", notRun(err)
-	}
 	ctx, cancel := context.WithDeadline(background, s.deadline)
 	defer cancel()
-	response, err := s.send(ctx, t, true)
+	response, err := s.send(ctx, t, true, func() error { return s.allowOnce(claim) })
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) && provedNotRun(err) {
+		done(nil)
+		return "", notRun(refused)
+	}
 	done(err)
 	if err == nil {
 		answer := idempotency.Answer{Status: response.Status, Header: response.Header, Body: response.Body}
--- a/internal/target/callerror.go
+++ b/internal/target/callerror.go
@@ -34,7 +34,11 @@
 	if !proof.reached() {
 		step = StepDial
 	}
-	return &CallError{Step: step, Target: targetID, NotRun: proof.nothingWritten(), Err: withoutURL(err)}
+	notRun := proof.nothingWritten() // ends all writing, so that gateErr is final
+	if proof.gateErr != nil {
+		err = proof.gateErr
+	}
+	return &CallError{Step: step, Target: targetID, NotRun: notRun, Err: withoutURL(err)}
 }
 
 // rejectionBody is how a target says that it did not run a request.
--- a/internal/target/credentials.go
+++ b/internal/target/credentials.go
@@ -26,7 +26,8 @@
 	// IsKey reports whether a text is the key of some caller; nil knows none.
 	IsKey   func(text string) bool
 	secrets []string
-	encoded []string // hexadecimal and base64 forms
+	hex     []string // lower-case hexadecimal forms
+	base64  []string // the parts that do not depend on the surroundings
 }
 
 // NewCredentials returns the credentials that a request carries in its headers. Their
@@ -53,11 +54,11 @@
 		return
 	}
 	c.secrets = append(c.secrets, s)
-	c.encoded = append(c.encoded, hex.EncodeToString([]byte(s)))
+	c.hex = append(c.hex, hex.EncodeToString([]byte(s)))
 	for _, encoding := range []*base64.Encoding{base64.RawStdEncoding, base64.RawURLEncoding} {
 		for shift := range 3 {
 			if core := encodedCore(encoding, s, shift); len(core) >= minEncodedCore {
-				c.encoded = append(c.encoded, core)
+				c.base64 = append(c.base64, core)
 			}
 		}
 	}
@@ -92,15 +93,9 @@
 }
 
 func (c *Credentials) foundOnce(value string) bool {
-	if c.foundPlain(value) {
+	if c.foundPlain(value) || containsAny(value, c.base64) || containsAny(strings.ToLower(value), c.hex) {
 		return true
 	}
-	lower := strings.ToLower(value)
-	for i, core := range c.encoded {
-		if strings.Contains(value, core) || (isHexForm(c, i) && strings.Contains(lower, core)) {
-			return true
-		}
-	}
 	for _, word := range strings.FieldsFunc(value, notBase64) {
 		word = strings.TrimRight(word, "=")
 		if len(word) < minSecretBytes {
@@ -118,9 +113,9 @@
 	return false
 }
 
-func isHexForm(c *Credentials, i int) bool {
-	for _, s := range c.secrets {
-		if len(c.encoded[i]) == 2*len(s) && c.encoded[i] == hex.EncodeToString([]byte(s)) {
+func containsAny(text string, parts []string) bool {
+	for _, p := range parts {
+		if strings.Contains(text, p) {
 			return true
 		}
 	}
@@ -128,10 +123,8 @@
 }
 
 func (c *Credentials) foundPlain(value string) bool {
-	for _, s := range c.secrets {
-		if strings.Contains(value, s) {
-			return true
-		}
+	if containsAny(value, c.secrets) {
+		return true
 	}
 	return c.IsKey != nil && len(value) >= minSecretBytes && c.IsKey(strings.TrimSpace(value))
 }
@@ -178,7 +171,7 @@
 // hopByHop are the headers that end at each hop, in normal form.
 var hopByHop = map[string]bool{
 	"connection": true, "proxyconnection": true, "keepalive": true, "te": true, "trailer": true,
-	"transferencoding": true, "upgrade": true, "proxyauthenticate": true, "http2settings": true,
+	"transferencoding": true, "upgrade": true, "proxyauthenticate": true, "http2settings": true, "expect": true,
 }
 
 // overrides let a target take a request for one of another method, past the route.
@@ -314,8 +307,8 @@
 		text = strings.ReplaceAll(text, s, Redacted)
 		text = strings.ReplaceAll(text, url.QueryEscape(s), Redacted)
 	}
-	for _, e := range c.encoded {
-		text = strings.ReplaceAll(text, e, Redacted)
+	for _, encoded := range append(append([]string(nil), c.hex...), c.base64...) {
+		text = strings.ReplaceAll(text, encoded, Redacted)
 	}
 	return text
 }
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -100,7 +100,7 @@
 
 // send returns a response, or a *CallError.
 func (c *HTTPEngineClient) send(ctx context.Context, t *config.Target, method, path string, body []byte) (*http.Response, error) {
-	proof, ctx := newWriteProof(ctx)
+	proof, ctx := newWriteProof(ctx, nil)
 	request, err := http.NewRequestWithContext(ctx, method, t.URL+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, &CallError{Step: StepSend, Target: t.ID, NotRun: true, Err: withoutURL(err)}
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -35,6 +35,9 @@
 	Body     []byte
 	// Once sends on a connection of its own, so that net/http can't repeat the call.
 	Once bool
+	// BeforeWrite is asked right before the first byte is written; its error ends the
+	// call and is returned within a CallError with NotRun. nil allows every call.
+	BeforeWrite func() error
 }
 
 // ServiceResponse is the whole response of a plain service.
@@ -67,7 +70,7 @@
 
 // Call implements ServiceClient.
 func (c *HTTPServiceClient) Call(ctx context.Context, t *config.Target, r *ServiceRequest) (*ServiceResponse, error) {
-	proof, ctx := newWriteProof(ctx)
+	proof, ctx := newWriteProof(ctx, r.BeforeWrite)
 	request, err := newServiceRequest(ctx, t, r)
 	if err != nil {
 		return nil, &CallError{Step: StepSend, Target: t.ID, NotRun: true, Err: withoutURL(err)}
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	gate    func() error // asked once before the next write
 }
 
 // Write counts before it writes: a failed write may still have sent something.
@@ -38,14 +39,24 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
+	if gate := c.gate; gate != nil {
+		c.gate = nil
+		if err := gate(); err != nil {
+			c.sealed = true
+			c.mu.Unlock()
+			return 0, err
+		}
+	}
 	c.written += int64(len(p))
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
-func (c *countingConn) count() int64 {
+// startCall sets the gate of the next call and returns the count before it.
+func (c *countingConn) startCall(gate func() error) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.gate = gate
 	return c.written
 }
 
@@ -63,10 +74,14 @@
 	conns    map[*countingConn]int64 // bytes written before the call
 	unproved bool
 	sealed   bool
+	gate     func() error
+	gateErr  error
 }
 
-func newWriteProof(ctx context.Context) (*writeProof, context.Context) {
-	p := &writeProof{conns: map[*countingConn]int64{}}
+// newWriteProof follows the call that is made with the returned context. gate, if
+// any, is asked right before the first byte; its error ends the call.
+func newWriteProof(ctx context.Context, gate func() error) (*writeProof, context.Context) {
+	p := &writeProof{conns: map[*countingConn]int64{}, gate: gate}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { p.gotConn(info.Conn) }}
 	return p, httptrace.WithClientTrace(ctx, trace)
 }
@@ -87,8 +102,17 @@
 		return
 	}
 	if _, known := p.conns[counting]; !known {
-		p.conns[counting] = counting.count()
+		p.conns[counting] = counting.startCall(p.passGate)
+	}
+}
+
+func (p *writeProof) passGate() error {
+	if p.gate == nil {
+		return nil
 	}
+	err := p.gate()
+	p.gateErr = err
+	return err
 }
 
 // nothingWritten seals the connections of a failed call and reports whether it is
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -38,6 +38,7 @@
 	mu             sync.Mutex
 	epoch          string
 	weightsVersion string
+	models         map[string]bool
 	adapters       map[string]bool
 	role           string
 	fencing        uint64
@@ -59,9 +60,12 @@
 	o = o.withDefaults()
 	e := &Engine{
 		options: o, prefill: make(chan struct{}, 1), epoch: uuid.NewString(),
-		weightsVersion: o.WeightsVersion, adapters: map[string]bool{}, cache: newCache(o),
+		weightsVersion: o.WeightsVersion, models: map[string]bool{}, adapters: map[string]bool{}, cache: newCache(o),
 		streams: map[string]*stream{},
 	}
+	for _, m := range o.Models {
+		e.models[m] = true
+	}
 	e.recordLoad()
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
@@ -169,6 +173,19 @@
 	return len(chain)
 }
 
+// Loaded reports whether a model is served and whether an adapter is loaded; an empty
+// name is always loaded.
+func (e *Engine) Loaded(model, adapter string) (bool, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.serves(model), adapter == "" || e.adapters[adapter]
+}
+
+// serves reports whether a model is loaded. The caller holds the mutex.
+func (e *Engine) serves(model string) bool {
+	return len(e.options.Models) == 0 || model == "" || e.models[model]
+}
+
 // Role returns the role that the last order set.
 func (e *Engine) Role() string {
 	e.mu.Lock()
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -158,7 +158,7 @@
 		}
 		salt = parsed
 	}
-	if len(e.options.Models) > 0 && !slices.Contains(e.options.Models, c.Model) {
+	if loaded, _ := e.Loaded(c.Model, ""); !loaded {
 		return nil, http.StatusNotFound, fmt.Errorf("model %q is not loaded", c.Model)
 	}
 	s := &stream{
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -100,18 +100,27 @@
 
 // Kinds of order.
 const (
-	orderLoad  = "load"
-	orderRole  = "role"
-	orderDrain = "drain"
+	orderLoadModel   = "load_model"
+	orderLoadAdapter = "load_adapter"
+	orderLoadVersion = "load_version"
+	orderChangeRole  = "change_role"
 )
 
 type orderRequest struct {
 	FencingNumber  uint64 `json:"fencing_number"`
 	Kind           string `json:"kind"`
+	Model          string `json:"model"`
 	WeightsVersion string `json:"weights_version"`
 	Adapter        string `json:"adapter"`
 	Role           string `json:"role"`
-	Draining       bool   `json:"draining"`
+}
+
+func (o orderRequest) known() bool {
+	switch o.Kind {
+	case orderLoadModel, orderLoadAdapter, orderLoadVersion, orderChangeRole:
+		return true
+	}
+	return false
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -120,7 +129,7 @@
 		e.reject(w, http.StatusBadRequest, false, "the body is not valid: %v", err)
 		return
 	}
-	if o.Kind != orderLoad && o.Kind != orderRole && o.Kind != orderDrain {
+	if !o.known() {
 		e.reject(w, http.StatusBadRequest, false, "order kind %q is unknown", o.Kind)
 		return
 	}
@@ -128,7 +137,7 @@
 		e.reject(w, http.StatusConflict, false, "the fencing number is stale")
 		return
 	}
-	if o.Kind == orderLoad && e.options.WeightStore != nil {
+	if o.Kind != orderChangeRole && e.options.WeightStore != nil {
 		duration := e.options.WeightStore.begin()
 		time.Sleep(duration)
 		e.options.WeightStore.end()
@@ -156,18 +165,17 @@
 	defer e.mu.Unlock()
 	e.counters.Orders++
 	switch o.Kind {
-	case orderLoad:
-		if o.Adapter != "" {
-			e.adapters[o.Adapter] = true
-		}
+	case orderLoadModel:
+		e.models[o.Model] = true
+	case orderLoadAdapter:
+		e.adapters[o.Adapter] = true
+	case orderLoadVersion:
 		if o.WeightsVersion != "" && o.WeightsVersion != e.weightsVersion {
 			e.weightsVersion = o.WeightsVersion
 			e.cache.clear(time.Now())
 		}
-	case orderRole:
+	case orderChangeRole:
 		e.role = o.Role
-	case orderDrain:
-		e.draining = o.Draining
 	}
 	e.recordLoad()
 	return map[string]any{
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func echoServer(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn); _ = conn.Close() }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func connect(t *testing.T, g Gomega) (*Relay, net.Conn) {
+	r, err := New(echoServer(t))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(r.Close)
+	conn, err := net.Dial("tcp", r.Addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	return r, conn
+}
+
+// Guards against a link whose delay is not applied, or that loses data in a cut that
+// is restored.
+func TestDelayDropAndRestore(t *testing.T) {
+	g := NewWithT(t)
+	r, conn := connect(t, g)
+	r.SetDelay(20 * time.Millisecond)
+	lines := bufio.NewReader(conn)
+	started := time.Now()
+	_, _ = conn.Write([]byte("one\n"))
+	g.Expect(lines.ReadString('\n')).To(Equal("one\n"))
+	g.Expect(time.Since(started)).To(BeNumerically(">=", 40*time.Millisecond))
+
+	r.Cut(Drop)
+	_, _ = conn.Write([]byte("two\n"))
+	_ = conn.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+	_, err := lines.ReadString('\n')
+	g.Expect(err).To(HaveOccurred())
+	r.Restore()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	g.Expect(lines.ReadString('\n')).To(Equal("two\n"))
+}
+
+// Guards against a reset link that still forwards.
+func TestResetAndCutAfter(t *testing.T) {
+	g := NewWithT(t)
+	r, conn := connect(t, g)
+	_, _ = conn.Write([]byte("x"))
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Cut(Reset)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+	r.Restore()
+
+	r.CutAfter(-1, 3)
+	again, err := net.Dial("tcp", r.Addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer again.Close()
+	_, _ = again.Write([]byte("abcdef"))
+	data, _ := io.ReadAll(again)
+	g.Expect(string(data)).To(Equal("abc"))
+}
--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,34 @@
+package service
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a stand-in that hides an execution: a dropped answer has run, a
+// rejection with not_run has not.
+func TestRunsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	s := New(Options{})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	book := func() (*http.Response, error) {
+		return http.Post(server.URL+"/bookings", "application/json", strings.NewReader(`{"booking_id":"b1"}`))
+	}
+	response, err := book()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	s.SetFaults(Faults{DropAtByte: -1})
+	_, err = book()
+	g.Expect(err).To(HaveOccurred())
+	s.SetFaults(Faults{NotRun: true})
+	response, err = book()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(s.Ledger().BookingRuns("b1")).To(Equal(2))
+}
