--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -116,10 +117,22 @@
 		AdminAddress:  advertised(s.AdminAddress, h.adminListener.Addr()),
 	}
 	peer.Address = h.self.InnerAddress
-	h.wireClient = wire.NewClient(wire.ClientOptions{Self: peer, Credentials: credentials, Logger: h.logger.Named("wire")})
+	h.wireClient = wire.NewClient(wire.ClientOptions{
+		Self: peer, Credentials: credentials, LocalIP: sourceAddress(innerAddress), Logger: h.logger.Named("wire"),
+	})
 	return nil
 }
 
+// sourceAddress returns the IP that the inner listener is bound to, or the zero
+// address for a wildcard.
+func sourceAddress(bound net.Addr) netip.Addr {
+	address, err := netip.ParseAddrPort(bound.String())
+	if err != nil || address.Addr().IsUnspecified() {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
 // advertised replaces port 0 by the port that was bound.
 func advertised(setting string, bound net.Addr) string {
 	ip, port, err := net.SplitHostPort(setting)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 type ClientOptions struct {
 	Self        Peer
 	Credentials *Credentials
+	// LocalIP is the source address of connections, so that firewalls between hosts
+	// can be strict; the zero address leaves the choice to the system.
+	LocalIP netip.Addr
 	// Logger may be nil.
 	Logger hclog.Logger
 }
@@ -213,6 +217,9 @@
 
 func (c *Client) exchange(ctx context.Context, l *link, conn *clientConn) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.options.LocalIP.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.options.LocalIP, 0))
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return errors.Wrap(err, "dial")
