Prove the withdrawal of keys under failure with real processes

Change: a script withdraws a key while the store is in outage, one host is cut off from all others and the store, one is frozen, and a long stream runs. A network stand-in cuts hosts from each other by their source address.

Ruled out: cutting a host by freezing it only, since a frozen host can't refuse anything.

Conclusion: at the host that hears the withdrawal it is in force at once, the cut host refuses within the deadline, the frozen host never serves the key.

--- /dev/null
+++ b/test/scenario/fleet_test.go
@@ -0,0 +1,162 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/admin"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+const fleetTimeout = 30 * time.Second
+
+// background is the context of the calls that set a fleet up; each call has a timeout.
+var background = context.Background()
+
+// zones are the availability zones and regions of the hosts, in turn.
+var zones = []struct{ zone, region string }{
+	{"kigali-a", "kigali"}, {"kigali-b", "kigali"}, {"musanze-a", "musanze"},
+}
+
+// cmdFleet runs "fleet HOSTS [ENGINE FLAGS...]": a platform, two engines e1 and e2, a
+// booking service, a network, and hosts h1 to hN, configured with model m1, account
+// stove and a key. It sets KEY (operator), CLIENT (client key), H1..HN (caller
+// addresses), A1..AN (administration addresses), STORE, NETCTL, E1, E2 and BOOKING.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	base := ts.Getenv("NET")
+	ts.Setenv("STORE", "http://"+base+".1:9000")
+	ts.Setenv("NETCTL", "http://"+base+".1:9099")
+	ts.Setenv("E1", base+".2:9001")
+	ts.Setenv("E2", base+".2:9002")
+	ts.Setenv("BOOKING", base+".3:9003")
+	startProcess(ts, "platform", "platform-standin", "--listen", base+".1:9000")
+	startProcess(ts, "network", "network-standin", "--net", base, "--hosts", args[0])
+	for i, id := range []string{"e1", "e2"} {
+		flags := append([]string{"--listen", fmt.Sprintf("%s.2:%d", base, 9001+i), "--id", id}, args[1:]...)
+		startProcess(ts, id, "engine-standin", flags...)
+	}
+	startProcess(ts, "booking", "service-standin", "--listen", base+".3:9003", "--id", "b1")
+	eventually(ts, "the platform answers", func() error { return getOK(ts.Getenv("STORE") + "/v1/stats") })
+
+	ts.Check(ts.Exec("sequoiaroadctl", "init", "--platform-url", ts.Getenv("STORE"), "-o", "json"))
+	var first struct {
+		OperatorKey string `json:"operator_key"`
+	}
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &first))
+	ts.Setenv("KEY", first.OperatorKey)
+	ts.Setenv("SEQUOIAROADCTL_KEY", first.OperatorKey)
+	ts.Setenv("SEQUOIAROADCTL_ADDRESS", base+".11:8082")
+	for i := 1; i <= count; i++ {
+		startHost(ts, i)
+	}
+	client := operator(ts, 1)
+	eventually(ts, "all hosts are members", func() error { return allListed(client, count) })
+	configure(ts, client)
+}
+
+// cmdHost runs "host N [FLAGS...]": it starts host N again.
+func cmdHost(ts *testscript.TestScript, _ bool, args []string) {
+	i, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	startHost(ts, i, args[1:]...)
+}
+
+func startHost(ts *testscript.TestScript, i int, extra ...string) {
+	base := ts.Getenv("NET")
+	ip := fmt.Sprintf("%s.%d", base, 10+i)
+	ts.Setenv(fmt.Sprintf("H%d", i), ip+":8080")
+	ts.Setenv(fmt.Sprintf("A%d", i), ip+":8082")
+	place := zones[(i-1)%len(zones)]
+	flags := []string{"serve", "--host-id", fmt.Sprintf("h%d", i), "--zone", place.zone, "--region", place.region,
+		"--platform-url", fmt.Sprintf("http://%s.1:%d", base, 9100+i), "--caller-listen", ip + ":8080",
+		"--inner-listen", ip + ":8081", "--inner-address", ip + ":8091", "--admin-listen", ip + ":8082",
+		"--locator-ttl", "300ms", "--drain-grace", "600ms", "--log-level", "debug"}
+	startProcess(ts, fmt.Sprintf("h%d", i), "sequoiaroad", append(flags, extra...)...)
+}
+
+func operator(ts *testscript.TestScript, host int) *admin.Client {
+	return &admin.Client{Address: ts.Getenv(fmt.Sprintf("A%d", host)), Key: ts.Getenv("KEY"), HTTP: &http.Client{Timeout: fleetTimeout}}
+}
+
+func allListed(client *admin.Client, count int) error {
+	hosts, err := client.Hosts(background)
+	if err != nil {
+		return err
+	}
+	listed := 0
+	for _, h := range hosts {
+		if h.Listed && h.Live && h.Fresh {
+			listed++
+		}
+	}
+	if listed < count {
+		return fmt.Errorf("%d of %d hosts are listed and fresh", listed, count)
+	}
+	return nil
+}
+
+// configure applies the whole configuration in one change.
+func configure(ts *testscript.TestScript, client *admin.Client) {
+	key := admin.NewClientKey()
+	eventually(ts, "the configuration is applied", func() error {
+		d, err := client.Configuration(background)
+		if err != nil {
+			return err
+		}
+		d.Models = []config.Model{{ID: "m1", WeightsVersion: "1"}}
+		d.Accounts = []config.Account{{ID: "stove", RateTokensPerSecond: 20_000, BurstTokens: 100_000}}
+		d.ClientKeys = []config.ClientKey{{ID: "k1", AccountID: "stove", Hash: config.HashKey(key), CreatedAt: time.Now().UTC()}}
+		d.Routes = []config.Route{
+			{Service: "booking", PathPrefix: "/runs", Method: "GET", Idempotent: true},
+			{Service: "booking", PathPrefix: "/echo", Method: "GET", Open: true, Idempotent: true},
+		}
+		d.Targets = []config.Target{
+			{ID: "e1", Kind: config.TargetEngine, URL: "http://" + ts.Getenv("E1"), Zone: "kigali-a", Region: "kigali", Models: []string{"m1"}},
+			{ID: "e2", Kind: config.TargetEngine, URL: "http://" + ts.Getenv("E2"), Zone: "kigali-b", Region: "kigali", Models: []string{"m1"}},
+			{ID: "b1", Kind: config.TargetService, URL: "http://" + ts.Getenv("BOOKING"), Zone: "kigali-a", Region: "kigali", Service: "booking"},
+		}
+		change, err := client.Apply(background, d, admin.ChangeOptions{ExpectedRevision: d.Revision})
+		if err == nil && len(change.Pending) > 0 {
+			err = fmt.Errorf("not in force at %s", strings.Join(change.Pending, ", "))
+		}
+		return err
+	})
+	ts.Setenv("CLIENT", key)
+}
+
+func getOK(url string) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
+
+func eventually(ts *testscript.TestScript, what string, check func() error) {
+	deadline := time.Now().Add(fleetTimeout)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %v: %s: %v", fleetTimeout, what, err)
+		}
+		time.Sleep(retryInterval)
+	}
+}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -58,6 +58,8 @@
 
 func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"fleet":   cmdFleet,
+		"host":    cmdHost,
 		"start":   cmdStart,
 		"signal":  cmdSignal,
 		"exited":  cmdExited,
@@ -73,31 +75,33 @@
 	if len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
 	}
+	startProcess(ts, args[0], args[1], args[2:]...)
+}
+
+// startProcess starts a program that is registered with the script runner.
+func startProcess(ts *testscript.TestScript, name, program string, args ...string) {
 	table := processes(ts)
-	path, err := exec.LookPath(args[1])
-	if err != nil {
-		path = filepath.Join(filepath.Dir(os.Args[0]), args[1])
-	}
+	path := ""
 	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
-		if candidate := filepath.Join(dir, args[1]); isFile(candidate) {
+		if candidate := filepath.Join(dir, program); isFile(candidate) {
 			path = candidate
 			break
 		}
 	}
-	cmd := exec.Command(path, args[2:]...)
+	cmd := exec.Command(path, args...)
 	cmd.Dir = ts.Getenv("WORK")
-	for _, name := range []string{"PATH", "HOME", "TMPDIR", "NET", "SEQUOIAROAD_FLEET_SECRET", "SEQUOIAROADCTL_KEY", "SEQUOIAROADCTL_ADDRESS"} {
-		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	for _, variable := range []string{"PATH", "HOME", "TMPDIR", "NET", "SEQUOIAROAD_FLEET_SECRET", "SEQUOIAROADCTL_KEY", "SEQUOIAROADCTL_ADDRESS"} {
+		cmd.Env = append(cmd.Env, variable+"="+ts.Getenv(variable))
 	}
-	log := filepath.Join(table.dir, args[0]+".log")
+	log := filepath.Join(table.dir, name+".log")
 	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	ts.Check(err)
 	cmd.Stdout, cmd.Stderr = file, file
 	ts.Check(cmd.Start())
 	p := &process{cmd: cmd, log: log, done: make(chan struct{})}
 	table.mu.Lock()
-	old := table.running[args[0]]
-	table.running[args[0]] = p
+	old := table.running[name]
+	table.running[name] = p
 	table.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
@@ -111,7 +115,7 @@
 	select {
 	case <-old.done:
 	default:
-		ts.Fatalf("process %s is still running", args[0])
+		ts.Fatalf("process %s is still running", name)
 	}
 }
 
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
@@ -68,30 +68,83 @@
 	listenAndServe(*listen, mux)
 }
 
-// relayMain forwards one address. POST /cut?from=IP,IP drops what comes from these
-// source addresses (all without from); POST /restore ends it.
-func relayMain() {
-	set := flag.NewFlagSet("relay-standin", flag.ContinueOnError)
-	listen := set.String("listen", "", "IP:port")
-	target := set.String("target", "", "IP:port")
-	control := set.String("control", "", "IP:port")
+// networkMain stands between hosts, and between hosts and the platform, so that a
+// script can cut links. Host i is reached at NET.1i:8091 and reaches the platform at
+// NET.1:910i.
+//
+//	POST /isolate?host=i         cuts host i from all other hosts and the platform
+//	POST /isolate?host=i&store=  cuts it from the other hosts only
+//	POST /cut-store?host=i       cuts it from the platform only
+//	POST /heal                   restores all links
+func networkMain() {
+	set := flag.NewFlagSet("network-standin", flag.ContinueOnError)
+	base := set.String("net", "", "first three octets of all addresses")
+	hosts := set.Int("hosts", 0, "number of hosts")
 	parseFlags(set)
-	r, err := relay.Listen(*listen, *target)
+	n := &network{base: *base}
+	for i := 1; i <= *hosts; i++ {
+		inner, err := relay.Listen(fmt.Sprintf("%s:8091", n.hostIP(i)), fmt.Sprintf("%s:8081", n.hostIP(i)))
+		exitOn(err)
+		store, err := relay.Listen(fmt.Sprintf("%s.1:%d", *base, 9100+i), fmt.Sprintf("%s.1:9000", *base))
+		exitOn(err)
+		n.inner, n.store = append(n.inner, inner), append(n.store, store)
+	}
+	listenAndServe(*base+".1:9099", n)
+}
+
+func exitOn(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /cut", func(_ http.ResponseWriter, request *http.Request) {
-		if from := request.URL.Query().Get("from"); from != "" {
-			r.BlockSources(strings.Split(from, ","))
-			return
+}
+
+type network struct {
+	base         string
+	inner, store []*relay.Relay
+	isolated     map[int]bool
+}
+
+func (n *network) hostIP(i int) string { return fmt.Sprintf("%s.%d", n.base, 10+i) }
+
+func (n *network) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	host, _ := strconv.Atoi(r.URL.Query().Get("host"))
+	if r.URL.Path != "/heal" && (host < 1 || host > len(n.inner)) {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	switch r.URL.Path {
+	case "/isolate":
+		if n.isolated == nil {
+			n.isolated = map[int]bool{}
 		}
-		r.Cut(relay.Drop)
-	})
-	mux.HandleFunc("POST /restore", func(http.ResponseWriter, *http.Request) {
-		r.BlockSources(nil)
-		r.Restore()
-	})
-	listenAndServe(*control, mux)
+		n.isolated[host] = true
+		n.applyIsolation()
+		if !r.URL.Query().Has("store") {
+			n.store[host-1].Cut(relay.Reset)
+		}
+	case "/cut-store":
+		n.store[host-1].Cut(relay.Reset)
+	case "/heal":
+		n.isolated = nil
+		n.applyIsolation()
+		for _, s := range n.store {
+			s.Restore()
+		}
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// applyIsolation blocks, at the relay of each host, the hosts that can't reach it.
+func (n *network) applyIsolation() {
+	for i := range n.inner {
+		var blocked []string
+		for j := range n.inner {
+			if i != j && (n.isolated[i+1] || n.isolated[j+1]) {
+				blocked = append(blocked, n.hostIP(j+1))
+			}
+		}
+		n.inner[i].BlockSources(blocked)
+	}
 }
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -22,7 +22,7 @@
 		"platform-standin": platformMain,
 		"engine-standin":   engineMain,
 		"service-standin":  serviceMain,
-		"relay-standin":    relayMain,
+		"network-standin":  networkMain,
 		"caller":           callerMain,
 	})
 }
