--- a/policy/lease/lease.go
+++ b/policy/lease/lease.go
@@ -17,10 +17,12 @@
 	// Duration is the time from the sending of a confirmed write to the end of
 	// the lease.
 	Duration time.Duration
-	// Drift is the margin for clocks that run at different rates.
+	// Drift is the margin for clocks that run at different rates. It is added to
+	// every time that a new holder waits.
 	Drift time.Duration
 	// Settle is the time that a new holder waits for the effects of the previous
-	// one's last action; zero means none, for targets that check fencing numbers.
+	// one's last action, in addition to Drift. Targets that check fencing numbers
+	// need none.
 	Settle time.Duration
 }
 
@@ -85,8 +87,8 @@
 // sent at sentAt.
 func Taken(previous *Row, next Row, version uint64, sentAt time.Time, p Params) Held {
 	held := Held{Row: next, Version: version, ActFrom: sentAt, Until: sentAt.Add(p.Duration)}
-	if previous != nil && !previous.Released {
-		held.ActFrom = sentAt.Add(p.Settle)
+	if previous != nil && !previous.Released && p.Settle > 0 {
+		held.ActFrom = sentAt.Add(p.Settle + p.Drift)
 	}
 	return held
 }
