--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -85,19 +85,26 @@
 }
 
 // ask requests grants for the waiters of an account: all that the first one lacks
-// from the owner or, failing that, any part of it from the other homes.
+// from the owner or, failing that, any part of it from the other homes. An owner
+// that did not answer last time is asked last, so that it delays nothing.
 func (l *FleetLimiter) ask(a *account) {
 	a.mu.Lock()
-	revision, homes := a.state.Role().Revision, a.homes
+	revision, homes, ownerLast := a.state.Role().Revision, a.homes, a.homesOut
 	need, want := l.demand(a, l.clock())
 	a.mu.Unlock()
 
+	// Half of the longest wait leaves time for a second home.
+	timeout := min(l.terms.GrantLifetime, max(time.Duration(l.maxWait.Load())/2, retryPause))
 	result := askResult{need: need}
-	for rank, home := range homes {
+	for i := range homes {
+		rank := i
+		if ownerLast {
+			rank = (i + 1) % len(homes)
+		}
 		if result.lent >= need {
 			break
 		}
-		if l.isSelf(home) {
+		if l.isSelf(homes[rank]) {
 			result.reached = result.reached || rank == 0
 			continue
 		}
@@ -105,7 +112,8 @@
 		if rank > 0 {
 			ask.Need, ask.Want = 0, need-result.lent
 		}
-		if answers := l.request(home, &GrantRequest{Revision: revision, Asks: []GrantAsk{ask}}); answers != nil {
+		request := &GrantRequest{Revision: revision, Asks: []GrantAsk{ask}}
+		if answers := l.request(homes[rank], request, timeout); answers != nil {
 			result.add(rank, answers[0])
 		}
 	}
@@ -164,8 +172,8 @@
 
 // request sends a request and accepts the grants of the reply. It returns the
 // answers, or nil if there is no valid reply.
-func (l *FleetLimiter) request(home config.Member, m *GrantRequest) []GrantAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), l.terms.GrantLifetime)
+func (l *FleetLimiter) request(home config.Member, m *GrantRequest, timeout time.Duration) []GrantAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	sent := l.clock()
 	var reply GrantReply
@@ -219,7 +227,7 @@
 	returns := l.collectReturns(false)
 	requests := l.collectAsks()
 	for address, m := range returns {
-		go l.sendReturn(context.Background(), address, m)
+		go func() { _ = l.sendReturn(context.Background(), address, m) }()
 	}
 	for owner, m := range requests {
 		// An owner that does not answer must not pile up requests.
@@ -228,7 +236,7 @@
 		}
 		go func() {
 			defer l.sending.Delete(owner.InnerAddress)
-			l.request(owner, m)
+			l.request(owner, m, l.terms.GrantLifetime)
 		}()
 	}
 }
@@ -275,6 +283,7 @@
 	return messages
 }
 
+// sendReturn sends one message. Tokens of a failed one count as spent.
 func (l *FleetLimiter) sendReturn(ctx context.Context, address string, m *GrantReturn) error {
 	ctx, cancel := context.WithTimeout(ctx, l.terms.GrantLifetime)
 	defer cancel()
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
@@ -144,6 +145,33 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against an owner that accepts messages without answering and thereby uses
+	// up the wait in which the other homes could help.
+	It("asks the other homes when the owner does not answer", func() {
+		f := newTestFleet(5, Options{MaxWait: 200 * time.Millisecond})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		ranked[0].hung.Store(true)
+		_, err := reserve(ranked[4], 50)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against messages that cannot be decoded, and against negative amounts that
+	// would add tokens to a pool.
+	It("rejects malformed messages", func() {
+		f := newTestFleet(1, Options{})
+		f.settled(club)
+		h := f.ranked(club.ID)[0]
+		for _, t := range []wire.Type{wire.TypeGrantRequest, wire.TypeGrantReturn} {
+			_, err := h.handlers[t](context.Background(), wire.Peer{HostID: "x"}, wire.Request{Type: t, Body: []byte{0xc1}})
+			Expect(err).To(MatchError(ContainSubstring("host x")))
+		}
+		answer := h.limiter.answer(2, GrantAsk{Account: club.ID, Need: -5, Want: -1})
+		Expect(answer.Tokens).To(BeZero())
+		answer = h.limiter.answer(2, GrantAsk{Account: "nobody", Need: 1, Want: 1})
+		Expect(answer.Status).To(Equal(GrantNotHome))
+	})
+
 	// Guards against a host that spends or grants without fresh evidence.
 	It("neither spends nor grants when it is not fresh", func() {
 		f := newTestFleet(4, Options{MaxWait: 50 * time.Millisecond})
--- a/internal/quota/quota_suite_test.go
+++ b/internal/quota/quota_suite_test.go
@@ -38,7 +38,8 @@
 	member   config.Member
 	index    atomic.Pointer[config.Index]
 	fresh    atomic.Int64 // end of the evidence in nanoseconds of the fleet's clock
-	down     atomic.Bool
+	down     atomic.Bool  // refuses connections
+	hung     atomic.Bool  // does not answer
 	applied  func()
 	handlers map[wire.Type]wire.Handler
 	limiter  *FleetLimiter
@@ -151,6 +152,10 @@
 	if peer == nil || peer.down.Load() || h.down.Load() {
 		return errors.New("connection refused")
 	}
+	if peer.hung.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
--- a/policy/limit/holder.go
+++ b/policy/limit/holder.go
@@ -10,6 +10,10 @@
 // smooth single requests and still follow a surge within seconds.
 const useMemory = 2 * DefaultGrantLifetime
 
+// maxQueuedReturns bounds the memory of a holder whose returns nobody collects.
+// Tokens beyond it count as spent.
+const maxQueuedReturns = 4096
+
 // Grant is a grant as its holder knows it.
 type Grant struct {
 	ID       GrantID
@@ -18,10 +22,9 @@
 	Issuer  string
 	expires time.Time
 	free    int64
-	// returned counts the tokens that will never be spent, reported those of them
-	// that a GrantReturn has named.
-	returned, reported int64
-	queued             bool
+	// returned counts the tokens that will never be spent.
+	returned int64
+	queued   bool // in the holder's returns
 	// dropped says that the holder no longer spends the grant.
 	dropped bool
 }
@@ -38,7 +41,7 @@
 type Holder struct {
 	terms   Terms
 	grants  []*Grant // by expiry
-	returns []*Grant // with returned above reported
+	returns []*Grant // with tokens returned since the last report
 	use     float64  // tokens per second
 	useAt   time.Time
 }
@@ -84,7 +87,7 @@
 	}
 	g.free -= tokens
 	g.returned += tokens
-	if !g.queued {
+	if !g.queued && len(h.returns) < maxQueuedReturns {
 		g.queued = true
 		h.returns = append(h.returns, g)
 	}
@@ -138,7 +141,7 @@
 	}
 	due := make([]Return, 0, len(h.returns))
 	for _, g := range h.returns {
-		g.queued, g.reported = false, g.returned
+		g.queued = false
 		due = append(due, Return{Issuer: g.Issuer, ID: g.ID, Total: g.returned})
 	}
 	h.returns = nil
--- a/policy/limit/pool.go
+++ b/policy/limit/pool.go
@@ -6,6 +6,10 @@
 // A refund of an older one is lost, which is safe.
 const maxLapsedGrants = 256
 
+// maxOutstandingGrants bounds the memory of a pool. It covers 350 hosts that ask
+// several times per lifetime.
+const maxOutstandingGrants = 4096
+
 // GrantID names a grant. Epoch is the revision under which the pool started, so
 // that no two pools of an account issue the same id.
 type GrantID struct {
@@ -118,6 +122,9 @@
 // half of what is left, so that one holder's prefetch leaves tokens for others.
 func (p *Pool) Issue(now time.Time, need, want int64) (id GrantID, tokens int64, ok bool) {
 	p.advance(now)
+	if len(p.outstanding) >= maxOutstandingGrants {
+		return GrantID{}, 0, false
+	}
 	need = max(0, need)
 	spare := p.bucket.level - float64(need)
 	if spare < 0 {
