Cover deleted and re-created accounts, skipped member lists

Cause: the simulation did not delete accounts, and MembersRevision stayed unknown in documents that started without it. Change: revisions of the simulation may lack the account; written histories show that a re-created account must wait for its grants. Next derives MembersRevision from the previous revision when it is unknown, and ignores it when it tells pure withdrawals apart. Specs for new accounts and for reservations while revisions change.

--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -265,6 +265,51 @@
 		Expect(f.calls.Load()).To(Equal(calls))
 	})
 
+	// Guards against a new account that must wait as long as after a member change.
+	It("serves a new account once no grant of an earlier one can be left", func() {
+		f := newTestFleet(3, Options{})
+		d := f.settled()
+		next := d.Clone()
+		next.Revision++
+		next.Accounts = []config.Account{club}
+		f.apply(next)
+		owner := f.ranked(club.ID)[0]
+		f.advance(owner.limiter.terms.GrantHold() + 100*time.Millisecond)
+		f.renew()
+		_, err := reserve(owner, 50)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a race between reservations and revisions, and against tokens
+	// that are lost with each revision.
+	It("serves while revisions change", func() {
+		f := newTestFleet(4, Options{})
+		d := f.settled(club)
+		h := f.ranked(club.ID)[3]
+		var group sync.WaitGroup
+		stop := make(chan struct{})
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+					d = d.Clone()
+					d.Revision += 2
+					f.apply(d)
+				}
+			}
+		})
+		for range 100 {
+			r, err := reserve(h, 100)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(time.Millisecond)
+			r.Settle(10)
+		}
+		close(stop)
+		group.Wait()
+	})
+
 	// Guards against state of accounts that the configuration no longer names.
 	It("drops removed accounts and ends their waits", func() {
 		f := newTestFleet(1, Options{MaxWait: 5 * time.Second})
--- a/policy/config/change.go
+++ b/policy/config/change.go
@@ -38,6 +38,9 @@
 	}
 	next.Revision = d.Revision + 1
 	next.MembersRevision = d.MembersRevision
+	if d.MembersRevision == 0 {
+		next.MembersRevision = d.Revision
+	}
 	if !slices.Equal(d.Members, next.Members) {
 		next.MembersRevision = next.Revision
 	}
@@ -65,6 +68,7 @@
 func onlyWithdraws(old, next *Document) bool {
 	a, b := old.Clone(), next.Clone()
 	a.Revision, b.Revision = 0, 0
+	a.MembersRevision, b.MembersRevision = 0, 0 // follows from Members
 	a.Change, b.Change = ChangeRecord{}, ChangeRecord{}
 	a.ClientKeys = slices.DeleteFunc(a.ClientKeys, func(k ClientKey) bool {
 		return !slices.Contains(b.ClientKeys, k)
--- a/policy/config/config_test.go
+++ b/policy/config/config_test.go
@@ -63,3 +63,23 @@
 	g.Expect(x.ClientKey("one").ID).To(Equal("k1"))
 	g.Expect(x.ClientKey("three")).To(BeNil())
 }
+
+// Guards against a host that skips revisions and takes a changed member list for the
+// one it knows.
+func TestNextNamesTheRevisionOfTheMembers(t *testing.T) {
+	g := NewWithT(t)
+	d := baseDocument()
+	same, err := d.Next(func(d *Document) error { d.Preset = PresetPeak; return nil }, ChangeRecord{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(same.MembersRevision).To(Equal(uint64(7)))
+	joined, err := same.Next(func(d *Document) error {
+		d.MembersRevision = 1
+		d.Members = append(d.Members, Member{HostID: "h", Incarnation: "1", InnerAddress: "127.0.0.1:1"})
+		return nil
+	}, ChangeRecord{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(joined.MembersRevision).To(Equal(uint64(9)))
+	last, err := joined.Next(func(*Document) error { return nil }, ChangeRecord{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(last.MembersRevision).To(Equal(uint64(9)))
+}
--- a/policy/limit/property_test.go
+++ b/policy/limit/property_test.go
@@ -95,6 +95,39 @@
 	g.Expect(history(skippedMembersIgnored)).NotTo(BeEmpty())
 }
 
+// Guards against an account that is deleted and created again while its grants are
+// still outstanding, and that then has a second burst.
+func TestRecreatedAccountWaitsForItsGrants(t *testing.T) {
+	history := func(f fault) string {
+		s := &simulation{choose: func(int) int { return 1 }, fault: f}
+		owner, holder := s.newProcess("a"), s.newProcess("b")
+		s.processes = []*process{owner, holder}
+		next := func(absent bool) {
+			s.revisions = append(s.revisions, revision{
+				limits: Limits{100, 100}, members: []*process{owner}, absent: absent, committed: s.now,
+			})
+			s.apply(owner, len(s.revisions)-1)
+		}
+		next(false)
+		s.apply(holder, 0)
+		s.now += 10 * time.Second
+		s.renewAll()
+		sent := s.clock(holder)
+		s.answer(owner, holder, 0, 100, 100, sent)
+		s.deliver()
+		next(true)
+		next(false)
+		s.now += 900 * time.Millisecond
+		s.renewAll()
+		s.reserve(holder, 0)
+		s.reserve(owner, 0)
+		return s.violation
+	}
+	g := NewWithT(t)
+	g.Expect(history(noFault)).To(BeEmpty())
+	g.Expect(history(newAccountDoesNotWait)).NotTo(BeEmpty())
+}
+
 // Guards against a clock at the drift bound that refills above the account's rate.
 func TestFastClockStaysWithinRate(t *testing.T) {
 	start := time.Unix(1000, 0)
--- a/policy/limit/simulation_test.go
+++ b/policy/limit/simulation_test.go
@@ -24,6 +24,7 @@
 	grantExpiresFromReply
 	skippedMembersIgnored
 	shareRaisedAtOnce
+	newAccountDoesNotWait
 )
 
 var simulationTerms = NewTerms(3 * time.Second)
@@ -31,6 +32,7 @@
 // revision is a committed configuration of the simulated account.
 type revision struct {
 	limits          Limits
+	absent          bool       // the account is deleted
 	members         []*process // by host
 	membersRevision int
 	committed       time.Duration // true time
@@ -39,16 +41,17 @@
 // process is one incarnation of a host.
 type process struct {
 	host       string
+	terms      Terms
 	rate       float64 // of its clock
 	dead       bool
 	applied    int // index of its revision, or -1
 	freshUntil time.Time
-	account    *Account
+	account    *Account // nil if the account is absent
 	open       []*openReservation
 }
 
 type openReservation struct {
-	process *process
+	account *Account
 	state   *Reservation
 	spent   *spending
 }
@@ -104,7 +107,7 @@
 		terms.FreshnessDeadline = -terms.GrantHold()
 	}
 	drift := float64(s.choose(3)-1) * MaxClockDrift
-	return &process{host: host, rate: 1 + drift, applied: -1, account: NewAccount(terms)}
+	return &process{host: host, rate: 1 + drift, applied: -1, terms: terms}
 }
 
 // clock returns the process's monotonic time.
@@ -173,6 +176,7 @@
 	limits := []Limits{{100, 100}, {100, 400}, {300, 200}}
 	r := revision{limits: limits[s.choose(len(limits))], committed: s.now}
 	k := len(s.revisions)
+	r.absent = k > 0 && s.choose(6) == 0
 	if k > 0 {
 		last := s.revisions[k-1]
 		r.members, r.membersRevision = last.members, last.membersRevision
@@ -227,6 +231,34 @@
 	if k < 0 {
 		return
 	}
+	r := s.revisions[k]
+	role := s.role(p, k)
+	p.applied = k
+	if r.absent {
+		p.account = nil
+		return
+	}
+	if p.account == nil {
+		p.account = NewAccount(p.terms)
+	}
+	before := p.account.Pool()
+	p.account.Apply(s.clock(p), role)
+	pool := p.account.Pool()
+	if pool == nil {
+		return
+	}
+	switch {
+	case s.fault == restartedHomeKeepsFloor && before == nil:
+		pool.start, pool.bucket.updated = s.clock(p), s.clock(p)
+		pool.bucket.level = pool.Burst()
+	case s.fault == newAccountDoesNotWait && before == nil && role.NewAccount:
+		pool.start, pool.bucket.updated = s.clock(p), s.clock(p)
+	case s.fault == shareRaisedAtOnce:
+		pool.raiseAt = s.clock(p)
+	}
+}
+
+func (s *simulation) role(p *process, k int) Role {
 	homes := s.homes(k)
 	role := Role{Revision: uint64(k), Limits: s.revisions[k].limits, Rank: -1, Homes: len(homes)}
 	for i, h := range homes {
@@ -235,21 +267,11 @@
 		}
 	}
 	if p.applied >= 0 {
-		role.Continuous = k == p.applied+1 || s.revisions[k].membersRevision <= p.applied ||
-			s.fault == skippedMembersIgnored
-	}
-	before := p.account.Pool()
-	p.account.Apply(s.clock(p), role)
-	p.applied = k
-	if pool := p.account.Pool(); pool != nil {
-		switch {
-		case s.fault == restartedHomeKeepsFloor && before == nil:
-			pool.start, pool.bucket.updated = s.clock(p), s.clock(p)
-			pool.bucket.level = pool.Burst()
-		case s.fault == shareRaisedAtOnce:
-			pool.raiseAt = s.clock(p)
-		}
+		sameMembers := s.revisions[k].membersRevision <= p.applied
+		role.Continuous = k == p.applied+1 || sameMembers || s.fault == skippedMembersIgnored
+		role.NewAccount = sameMembers && p.account == nil
 	}
+	return role
 }
 
 // renewAll gives new evidence to each process that applies the newest revision,
@@ -263,12 +285,12 @@
 }
 
 func (s *simulation) fresh(p *process) bool {
-	return !p.dead && p.applied >= 0 && s.clock(p).Before(p.freshUntil)
+	return !p.dead && p.account != nil && s.clock(p).Before(p.freshUntil)
 }
 
 // request sends a grant request to a home of the process's revision.
 func (s *simulation) request(p *process) {
-	if p.applied < 0 {
+	if p.account == nil {
 		return
 	}
 	homes := s.homes(p.applied)
@@ -286,10 +308,10 @@
 }
 
 func (s *simulation) answer(home, p *process, k int, need, want int64, sent time.Time) {
-	pool := home.account.Pool()
-	if home.applied != k || !s.fresh(home) || pool == nil {
+	if home.applied != k || !s.fresh(home) || home.account.Pool() == nil {
 		return
 	}
+	pool := home.account.Pool()
 	id, tokens, ok := pool.Issue(s.clock(home), need, want)
 	if !ok {
 		return
@@ -301,7 +323,7 @@
 	accepted := false
 	s.send(p, func(p *process) {
 		// A reply is matched with its call once.
-		if accepted {
+		if accepted || p.account == nil {
 			return
 		}
 		accepted = true
@@ -337,12 +359,15 @@
 }
 
 func (s *simulation) sendReturns(p *process) {
+	if p.account == nil {
+		return
+	}
 	for _, r := range p.account.Holder().Returns(s.clock(p), s.choose(4) == 0) {
 		for _, issuer := range s.processes {
 			if issuer.host == r.Issuer {
 				s.send(issuer, func(to *process) {
-					if pool := to.account.Pool(); pool != nil {
-						pool.Return(s.clock(to), r.ID, r.Total)
+					if to.account != nil && to.account.Pool() != nil {
+						to.account.Pool().Return(s.clock(to), r.ID, r.Total)
 					}
 				})
 			}
@@ -368,7 +393,7 @@
 	}
 	e := &spending{at: s.now, tokens: float64(tokens)}
 	s.spent = append(s.spent, e)
-	p.open = append(p.open, &openReservation{process: p, state: r, spent: e})
+	p.open = append(p.open, &openReservation{account: p.account, state: r, spent: e})
 	s.check()
 }
 
@@ -387,27 +412,27 @@
 	switch s.fault {
 	case refundIgnoresHeadroom:
 		for _, part := range o.state.parts {
-			if part.grant == nil && part.pool == p.account.pool {
+			if part.grant == nil && part.pool == o.account.pool {
 				part.pool.bucket.history = headroomHistory{}
 			}
 		}
-		p.account.Settle(s.clock(p), o.state, used)
+		o.account.Settle(s.clock(p), o.state, used)
 	case refundKeepsHistory:
 		s.settleKeepingHistory(p, o, used)
 	default:
-		p.account.Settle(s.clock(p), o.state, used)
+		o.account.Settle(s.clock(p), o.state, used)
 	}
 }
 
 func (s *simulation) settleKeepingHistory(p *process, o *openReservation, used int64) {
 	var before headroomHistory
-	if p.account.pool != nil {
-		h := p.account.pool.bucket.history
+	if o.account.pool != nil {
+		h := o.account.pool.bucket.history
 		before = headroomHistory{records: append([]headroomRecord(nil), h.records...), last: h.last}
 	}
-	p.account.Settle(s.clock(p), o.state, used)
-	if p.account.pool != nil {
-		p.account.pool.bucket.history = before
+	o.account.Settle(s.clock(p), o.state, used)
+	if o.account.pool != nil {
+		o.account.pool.bucket.history = before
 	}
 }
 
@@ -419,7 +444,7 @@
 	var most Limits
 	for k, r := range s.revisions {
 		replaced := k+1 < len(s.revisions) && s.revisions[k+1].committed+wait < t
-		if r.committed <= t && !replaced {
+		if r.committed <= t && !replaced && !r.absent {
 			most.Rate, most.Burst = max(most.Rate, r.limits.Rate), max(most.Burst, r.limits.Burst)
 		}
 	}
