--- a/policy/prefix/export.go
+++ b/policy/prefix/export.go
@@ -74,8 +74,9 @@
 			continue
 		}
 		t := x.target(from.ID)
-		x.forget(t)
+		x.version(from.Weights)
 		t.epoch, t.weights, t.sequence, t.uncertain = from.Epoch, from.Weights, 0, true
+		x.forget(t)
 		targets[i] = t
 	}
 	for i := range min(len(in.Hashes), len(in.Holders)) {
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -15,6 +15,8 @@
 	// bytesPerEntry is the upper bound for a block with up to five holders: 32 bytes
 	// for the entry and at most 8 for its share of the buckets.
 	bytesPerEntry = 40
+	// unknownVersion stands for a weights version that no target has reported.
+	unknownVersion = -1
 )
 
 // Event says that a target stored or evicted a block.
@@ -35,14 +37,18 @@
 
 // Match is the longest chain that a target holds.
 type Match struct {
-	TargetID string
 	// Handle is the number given to SetHandle.
-	Handle int
+	Handle int32
 	// Blocks is the number of leading blocks of the chain that are cached.
-	Blocks int
+	Blocks int32
 	// Uncertain says that events were lost, so that blocks may have gone.
 	Uncertain bool
-	// Sequence is the last event that the index had seen; see Correct.
+}
+
+// Claim is what the index said about a target when a request was sent there.
+type Claim struct {
+	Blocks int
+	// Sequence is the last event that the index had seen; see Index.Sequence.
 	Sequence uint64
 }
 
@@ -50,14 +56,18 @@
 // version. When either changes the target gets a new slot, and the entries of the
 // old slot are dead at once, though still in memory until the sweep passes.
 type slotState struct {
-	owner *indexTarget
+	// handle, weights and uncertain are copies of the owner's, so that a look-up
+	// touches one array only.
+	handle    int32
+	weights   int32
+	uncertain bool
 	// deadSince is the sweep round in which the slot died.
 	deadSince uint64
 }
 
 type indexTarget struct {
 	id        string
-	handle    int
+	handle    int32
 	slot      uint16
 	epoch     string
 	weights   string
@@ -85,14 +95,16 @@
 	round   uint64
 	scratch []uint64
 	reached []uint16
+	// versions numbers the weights versions, from 1; zero is unknown.
+	versions map[string]int32
 	// wanted is the weights version of the look-up in progress.
-	wanted string
+	wanted int32
 }
 
 // NewIndex returns an index of at most maxBlocks blocks. The seed keeps callers from
 // choosing prompts that collide in the table; each process should draw its own.
 func NewIndex(maxBlocks int, seed uint64) *Index {
-	return &Index{limit: max(maxBlocks, 1), table: newTable(seed), targets: map[string]*indexTarget{}}
+	return &Index{limit: max(maxBlocks, 1), table: newTable(seed), targets: map[string]*indexTarget{}, versions: map[string]int32{}}
 }
 
 // Len returns the number of blocks in memory, dead ones that are not swept included.
@@ -115,10 +127,12 @@
 	if newWeights {
 		known := t.weights != ""
 		t.weights = weights
+		x.version(weights)
 		if known && !newEpoch {
-			x.forget(t)
 			t.sequence, t.uncertain = 0, true
+			x.forget(t)
 		}
+		x.publish(t)
 	}
 	if newEpoch {
 		x.startEpoch(t, epoch)
@@ -127,7 +141,27 @@
 
 // SetHandle stores a number that look-ups return for the target, so that the caller
 // needs no map by id.
-func (x *Index) SetHandle(targetID string, handle int) { x.target(targetID).handle = handle }
+func (x *Index) SetHandle(targetID string, handle int) {
+	t := x.target(targetID)
+	t.handle = int32(handle)
+	x.publish(t)
+}
+
+// publish copies what look-ups need of a target into its slot.
+func (x *Index) publish(t *indexTarget) {
+	x.slots[t.slot] = slotState{handle: t.handle, weights: x.versions[t.weights], uncertain: t.uncertain}
+}
+
+// version returns the number of a weights version.
+func (x *Index) version(weights string) int32 {
+	if weights == "" {
+		return 0
+	}
+	if x.versions[weights] == 0 {
+		x.versions[weights] = int32(len(x.versions)) + 1
+	}
+	return x.versions[weights]
+}
 
 // startEpoch drops everything known of a target's older epoch.
 func (x *Index) startEpoch(t *indexTarget, epoch string) {
@@ -169,8 +203,8 @@
 		x.startEpoch(t, b.Epoch)
 	}
 	if b.Reset {
-		x.forget(t)
 		t.uncertain = false
+		x.forget(t)
 		for i := range b.Events {
 			x.sweep(sweepPerEvent)
 			x.store(t, &b.Events[i].Hash)
@@ -181,6 +215,7 @@
 	for i := range b.Events {
 		x.applyEvent(t, &b.Events[i])
 	}
+	x.publish(t)
 	return x.next(t)
 }
 
@@ -219,30 +254,45 @@
 	}
 }
 
-// Correct applies the cached-token count of a response. The blocks that were cached
-// are recorded. A block that the index claimed but that was not cached is dropped,
-// unless events came since the claim: those are newer than the count.
-func (x *Index) Correct(targetID, epoch string, chain []BlockHash, claim Match, cachedTokens int) {
+// Sequence returns the last event that the index has seen of a target.
+func (x *Index) Sequence(targetID string) uint64 {
+	if t := x.targets[targetID]; t != nil {
+		return t.sequence
+	}
+	return 0
+}
+
+// Correct applies the cached-token count of a response to a request for which the
+// index made the claim. Blocks that were cached are recorded. If the claim was too
+// high, the blocks beyond the count are dropped and the target becomes uncertain,
+// since it must have evicted blocks without an event. Nothing changes if events came
+// since the claim: they are newer than the count. Correct reports whether it dropped
+// blocks.
+func (x *Index) Correct(targetID, epoch string, chain []BlockHash, claim Claim, cachedTokens int) bool {
 	t := x.targets[targetID]
-	if t == nil || t.epoch != epoch {
-		return
+	if t == nil || t.epoch != epoch || claim.Sequence != t.sequence {
+		return false
 	}
 	cached := min(cachedTokens/(BlockBytes/BytesPerToken), len(chain))
 	for i := range chain[:cached] {
 		x.store(t, &chain[i])
 	}
-	if claim.Sequence != t.sequence {
-		return
-	}
-	for i := cached; i < min(claim.Blocks, len(chain)); i++ {
+	claimed := min(claim.Blocks, len(chain))
+	for i := cached; i < claimed; i++ {
 		x.evicted(t, &chain[i])
 	}
+	t.uncertain = t.uncertain || cached < claimed
+	x.publish(t)
+	return cached < claimed
 }
 
 // Lookup appends to matches the longest cached chain of each target that holds at
 // least the first block. Targets known to have another weights version are left out.
 func (x *Index) Lookup(weights string, chain []BlockHash, matches []Match) []Match {
-	x.wanted = weights
+	x.wanted = x.versions[weights]
+	if weights != "" && x.wanted == 0 {
+		x.wanted = unknownVersion
+	}
 	x.scratch = append(x.scratch[:0], x.live...)
 	depth := 0
 	for depth < len(chain) {
@@ -336,11 +386,11 @@
 
 // match appends one target unless its weights are known to differ.
 func (x *Index) match(slot uint16, depth int, matches []Match) []Match {
-	t := x.slots[slot].owner
-	if t.weights != x.wanted && t.weights != "" && x.wanted != "" {
+	s := &x.slots[slot]
+	if s.weights != x.wanted && s.weights != 0 && x.wanted != 0 {
 		return matches
 	}
-	return append(matches, Match{TargetID: t.id, Handle: t.handle, Blocks: depth, Uncertain: t.uncertain, Sequence: t.sequence})
+	return append(matches, Match{Handle: s.handle, Blocks: int32(depth), Uncertain: s.uncertain})
 }
 
 func (x *Index) target(id string) *indexTarget {
@@ -381,7 +431,7 @@
 		}
 	}
 	t.slot = slot
-	x.slots[slot] = slotState{owner: t}
+	x.publish(t)
 	x.live[slot/64] |= 1 << (slot % 64)
 }
 
--- a/policy/prefix/index_test.go
+++ b/policy/prefix/index_test.go
@@ -45,6 +45,7 @@
 		for i := range 7 { // more targets than an entry holds inline
 			model[fmt.Sprint("t", i)] = &reference{weights: "v1", epoch: "e0", held: map[BlockHash]bool{}}
 			x.SetEpoch(fmt.Sprint("t", i), "e0", "v1")
+			x.SetHandle(fmt.Sprint("t", i), i)
 		}
 		epochs := 0
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
@@ -117,20 +118,21 @@
 	matches := x.Lookup(weights, chain, nil)
 	found := map[string]int{}
 	for _, match := range matches {
-		m := model[match.TargetID]
-		if _, twice := found[match.TargetID]; twice {
-			t.Fatalf("target %s named twice", match.TargetID)
+		id := fmt.Sprint("t", match.Handle)
+		m := model[id]
+		if _, twice := found[id]; twice {
+			t.Fatalf("target %s named twice", id)
 		}
-		found[match.TargetID] = match.Blocks
+		found[id] = int(match.Blocks)
 		if m.weights != weights {
-			t.Fatalf("target %s with weights %s named for %s", match.TargetID, m.weights, weights)
+			t.Fatalf("target %s with weights %s named for %s", id, m.weights, weights)
 		}
 		if match.Uncertain != m.gap {
-			t.Fatalf("target %s: uncertain %v, events lost %v", match.TargetID, match.Uncertain, m.gap)
+			t.Fatalf("target %s: uncertain %v, events lost %v", id, match.Uncertain, m.gap)
 		}
 		for _, h := range chain[:match.Blocks] {
 			if !m.held[h] {
-				t.Fatalf("target %s does not hold a block that was named", match.TargetID)
+				t.Fatalf("target %s does not hold a block that was named", id)
 			}
 		}
 	}
@@ -169,16 +171,18 @@
 	chain := testChain("a", "v1", 1, 4)
 	x.SetEpoch("t", "e", "v1")
 	x.Stored("t", "e", chain[:3])
-	claim := x.Lookup("v1", chain, nil)[0]
-	g.Expect(claim.Blocks).To(Equal(3))
+	claim := Claim{Blocks: 3, Sequence: x.Sequence("t")}
+	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(BeEquivalentTo(3))
 	x.Correct("t", "other", chain, claim, 0)
-	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(Equal(3), "a correction of another epoch must not count")
+	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(BeEquivalentTo(3), "a correction of another epoch must not count")
 	x.Correct("t", "e", chain, claim, 1000)
-	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(Equal(1))
-	claim = x.Lookup("v1", chain, nil)[0]
+	match := x.Lookup("v1", chain, nil)[0]
+	g.Expect(match.Blocks).To(BeEquivalentTo(1))
+	g.Expect(match.Uncertain).To(BeTrue(), "blocks went without an event, so others may have gone too")
+	claim = Claim{Blocks: 1, Sequence: x.Sequence("t")}
 	x.Apply("t", Batch{Epoch: "e", Events: []Event{{1, chain[1], true}}})
 	x.Correct("t", "e", chain, claim, 0)
-	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(Equal(2), "events since the claim are newer than the count")
+	g.Expect(x.Lookup("v1", chain, nil)[0].Blocks).To(BeEquivalentTo(2), "events since the claim are newer than the count")
 }
 
 // Guards against an export that loses blocks or brings back a dead epoch.
@@ -194,12 +198,15 @@
 	y := NewIndex(100, 2)
 	y.SetEpoch("t0", "newer", "v1")
 	y.Import(x.Export(100))
-	got := map[string]int{}
+	for i := range 9 {
+		y.SetHandle(fmt.Sprint("t", i), i)
+	}
+	got := map[int32]int32{}
 	for _, m := range y.Lookup("v1", chain, nil) {
-		got[m.TargetID] = m.Blocks
+		got[m.Handle] = m.Blocks
 		g.Expect(m.Uncertain).To(BeTrue())
 	}
-	g.Expect(got).To(Equal(map[string]int{"t1": 2, "t2": 3, "t3": 4, "t4": 1, "t5": 2, "t6": 3, "t7": 4, "t8": 1}))
+	g.Expect(got).To(Equal(map[int32]int32{1: 2, 2: 3, 3: 4, 4: 1, 5: 2, 6: 3, 7: 4, 8: 1}))
 	g.Expect(x.Export(2).Hashes).To(HaveLen(2))
 }
 
--- /dev/null
+++ b/policy/routing/choose.go
@@ -0,0 +1,335 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+)
+
+// Query is a request that needs a target.
+type Query struct {
+	Model   string
+	Weights string
+	Chain   []prefix.BlockHash
+	// Key stands for the prompt if it is shorter than a block.
+	Key         uint64
+	PromptBytes int
+	// Tried targets are not chosen again.
+	Tried map[string]bool
+}
+
+// Decision is a choice with what it was based on.
+type Decision struct {
+	TargetID string
+	Reason   string
+	// Cached tokens are expected to need no computation, those that another request
+	// computes now included.
+	Cached, Uncached int
+	// Claim is what the index said about the chosen target.
+	Claim prefix.Claim
+	// BestCached is the most tokens that any usable target has cached.
+	BestCached int
+	// WaitFor is the flight that computes blocks of this prompt on the chosen target;
+	// the request should be sent after its first token. Zero means none.
+	WaitFor uint64
+	// Predicted is the predicted time to first token in seconds.
+	Predicted float64
+	network   float64
+	replica   *replica
+}
+
+// Choose returns the target for a request, or false if none can take it.
+func (r *Router) Choose(q *Query, now time.Time) (Decision, bool) {
+	r.fill(q, now, true)
+	chosen, reason := r.choose(q)
+	if chosen < 0 {
+		return Decision{}, false
+	}
+	c := &r.candidates[chosen]
+	d := Decision{
+		Reason: reason, Cached: int(c.Cached), Uncached: int(c.Uncached),
+		Predicted: c.Total(), network: c.Network, replica: r.replicas[c.Handle],
+	}
+	d.TargetID = d.replica.id
+	d.Claim.Sequence = r.index.Sequence(d.TargetID)
+	if c.waits && r.policy.Name() == PredictedTTFT {
+		d.WaitFor = r.computing.owner
+	}
+	for _, m := range r.matches {
+		if m.Handle == c.Handle {
+			d.Claim.Blocks = int(m.Blocks)
+		}
+		if tokens := int(m.Blocks) * blockTokens; tokens > d.BestCached && !m.Uncertain && !r.replicas[m.Handle].leaving() {
+			d.BestCached = tokens
+		}
+	}
+	d.BestCached = min(d.BestCached, prefix.Tokens(q.PromptBytes))
+	return d, true
+}
+
+// choose takes the least excluded candidates: a reinstating or ejected target is used
+// only if no other is left, a leaving or tried one never.
+func (r *Router) choose(q *Query) (int, string) {
+	least := Leaving
+	for i := range r.candidates {
+		least = min(least, r.candidates[i].Excluded)
+	}
+	if least >= Tried {
+		return -1, ""
+	}
+	return r.policy.Choose(&Prompt{Chain: q.Chain, Key: q.Key}, r.candidates, least)
+}
+
+// Explained is a candidate for display.
+type Explained struct {
+	Candidate
+	TargetID string
+}
+
+// Explain returns the choice that Choose would make, without effect on any state but
+// the turn of the baselines, and all candidates.
+func (r *Router) Explain(q *Query, now time.Time) (chosen, reason string, all []Explained) {
+	r.fill(q, now, false)
+	i, reason := r.choose(q)
+	if i >= 0 {
+		chosen = r.replicas[r.candidates[i].Handle].id
+	}
+	for _, c := range r.candidates {
+		all = append(all, Explained{c, r.replicas[c.Handle].id})
+	}
+	return chosen, reason, all
+}
+
+// fill computes the candidates of a query. Work is proportional to the replicas of
+// the model and to the chain, not to the fleet.
+func (r *Router) fill(q *Query, now time.Time, count bool) {
+	r.matches = r.index.Lookup(q.Weights, q.Chain, r.matches[:0])
+	for _, m := range r.matches {
+		tokens := int(m.Blocks) * blockTokens
+		if m.Uncertain {
+			tokens = int(float64(tokens) * r.knobs.UncertainShare)
+		}
+		r.cached[m.Handle] = int32(tokens)
+	}
+	first, end, computing := r.pending.find(q.Chain, now)
+	r.computing = computing
+	prompt := int32(prefix.Tokens(q.PromptBytes))
+	linkSeconds := float64(q.PromptBytes) / r.link.Rate
+	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
+	at := r.clock(now)
+	weights := r.versions[q.Weights]
+	handles := r.byModel[q.Model]
+	r.candidates = slices.Grow(r.candidates[:0], len(handles))[:len(handles)]
+	for i, handle := range handles {
+		// Written in place: copies of candidates were a third of a choice's time.
+		c, s := &r.candidates[i], &r.summaries[handle]
+		cached := r.cached[handle]
+		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
+		if c.waits = end > 0 && computing.handle == handle && cached >= int32(first*blockTokens) &&
+			cached < int32(end*blockTokens); c.waits {
+			cached = int32(end * blockTokens)
+			c.Queue = max(c.Queue, computing.ready.Sub(now).Seconds())
+		}
+		c.Cached = min(cached, prompt)
+		c.Uncached = prompt - c.Cached
+		c.Handle, c.Hash, c.Busy, c.Excluded = handle, s.hash, s.busy, Usable
+		c.Network, c.Prefill, c.Load = s.network, float64(c.Uncached)*s.tokenCost, 0
+		if s.weights != weights && s.weights != 0 && q.Weights != "" {
+			c.Load = weightsLoad
+		}
+		if s.special {
+			p := r.replicas[handle]
+			c.Excluded = r.exclusion(p, q, now, count)
+			c.Queue += p.estimator.Residual(now)
+			if p.far {
+				c.Network += linkSeconds + linkWait
+			}
+		} else if len(q.Tried) > 0 && q.Tried[r.replicas[handle].id] {
+			c.Excluded = Tried
+		}
+	}
+	for _, m := range r.matches {
+		r.cached[m.Handle] = 0
+	}
+}
+
+func (r *Router) exclusion(p *replica, q *Query, now time.Time, count bool) Exclusion {
+	if p.leaving() {
+		return Leaving
+	}
+	if len(q.Tried) > 0 && q.Tried[p.id] {
+		return Tried
+	}
+	if p.unreachable && now.Before(p.unreachableUntil) {
+		return Ejected
+	}
+	if count {
+		return p.health.State(r.knobs, now)
+	}
+	return p.health.peek(r.knobs, now)
+}
+
+// ID identifies the flight; see Decision.WaitFor.
+func (f *Flight) ID() uint64 { return f.id }
+
+// Flight is a request from the choice of its target to its end there.
+type Flight struct {
+	Decision
+	id     uint64
+	chain  []prefix.BlockHash
+	sentAt time.Time
+	queue  float64
+	state  flightState
+}
+
+type flightState uint8
+
+const (
+	flightQueued flightState = iota
+	flightSent
+	flightDecoding
+	flightEnded
+)
+
+// Begin records a decision that is being carried out.
+func (r *Router) Begin(q *Query, d Decision, now time.Time) *Flight {
+	r.nextID++
+	f := &Flight{Decision: d, id: r.nextID, chain: q.Chain}
+	d.replica.inFlight++
+	d.replica.queuedTokens += d.Uncached
+	r.refresh(d.replica)
+	ready := now.Add(seconds(d.Predicted))
+	r.pending.start(q.Chain[min(d.Cached/blockTokens, len(q.Chain)):], pendingBlock{
+		handle: d.replica.handle, owner: f.id, ready: ready, expires: ready.Add(pendingGrace),
+	}, now)
+	if d.replica.far {
+		r.link.Allow(LinkRequest, q.PromptBytes, now)
+	}
+	return f
+}
+
+// Send records that the request is being sent.
+func (r *Router) Send(f *Flight, now time.Time) {
+	if f.state != flightQueued {
+		return
+	}
+	p := f.replica
+	f.state, f.sentAt = flightSent, now
+	p.queuedTokens -= f.Uncached
+	f.queue = p.estimator.Queue(now)
+	p.estimator.Sent(f.id, f.Uncached, now)
+	r.refresh(p)
+}
+
+// FirstToken records that the prompt has been computed by the given epoch. The blocks
+// count as stored at once, so that no other request computes them before the events
+// arrive.
+func (r *Router) FirstToken(f *Flight, epoch string, now time.Time) {
+	if f.state != flightSent {
+		return
+	}
+	f.state = flightDecoding
+	p := f.replica
+	p.estimator.Learn(now.Sub(f.sentAt), f.Uncached, f.network, f.queue, now)
+	p.estimator.End(f.id)
+	r.refresh(p)
+	if r.byID[p.id] == p {
+		r.index.SetEpoch(p.id, epoch, "")
+		r.index.Stored(p.id, epoch, f.chain)
+	}
+	r.pending.end(f.chain, f.id)
+}
+
+// Delay returns the time that the request waited at the target beyond its own prefill.
+func (f *Flight) Delay(now time.Time) time.Duration {
+	own := f.network + float64(f.Uncached)*f.replica.estimator.TokenCost()
+	return max(0, now.Sub(f.sentAt)-seconds(own))
+}
+
+// Correct applies the cached-token count of the response. Blocks dropped by the
+// correction have been computed by this request, so they are recorded again.
+func (r *Router) Correct(f *Flight, epoch string, cachedTokens int) {
+	if r.byID[f.TargetID] != f.replica {
+		return
+	}
+	if r.index.Correct(f.TargetID, epoch, f.chain, f.Claim, cachedTokens) {
+		r.index.Stored(f.TargetID, epoch, f.chain)
+	}
+}
+
+// End records that the request has left the target, with or without an answer.
+func (r *Router) End(f *Flight) {
+	p := f.replica
+	switch f.state {
+	case flightEnded:
+		return
+	case flightQueued:
+		p.queuedTokens -= f.Uncached
+	case flightSent:
+		p.estimator.End(f.id)
+	}
+	if f.state != flightDecoding {
+		r.pending.end(f.chain, f.id)
+	}
+	f.state = flightEnded
+	p.inFlight--
+	r.refresh(p)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// ChooseService returns a replica of a plain service that is not in tried: the least
+// excluded, then the nearest, then the least busy, equals in turn.
+func (r *Router) ChooseService(service string, tried map[string]bool, now time.Time) (string, bool) {
+	all := r.byService[service]
+	r.serviceTurn++
+	var best *replica
+	var bestRank serviceRank
+	for n := range all {
+		p := all[(r.serviceTurn+n)%len(all)]
+		rank := serviceRank{r.exclusion(p, &Query{Tried: tried}, now, true), p.network, p.inFlight}
+		if rank.excluded >= Tried {
+			continue
+		}
+		if best == nil || rank.before(bestRank) {
+			best, bestRank = p, rank
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	best.inFlight++
+	return best.id, true
+}
+
+type serviceRank struct {
+	excluded Exclusion
+	network  float64
+	inFlight int
+}
+
+func (a serviceRank) before(b serviceRank) bool {
+	if a.excluded != b.excluded {
+		return a.excluded < b.excluded
+	}
+	if a.network != b.network {
+		return a.network < b.network
+	}
+	return a.inFlight < b.inFlight
+}
+
+// ServiceDone records the end of a call of a plain service.
+func (r *Router) ServiceDone(id string, failed bool, now time.Time) {
+	p := r.byID[id]
+	if p == nil {
+		return
+	}
+	p.inFlight = max(0, p.inFlight-1)
+	if failed {
+		p.health.Failed(r.knobs, now)
+	} else {
+		p.health.Succeeded(now)
+	}
+	r.refresh(p)
+}
--- /dev/null
+++ b/policy/routing/estimate.go
@@ -0,0 +1,152 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// defaultTokenCost in seconds is the prefill cost assumed until one is learned.
+	defaultTokenCost = 0.0001
+	minTokenCost     = 1e-6
+	maxTokenCost     = 1e-2
+	// minSampleTokens: below it the fixed costs of a request hide the cost per token.
+	minSampleTokens = 200
+	// learningRate weighs a new sample; ten samples replace most of the old value.
+	learningRate = 0.2
+	// maxReportLag bounds the age of a report, because the clocks of targets and hosts
+	// may differ.
+	maxReportLag = 5 * time.Second
+	// runningCost in seconds is the delay that each running request adds to a step.
+	// It is small and mainly separates idle from busy targets.
+	runningCost = 0.0001
+	// residualHalfLife is how fast an unexplained delay is forgotten.
+	residualHalfLife = 2 * time.Second
+	// negligibleResidual in seconds is below what a caller notices.
+	negligibleResidual = 0.001
+	// maxFlights bounds the requests that are tracked until their first token.
+	maxFlights = 1024
+)
+
+// Report is a target's own view of its load.
+type Report struct {
+	Running, Waiting     int
+	PendingPrefillTokens int
+	MeasuredAt           time.Time
+}
+
+// flight is a request that was sent and has no first token yet.
+type flight struct {
+	id     uint64
+	tokens int
+	sentAt time.Time
+}
+
+// Estimator predicts the queueing delay of one target and learns its prefill cost.
+// The zero value is ready to use and knows nothing.
+type Estimator struct {
+	tokenCost float64
+	report    Report
+	flights   []flight
+	// recent is the sum of the flights that the last report can't contain.
+	recent     int
+	residual   float64
+	residualAt time.Time
+}
+
+// TokenCost returns the learned seconds per prefill token.
+func (e *Estimator) TokenCost() float64 {
+	if e.tokenCost == 0 {
+		return defaultTokenCost
+	}
+	return e.tokenCost
+}
+
+// SetTokenCost restores a learned cost; values out of range are ignored.
+func (e *Estimator) SetTokenCost(cost float64) {
+	if cost >= minTokenCost && cost <= maxTokenCost {
+		e.tokenCost = cost
+	}
+}
+
+// Observe takes a load report.
+func (e *Estimator) Observe(r Report, now time.Time) {
+	if r.MeasuredAt.After(now) {
+		r.MeasuredAt = now
+	}
+	if oldest := now.Add(-maxReportLag); r.MeasuredAt.Before(oldest) {
+		r.MeasuredAt = oldest
+	}
+	e.report = r
+	e.recent = 0
+	for _, f := range e.flights {
+		if f.sentAt.After(r.MeasuredAt) {
+			e.recent += f.tokens
+		}
+	}
+}
+
+// Sent records a request with its uncached tokens.
+func (e *Estimator) Sent(id uint64, tokens int, now time.Time) {
+	if len(e.flights) >= maxFlights {
+		e.End(e.flights[0].id)
+	}
+	e.flights = append(e.flights, flight{id, tokens, now})
+	e.recent += tokens
+}
+
+// End forgets a request that has its first token or has failed.
+func (e *Estimator) End(id uint64) {
+	for i, f := range e.flights {
+		if f.id == id {
+			e.flights = append(e.flights[:i], e.flights[i+1:]...)
+			if f.sentAt.After(e.report.MeasuredAt) {
+				e.recent -= f.tokens
+			}
+			return
+		}
+	}
+}
+
+// Queue returns the predicted delay in seconds before a new request is prefilled.
+func (e *Estimator) Queue(now time.Time) float64 {
+	return e.fixed() + max(0, e.drainedAt().Sub(now).Seconds()) + e.Residual(now)
+}
+
+// fixed is the part of the queue that stays the same until the next event.
+func (e *Estimator) fixed() float64 {
+	return float64(e.recent)*e.TokenCost() + float64(e.report.Running)*runningCost
+}
+
+// drainedAt is when the target will have computed what it reported as pending.
+func (e *Estimator) drainedAt() time.Time {
+	return e.report.MeasuredAt.Add(seconds(float64(e.report.PendingPrefillTokens) * e.TokenCost()))
+}
+
+// Residual returns the delay in seconds of the last requests that neither the queue
+// nor the prefill explains.
+func (e *Estimator) Residual(now time.Time) float64 {
+	if e.residual < negligibleResidual {
+		return 0
+	}
+	return e.residual * math.Exp2(-now.Sub(e.residualAt).Seconds()/residualHalfLife.Seconds())
+}
+
+// Learn takes the time from sending to the first token of a request, with the
+// uncached tokens it had and the network and queueing delay predicted for it.
+func (e *Estimator) Learn(elapsed time.Duration, uncached int, network, queue float64, now time.Time) {
+	observed := elapsed.Seconds() - network
+	work := observed - queue
+	if uncached >= minSampleTokens && work > observed/2 {
+		sample := min(max(work/float64(uncached), minTokenCost), maxTokenCost)
+		if e.tokenCost == 0 {
+			e.tokenCost = sample
+		} else {
+			e.tokenCost += learningRate * (sample - e.tokenCost)
+		}
+	}
+	// What neither queue nor prefill explains, for example a lack of batch slots.
+	unexplained := max(0, work-float64(uncached)*e.TokenCost())
+	e.residual += learningRate * (unexplained - e.residual)
+	e.residualAt = now
+}
--- /dev/null
+++ b/policy/routing/health.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+)
+
+const (
+	// maxEjection bounds the doubling of ejections.
+	maxEjection = time.Minute
+	// firstShare is the share of choices that may fall on a target at the start of
+	// its reinstatement.
+	firstShare = 0.1
+)
+
+// Health ejects a target that fails repeatedly and reinstates it gradually. The zero
+// value is a healthy target.
+type Health struct {
+	failures  int
+	ejections int
+	until     time.Time
+	// fullAt is when a target after an ejection takes full traffic again.
+	fullAt time.Time
+	credit float64
+}
+
+// Failed records a failure and reports whether it ejected the target.
+func (h *Health) Failed(k *preset.Knobs, now time.Time) bool {
+	h.failures++
+	reinstating := now.Before(h.fullAt) && !now.Before(h.until)
+	if k.EjectAfter == 0 || h.failures < k.EjectAfter && !reinstating {
+		return false
+	}
+	if now.Before(h.until) {
+		return false // late failure of a request sent before the ejection
+	}
+	length := min(k.EjectFor<<min(h.ejections, 10), maxEjection)
+	h.ejections++
+	h.failures = 0
+	h.until = now.Add(length)
+	h.fullAt = h.until.Add(k.ReinstateOver)
+	h.credit = 0
+	return true
+}
+
+// Succeeded records a success.
+func (h *Health) Succeeded(now time.Time) {
+	h.failures = 0
+	if !now.Before(h.fullAt) {
+		h.ejections = 0
+	}
+}
+
+// State says whether the target may be chosen now. During reinstatement only a
+// growing share of choices may fall on the target; each call counts as one.
+func (h *Health) State(k *preset.Knobs, now time.Time) Exclusion {
+	if h.fullAt.IsZero() || !now.Before(h.fullAt) {
+		return Usable
+	}
+	if now.Before(h.until) {
+		return Ejected
+	}
+	share := 1.0
+	if k.ReinstateOver > 0 {
+		share = max(firstShare, 1-h.fullAt.Sub(now).Seconds()/k.ReinstateOver.Seconds())
+	}
+	if h.credit += share; h.credit >= 1 {
+		h.credit--
+		return Usable
+	}
+	return Reinstating
+}
+
+// peek is State without counting a choice.
+func (h Health) peek(k *preset.Knobs, now time.Time) Exclusion { return h.State(k, now) }
+
+// RetryBudget allows retries as a share of recent traffic, so that retries can't
+// multiply an overload. The zero value has no retries until its first request.
+type RetryBudget struct {
+	balance float64
+	started bool
+}
+
+// Request counts a request.
+func (b *RetryBudget) Request(k *preset.Knobs) {
+	if !b.started {
+		b.started, b.balance = true, k.RetryFloor
+	}
+	// The floor is also the cap: a quiet hour must not pay for a burst of retries.
+	b.balance = min(b.balance+k.RetryShare, max(k.RetryFloor, 1))
+}
+
+// Take reports whether a retry is allowed, and counts it.
+func (b *RetryBudget) Take() bool {
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
--- /dev/null
+++ b/policy/routing/link.go
@@ -0,0 +1,72 @@
+package routing
+
+import "time"
+
+// LinkClass orders the traffic on the link between regions.
+type LinkClass uint8
+
+// The classes, the most important first.
+const (
+	LinkControl LinkClass = iota
+	LinkRequest
+	LinkKVCopy
+	LinkSnapshot
+	linkClasses
+)
+
+const (
+	// DefaultLinkRate is 30 Mb/s in bytes per second.
+	DefaultLinkRate = 30e6 / 8
+	// linkBurst is the time over which the budget may be used up in advance.
+	linkBurst = time.Second
+)
+
+// linkReserve is the share of the burst that a class must leave to the classes above
+// it. Control traffic may overdraw: it is small and must never wait.
+var linkReserve = [linkClasses]float64{LinkControl: -1, LinkRequest: 0, LinkKVCopy: 0.5, LinkSnapshot: 0.75}
+
+// LinkBudget is one host's part of the bandwidth between regions. The zero value
+// allows nothing but control traffic.
+type LinkBudget struct {
+	// Rate is in bytes per second.
+	Rate  float64
+	level float64
+	at    time.Time
+}
+
+// Allow reports whether bytes of a class may be sent now, and counts them.
+func (b *LinkBudget) Allow(class LinkClass, bytes int, now time.Time) bool {
+	b.refill(now)
+	capacity := b.Rate * linkBurst.Seconds()
+	if class != LinkControl && b.level-float64(bytes) < linkReserve[class]*capacity {
+		return false
+	}
+	b.level = max(b.level-float64(bytes), -capacity)
+	return true
+}
+
+// Delay returns the seconds until bytes of a class fit, for predictions.
+func (b *LinkBudget) Delay(class LinkClass, bytes int, now time.Time) float64 {
+	b.refill(now)
+	if b.Rate <= 0 {
+		return 0
+	}
+	missing := linkReserve[class]*b.Rate*linkBurst.Seconds() + float64(bytes) - b.level
+	return max(0, missing/b.Rate)
+}
+
+// Worthwhile reports whether a copy of bytes saves more time than it takes on the
+// link: the seconds of prefill that it replaces against its transfer.
+func (b *LinkBudget) Worthwhile(bytes int, savedSeconds float64) bool {
+	return b.Rate > 0 && savedSeconds > float64(bytes)/b.Rate
+}
+
+func (b *LinkBudget) refill(now time.Time) {
+	capacity := b.Rate * linkBurst.Seconds()
+	if b.at.IsZero() {
+		b.level = capacity
+	} else if now.After(b.at) {
+		b.level = min(capacity, b.level+now.Sub(b.at).Seconds()*b.Rate)
+	}
+	b.at = now
+}
--- /dev/null
+++ b/policy/routing/router.go
@@ -0,0 +1,298 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+)
+
+const (
+	blockTokens = prefix.BlockBytes / prefix.BytesPerToken
+	// Round trips in seconds. The larger of both deployments' delays are taken: only
+	// the order of magnitude matters beside a prefill.
+	roundTripZone   = 0.0003
+	roundTripRegion = 0.003
+	roundTripFar    = 0.016
+	// weightsLoad in seconds is the time that a replica takes to load other weights.
+	weightsLoad = 0.5
+	// pendingGrace is how long after its predicted end a prefill stays pending, if
+	// its request never reports a first token.
+	pendingGrace = 5 * time.Second
+	// readmitUnreachable is how long one failed poll keeps a target out; the next poll
+	// decides anew.
+	readmitUnreachable = time.Second
+)
+
+// replica is what is known about one target.
+type replica struct {
+	id           string
+	zone, region string
+	handle       int32
+	hash         uint64
+	network      float64
+	far          bool
+	// A target leaves by the configuration, the host list, or its own word.
+	configLeaving, listLeaving, draining bool
+	unreachable                          bool
+	unreachableUntil                     time.Time
+	weights                              string
+	estimator                            Estimator
+	health                               Health
+	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
+	// of those not yet sent.
+	inFlight, queuedTokens int
+}
+
+func (r *replica) leaving() bool { return r.configLeaving || r.listLeaving || r.draining }
+
+// summary is what a choice needs of a replica, kept in one array so that a choice over
+// hundreds of replicas stays in the processor's caches. It is refreshed with each event.
+type summary struct {
+	hash               uint64
+	network, tokenCost float64
+	// fixedQueue is the queue in seconds that does not drain by itself; what was
+	// reported as pending has drained at drainedAt, in seconds of Router.clock.
+	fixedQueue, drainedAt float64
+	weights, busy         int32
+	// special replicas need a look at their full state.
+	special bool
+}
+
+// Options are the settings of a Router.
+type Options struct {
+	// Policy is a policy name; empty means PredictedTTFT.
+	Policy string
+	// Knobs are read at each choice and may be changed between calls. Required.
+	Knobs *preset.Knobs
+	// Zone and Region are those of this host.
+	Zone, Region string
+	// Index is the index of cached blocks. Required.
+	Index *prefix.Index
+}
+
+// Router holds the state of all targets and chooses among them. It is not safe for
+// concurrent use.
+type Router struct {
+	knobs        *preset.Knobs
+	zone, region string
+	policy       Policy
+	index        *prefix.Index
+	link         LinkBudget
+	pending      pendingPrefills
+	replicas     []*replica // by handle; nil if free
+	byID         map[string]*replica
+	summaries    []summary // by handle
+	byModel      map[string][]int32
+	versions     map[string]int32 // numbers of weights versions, from 1
+	origin       time.Time
+	byService    map[string][]*replica
+	listLeaving  map[string]bool
+	nextID       uint64
+	serviceTurn  int
+
+	matches    []prefix.Match
+	cached     []int32 // by handle, in tokens; zero between choices
+	candidates []Candidate
+	// computing is the pending prefill found for the query in progress.
+	computing pendingBlock
+}
+
+// NewRouter returns a router without targets.
+func NewRouter(o Options) (*Router, error) {
+	policy, err := NewPolicy(o.Policy, o.Knobs)
+	if err != nil {
+		return nil, err
+	}
+	return &Router{
+		knobs: o.Knobs, zone: o.Zone, region: o.Region, policy: policy, index: o.Index,
+		link:     LinkBudget{Rate: DefaultLinkRate},
+		pending:  pendingPrefills{blocks: map[prefix.BlockHash]pendingBlock{}},
+		byID:     map[string]*replica{},
+		versions: map[string]int32{},
+	}, nil
+}
+
+// PolicyName returns the name of the policy in use.
+func (r *Router) PolicyName() string { return r.policy.Name() }
+
+// Configure follows the configuration: state of targets that are gone is dropped.
+func (r *Router) Configure(d *config.Document) {
+	old := r.byID
+	r.byID = make(map[string]*replica, len(d.Targets))
+	r.byModel, r.byService = map[string][]int32{}, map[string][]*replica{}
+	for i := range d.Targets {
+		id := d.Targets[i].ID
+		if kept := old[id]; kept != nil {
+			r.byID[id] = kept
+			delete(old, id)
+		}
+	}
+	for id, gone := range old {
+		r.index.Remove(id)
+		r.replicas[gone.handle] = nil
+	}
+	if len(old) > 0 {
+		r.pending.expire(time.Time{}, func(h int32) bool { return r.replicas[h] == nil })
+	}
+	for i := range d.Targets {
+		r.configure(&d.Targets[i])
+	}
+}
+
+func (r *Router) configure(t *config.Target) {
+	p := r.byID[t.ID]
+	if p == nil {
+		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID]}
+		p.handle = r.takeHandle(p)
+		r.byID[t.ID] = p
+		if t.Kind == config.TargetEngine {
+			r.index.SetHandle(t.ID, int(p.handle))
+		}
+	}
+	p.zone, p.region, p.configLeaving = t.Zone, t.Region, t.Leaving
+	p.far = t.Region != r.region
+	switch {
+	case p.far:
+		p.network = roundTripFar
+	case t.Zone != r.zone:
+		p.network = roundTripRegion
+	default:
+		p.network = roundTripZone
+	}
+	for _, m := range t.Models {
+		r.byModel[m] = append(r.byModel[m], p.handle)
+	}
+	if t.Kind == config.TargetService {
+		r.byService[t.Service] = append(r.byService[t.Service], p)
+	}
+	r.refresh(p)
+}
+
+// clock returns seconds since the first time that the router has seen.
+func (r *Router) clock(now time.Time) float64 {
+	if r.origin.IsZero() {
+		r.origin = now
+	}
+	return now.Sub(r.origin).Seconds()
+}
+
+// refresh updates the summary of a replica after a change.
+func (r *Router) refresh(p *replica) {
+	if int(p.handle) >= len(r.replicas) || r.replicas[p.handle] != p {
+		return // no longer configured
+	}
+	if p.weights != "" && r.versions[p.weights] == 0 {
+		r.versions[p.weights] = int32(len(r.versions)) + 1
+	}
+	e := &p.estimator
+	r.summaries[p.handle] = summary{
+		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
+		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
+		weights:    r.versions[p.weights], busy: int32(p.inFlight),
+		special: p.leaving() || p.unreachable || p.far || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+	}
+	if e.report.PendingPrefillTokens > 0 {
+		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
+	}
+}
+
+func (r *Router) takeHandle(p *replica) int32 {
+	if free := slices.Index(r.replicas, nil); free >= 0 {
+		r.replicas[free] = p
+		return int32(free)
+	}
+	r.replicas = append(r.replicas, p)
+	r.cached = append(r.cached, 0)
+	r.summaries = append(r.summaries, summary{})
+	return int32(len(r.replicas) - 1)
+}
+
+// SetLeaving takes the ids of all targets that the host list calls leaving.
+func (r *Router) SetLeaving(ids []string) {
+	r.listLeaving = make(map[string]bool, len(ids))
+	for _, id := range ids {
+		r.listLeaving[id] = true
+	}
+	for id, p := range r.byID {
+		p.listLeaving = r.listLeaving[id]
+		r.refresh(p)
+	}
+}
+
+// SetDraining records a target's own word that it leaves.
+func (r *Router) SetDraining(id string) {
+	if p := r.byID[id]; p != nil {
+		p.draining = true
+		r.refresh(p)
+	}
+}
+
+// Leaving reports whether a target is gone or gets no new work.
+func (r *Router) Leaving(id string) bool {
+	p := r.byID[id]
+	return p == nil || p.leaving()
+}
+
+// ObserveLoad takes a target's load report.
+func (r *Router) ObserveLoad(id, epoch, weights string, draining bool, report Report, now time.Time) {
+	p := r.byID[id]
+	if p == nil {
+		return
+	}
+	r.index.SetEpoch(id, epoch, weights)
+	p.draining = draining
+	p.unreachable = false
+	if weights != "" {
+		p.weights = weights
+	}
+	p.estimator.Observe(report, now)
+	r.refresh(p)
+}
+
+// ObserveUnreachable records that a target did not answer a poll.
+func (r *Router) ObserveUnreachable(id string, now time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.unreachable, p.unreachableUntil = true, now.Add(readmitUnreachable)
+		r.refresh(p)
+	}
+}
+
+// Apply applies cache events; see prefix.Index.
+func (r *Router) Apply(id string, b prefix.Batch) (epoch string, after uint64) {
+	if r.byID[id] == nil {
+		return "", 0
+	}
+	return r.index.Apply(id, b)
+}
+
+// Failed records a failure of a target and reports whether it was ejected by it.
+func (r *Router) Failed(id string, now time.Time) bool {
+	p := r.byID[id]
+	if p == nil {
+		return false
+	}
+	ejected := p.health.Failed(r.knobs, now)
+	r.refresh(p)
+	return ejected
+}
+
+// Succeeded records a success of a target.
+func (r *Router) Succeeded(id string, now time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.health.Succeeded(now)
+		r.refresh(p)
+	}
+}
+
+// Expire drops state that has run out. The owner calls it from time to time.
+func (r *Router) Expire(now time.Time) {
+	r.pending.expire(now, func(int32) bool { return false })
+	const sweepEntries = 20_000
+	r.index.Maintain(sweepEntries)
+}
+
+// Link returns the budget of the link between regions.
+func (r *Router) Link() *LinkBudget { return &r.link }
--- /dev/null
+++ b/policy/routing/routing_test.go
@@ -0,0 +1,324 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testDocument(replicas int) *config.Document {
+	d := &config.Document{Revision: 1}
+	for i := range replicas {
+		d.Targets = append(d.Targets, config.Target{
+			ID: fmt.Sprint("t", i), Kind: config.TargetEngine, Zone: "a", Region: "r", Models: []string{"m"},
+		})
+	}
+	return d
+}
+
+func testRouter(policy string, d *config.Document) *Router {
+	knobs := preset.For("")
+	r, err := NewRouter(Options{Policy: policy, Knobs: &knobs, Zone: "a", Region: "r", Index: prefix.NewIndex(1<<17, 1)})
+	if err != nil {
+		panic(err)
+	}
+	r.Configure(d)
+	for _, t := range d.Targets {
+		r.ObserveLoad(t.ID, "e", "v", false, Report{MeasuredAt: start}, start)
+	}
+	return r
+}
+
+func testQuery(family string, blocks int) *Query {
+	prompt := make([]byte, blocks*prefix.BlockBytes)
+	seed := prefix.Identity{AccountID: family, Model: "m", WeightsVersion: "v"}.Seed()
+	return &Query{Model: "m", Weights: "v", Chain: prefix.Chain(seed, prompt), PromptBytes: len(prompt)}
+}
+
+// Guards against a choice of a leaving, ejected, tried or wrong-model target while
+// another is usable, by any policy.
+func TestNeverChoosesExcludedTargets(t *testing.T) {
+	policies := []string{PredictedTTFT, RoundRobin, LeastLoaded, PrefixHash}
+	rapid.Check(t, func(t *rapid.T) {
+		d := testDocument(rapid.IntRange(1, 6).Draw(t, "replicas"))
+		other := rapid.IntRange(0, len(d.Targets)-1).Draw(t, "other model")
+		if rapid.Bool().Draw(t, "has other") {
+			d.Targets[other].Models = []string{"n"}
+		}
+		r := testRouter(rapid.SampledFrom(policies).Draw(t, "policy"), d)
+		now := start
+		q := testQuery("x", rapid.IntRange(0, 3).Draw(t, "blocks"))
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := fmt.Sprint("t", rapid.IntRange(0, len(d.Targets)-1).Draw(t, "target"))
+			q.Tried = nil
+			switch rapid.IntRange(0, 7).Draw(t, "kind") {
+			case 0:
+				r.SetLeaving([]string{id})
+			case 1:
+				r.ObserveLoad(id, "e", "v", rapid.Bool().Draw(t, "draining"), Report{MeasuredAt: now, PendingPrefillTokens: rapid.IntRange(0, 50_000).Draw(t, "pending")}, now)
+			case 2:
+				for range r.knobs.EjectAfter {
+					r.Failed(id, now)
+				}
+			case 3:
+				now = now.Add(time.Duration(rapid.IntRange(0, 15_000).Draw(t, "ms")) * time.Millisecond)
+			case 4:
+				q.Tried = map[string]bool{id: true}
+			case 5:
+				r.ObserveUnreachable(id, now)
+			case 6:
+				r.index.Stored(id, "e", q.Chain)
+			}
+			checkChoice(t, r, q, now)
+		}
+	})
+}
+
+func checkChoice(t *rapid.T, r *Router, q *Query, now time.Time) {
+	usable, possible := 0, 0
+	for _, handle := range r.byModel["m"] {
+		p := r.replicas[handle]
+		if p.leaving() || q.Tried[p.id] {
+			continue
+		}
+		possible++
+		if p.health.peek(r.knobs, now) == Usable && !(p.unreachable && now.Before(p.unreachableUntil)) {
+			usable++
+		}
+	}
+	wasEjected := map[string]bool{}
+	for id, p := range r.byID {
+		wasEjected[id] = p.health.peek(r.knobs, now) == Ejected || p.unreachable && now.Before(p.unreachableUntil)
+	}
+	d, ok := r.Choose(q, now)
+	if ok != (possible > 0) {
+		t.Fatalf("chosen: %v, possible targets: %d", ok, possible)
+	}
+	if !ok {
+		return
+	}
+	p := r.byID[d.TargetID]
+	if p.leaving() || q.Tried[p.id] || p.draining {
+		t.Fatalf("chose excluded target %s", p.id)
+	}
+	served := false
+	for _, m := range r.byModel["m"] {
+		served = served || m == p.handle
+	}
+	if !served {
+		t.Fatalf("target %s does not serve the model", p.id)
+	}
+	if usable > 0 && wasEjected[p.id] {
+		t.Fatalf("chose ejected target %s with %d usable", p.id, usable)
+	}
+	f := r.Begin(q, d, now)
+	if f.id%2 == 0 {
+		r.Send(f, now)
+	}
+	if f.id%4 == 0 {
+		r.FirstToken(f, "e", now)
+	}
+	r.End(f)
+	if p.inFlight != 0 || p.queuedTokens != 0 || len(p.estimator.flights) != 0 {
+		t.Fatalf("state of an ended request is left: %+v", p)
+	}
+}
+
+// Guards against a cold prefix that is computed on several targets at once.
+func TestColdPrefixIsPrefilledOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := testRouter("", testDocument(8))
+	q := testQuery("x", 20)
+	first, _ := r.Choose(q, start)
+	g.Expect(first.WaitFor).To(BeZero())
+	f := r.Begin(q, first, start)
+	r.Send(f, start)
+	deeper := testQuery("x", 25)
+	second, _ := r.Choose(deeper, start)
+	g.Expect(second.TargetID).To(Equal(first.TargetID))
+	g.Expect(second.WaitFor).To(Equal(f.ID()))
+	g.Expect(second.Uncached).To(Equal(5000))
+	r.FirstToken(f, "e", start.Add(2*time.Second))
+	third, _ := r.Choose(deeper, start.Add(2*time.Second))
+	g.Expect(third.TargetID).To(Equal(first.TargetID))
+	g.Expect(third.WaitFor).To(BeZero())
+	g.Expect(third.Cached).To(Equal(20_000))
+	g.Expect(third.BestCached).To(Equal(20_000))
+}
+
+// Guards against a failed prefill that still attracts requests.
+func TestFailedPrefillIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	r := testRouter("", testDocument(3))
+	q := testQuery("x", 20)
+	d, _ := r.Choose(q, start)
+	f := r.Begin(q, d, start)
+	r.Send(f, start)
+	r.End(f)
+	g.Expect(r.pending.blocks).To(BeEmpty())
+	q.Tried = map[string]bool{d.TargetID: true}
+	again, _ := r.Choose(q, start)
+	g.Expect(again.WaitFor).To(BeZero())
+}
+
+// Guards against spilled requests of one hot prefix that go to several targets.
+func TestSpillGoesToOneSecondHome(t *testing.T) {
+	g := NewWithT(t)
+	warm := map[string]int{}
+	second := map[string]int{}
+	for host := range 5 {
+		r := testRouter("", testDocument(10))
+		q := testQuery("x", 10)
+		r.index.Stored("t3", "e", q.Chain)
+		d, _ := r.Choose(q, start)
+		warm[d.TargetID]++
+		r.ObserveLoad("t3", "e", "v", false, Report{MeasuredAt: start, PendingPrefillTokens: 50_000}, start)
+		// Hosts see slightly different loads.
+		r.ObserveLoad(fmt.Sprint("t", host), "e", "v", false, Report{MeasuredAt: start, Running: host}, start)
+		r.ObserveLoad("t3", "e", "v", false, Report{MeasuredAt: start, PendingPrefillTokens: 50_000}, start)
+		d, _ = r.Choose(q, start)
+		second[d.TargetID]++
+	}
+	g.Expect(warm).To(Equal(map[string]int{"t3": 5}))
+	g.Expect(second).To(HaveLen(1))
+	g.Expect(second).NotTo(HaveKey("t3"))
+}
+
+// Guards against predictions that ignore lag, sent work, absent weights or distance.
+func TestPredictionParts(t *testing.T) {
+	g := NewWithT(t)
+	var e Estimator
+	e.SetTokenCost(0.001)
+	e.Observe(Report{PendingPrefillTokens: 1000, MeasuredAt: start}, start)
+	g.Expect(e.Queue(start)).To(BeNumerically("~", 1, 0.01))
+	g.Expect(e.Queue(start.Add(400 * time.Millisecond))).To(BeNumerically("~", 0.6, 0.01))
+	e.Sent(1, 500, start.Add(time.Millisecond))
+	g.Expect(e.Queue(start.Add(400 * time.Millisecond))).To(BeNumerically("~", 1.1, 0.01))
+	e.Observe(Report{PendingPrefillTokens: 500, MeasuredAt: start.Add(time.Second)}, start.Add(time.Second))
+	g.Expect(e.Queue(start.Add(time.Second))).To(BeNumerically("~", 0.5, 0.01))
+	e.End(1)
+	g.Expect(e.recent).To(BeZero())
+	for range 40 {
+		e.Learn(time.Second, 5000, 0, 0, start)
+	}
+	g.Expect(e.TokenCost()).To(BeNumerically("~", 0.0002, 0.00001))
+
+	d := testDocument(3)
+	d.Targets[1].Region = "far"
+	r := testRouter("", d)
+	r.ObserveLoad("t2", "e", "old", false, Report{MeasuredAt: start}, start)
+	_, _, all := r.Explain(testQuery("x", 10), start)
+	g.Expect(all[1].Network).To(BeNumerically(">", all[0].Network+40_000/DefaultLinkRate))
+	g.Expect(all[2].Load).To(Equal(weightsLoad))
+	g.Expect(all[0].Load).To(BeZero())
+}
+
+// Guards against retries that multiply an overload, and against a link budget by
+// which copies delay requests.
+func TestBudgets(t *testing.T) {
+	g := NewWithT(t)
+	k := preset.For("")
+	var b RetryBudget
+	g.Expect(b.Take()).To(BeFalse())
+	allowed := 0
+	for range 1000 {
+		b.Request(&k)
+		if b.Take() {
+			allowed++
+		}
+	}
+	g.Expect(allowed).To(BeNumerically("<=", int(k.RetryFloor+1000*k.RetryShare)+1))
+	g.Expect(allowed).To(BeNumerically(">=", 100))
+
+	l := LinkBudget{Rate: 1000}
+	g.Expect(l.Allow(LinkSnapshot, 300, start)).To(BeFalse())
+	g.Expect(l.Allow(LinkKVCopy, 400, start)).To(BeTrue())
+	g.Expect(l.Allow(LinkKVCopy, 200, start)).To(BeFalse())
+	g.Expect(l.Allow(LinkRequest, 600, start)).To(BeTrue())
+	g.Expect(l.Allow(LinkRequest, 1, start)).To(BeFalse())
+	g.Expect(l.Allow(LinkControl, 100, start)).To(BeTrue())
+	g.Expect(l.Delay(LinkRequest, 100, start)).To(BeNumerically("~", 0.2, 0.001))
+	g.Expect(l.Allow(LinkRequest, 400, start.Add(time.Second))).To(BeTrue())
+	g.Expect(l.Worthwhile(500, 0.4)).To(BeFalse())
+	g.Expect(l.Worthwhile(500, 0.6)).To(BeTrue())
+}
+
+// Guards against full traffic right after an ejection, and against state of a
+// removed target that lives on.
+func TestReinstatementAndRemoval(t *testing.T) {
+	g := NewWithT(t)
+	d := testDocument(2)
+	r := testRouter(RoundRobin, d)
+	for range r.knobs.EjectAfter {
+		r.Failed("t0", start)
+	}
+	share := func(at time.Time) int {
+		n := 0
+		for range 100 {
+			if choice, _ := r.Choose(testQuery("x", 1), at); choice.TargetID == "t0" {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(share(start.Add(time.Second))).To(BeZero())
+	early := share(start.Add(r.knobs.EjectFor + time.Millisecond))
+	g.Expect(early).To(And(BeNumerically(">", 0), BeNumerically("<=", 10)))
+	g.Expect(share(start.Add(r.knobs.EjectFor + r.knobs.ReinstateOver))).To(Equal(50))
+	learned := r.ExportLearned(start.Add(time.Second))
+	fresh := testRouter(RoundRobin, d)
+	fresh.ImportLearned(learned, start)
+	g.Expect(fresh.byID["t0"].health.peek(fresh.knobs, start)).To(Equal(Ejected))
+
+	q := testQuery("x", 2)
+	r.index.Stored("t0", "e", q.Chain)
+	d.Targets = d.Targets[1:]
+	r.Configure(d)
+	g.Expect(r.index.Lookup("v", q.Chain, nil)).To(BeEmpty())
+	g.Expect(r.index.Targets()).To(Equal([]string{"t1"}))
+}
+
+// BenchmarkChoose shows the cost of a choice by replicas of the model, chain length
+// and the share of replicas that hold the prefix, and that other models cost nothing.
+func BenchmarkChoose(b *testing.B) {
+	run := func(name string, replicas, others, chain, holders int) {
+		b.Run(name, func(b *testing.B) {
+			d := testDocument(replicas)
+			for i := range others {
+				d.Targets = append(d.Targets, config.Target{ID: fmt.Sprint("o", i), Kind: config.TargetEngine, Models: []string{"o"}})
+			}
+			r := testRouter("", d)
+			q := testQuery("x", chain)
+			for i := range holders {
+				r.index.Stored(fmt.Sprint("t", i), "e", q.Chain[:len(q.Chain)/2])
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, ok := r.Choose(q, start); !ok {
+					b.Fatal("no choice")
+				}
+			}
+		})
+	}
+	for _, replicas := range []int{40, 210, 830} {
+		for _, chain := range []int{8, 32, 128} {
+			run(fmt.Sprintf("replicas=%d/chain=%d/holders=4", replicas, chain), replicas, 0, chain, 4)
+		}
+	}
+	for _, holders := range []int{40, 210, 830} {
+		run(fmt.Sprintf("replicas=830/chain=32/holders=%d", holders), 830, 0, 32, holders)
+	}
+	for _, others := range []int{0, 400, 790} {
+		run(fmt.Sprintf("replicas=40/others=%d", others), 40, others, 32, 4)
+	}
+}
