Connect queue, routing and index in the dispatcher

Cause: the first dispatcher chose the least loaded target, had no queue and learned nothing.

The engine contract says that cancelling the context ends a read without a cancel at the engine, which resume needs.

Ruled out: Close before a resume, which cancels at the engine; reading with Close concurrent to Next, which the race detector reported with the fake.

--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
 	"github.com/sequoiaroad/sequoiaroad/internal/target"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 const (
@@ -20,40 +23,75 @@
 	maxResumes = 2
 	// cancelTimeout bounds the call that cancels an abandoned attempt.
 	cancelTimeout = 2 * time.Second
+	// retryJitter spreads retries, so that requests that failed together don't come
+	// back together.
+	retryJitter = 50 * time.Millisecond
+	// firstTokenFactor is how many times the predicted time to first token may pass
+	// before a silent stream counts as stalled.
+	firstTokenFactor = 3
 )
 
 // run is the state of one completion.
 type run struct {
-	d         *Dispatcher
-	c         *Completion
-	sink      func(Token) error
-	started   time.Time
-	model     *config.Model
-	seed      prefix.BlockHash
-	chain     []prefix.BlockHash
+	d       *Dispatcher
+	c       *Completion
+	sink    func(Token) error
+	started time.Time
+	model   *config.Model
+	seed    prefix.BlockHash
+	chain   []prefix.BlockHash
+	// over says that the account is above its rate.
+	over      bool
 	assembler assembler
 	result    Result
 	// mayHaveRun is set once bytes of the request may have reached an engine.
 	mayHaveRun bool
-	// delivered is the number of tokens that the caller has.
-	delivered int
-	tried     map[string]bool
-	lastErr   error
+	// skip is the number of tokens that the caller had before this call.
+	skip  int
+	tried map[string]bool
+	// secondRound says that tried was emptied once, because no other target was left.
+	secondRound bool
+	// wasted counts tokens that attempts computed in vain.
+	wasted     int
+	bestCached int
+	lastErr    error
+	// lastDrained says that the last attempt failed because the target is leaving.
+	lastDrained bool
 }
 
-// errCallerGone wraps the error of the sink or of the caller's context.
-var errCallerGone = errors.New("the caller is gone")
+// callerGoneError says that the sink or the caller's context ended the completion.
+type callerGoneError struct{ err error }
+
+func (e *callerGoneError) Error() string { return "the caller is gone: " + e.err.Error() }
+func (e *callerGoneError) Unwrap() error { return e.err }
+
+func newRun(d *Dispatcher, c *Completion, m *config.Model) *run {
+	r := &run{d: d, c: c, model: m, started: d.clock(), tried: map[string]bool{}}
+	identity := prefix.Identity{AccountID: c.AccountID, Model: c.Model, WeightsVersion: m.WeightsVersion}
+	r.seed = identity.Seed()
+	r.chain = prefix.Chain(r.seed, c.Prompt)
+	return r
+}
+
+func (r *run) query(avoid map[string]bool) *routing.Query {
+	q := &routing.Query{
+		Model: r.c.Model, Weights: r.model.WeightsVersion, Chain: r.chain, PromptBytes: len(r.c.Prompt),
+		Tried: avoid, SameWeights: r.assembler.next > 0,
+	}
+	if len(r.chain) == 0 {
+		q.Key = xxhash.Sum64(r.c.Prompt)
+	}
+	return q
+}
 
 // Complete implements Completer.
 func (d *Dispatcher) Complete(ctx context.Context, c *Completion, sink func(Token) error) (Result, error) {
-	r := &run{d: d, c: c, sink: sink, started: d.clock(), tried: map[string]bool{}}
-	r.model = d.options.Config().Model(c.Model)
-	if r.model == nil {
+	m := d.options.Config().Model(c.Model)
+	if m == nil {
 		return Result{}, refusal.New(refusal.NotFound, "model %q is unknown", c.Model)
 	}
-	identity := prefix.Identity{AccountID: c.AccountID, Model: c.Model, WeightsVersion: r.model.WeightsVersion}
-	r.seed = identity.Seed()
-	r.chain = prefix.Chain(r.seed, c.Prompt)
+	r := newRun(d, c, m)
+	r.sink = sink
 	if !c.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, c.Deadline)
@@ -62,40 +100,80 @@
 	if c.ResumeFrom != nil {
 		return r.reconnect(ctx)
 	}
-	return r.complete(ctx)
+	reserved := prefix.Tokens(len(c.Prompt)) + c.MaxOutputTokens
+	r.over = d.charge(c.AccountID, reserved)
+	result, err := r.complete(ctx)
+	if err == nil || !r.mayHaveRun {
+		d.refund(c.AccountID, reserved-result.Usage.PromptTokens-result.Usage.CompletionTokens)
+	}
+	return result, err
 }
 
 // complete makes attempts until one finishes the completion.
 func (r *run) complete(ctx context.Context) (Result, error) {
 	for {
-		if r.result.Attempts >= maxAttempts {
-			return r.fail(r.targetFailure())
-		}
 		done, err := r.attempt(ctx)
 		if err != nil {
 			return r.fail(err)
 		}
 		if done {
-			return r.finish()
+			return r.finish(), nil
+		}
+		if err := r.mayRetry(ctx); err != nil {
+			return r.fail(err)
 		}
 	}
 }
 
+// mayRetry returns an error if no further attempt may be made. A stream that the caller
+// has a part of, and a request that a leaving target sent back, need no budget: the
+// first would be lost, and the second has cost nothing.
+func (r *run) mayRetry(ctx context.Context) error {
+	exempt := r.assembler.next > 0 || r.lastDrained
+	if r.result.Attempts >= maxAttempts && !r.lastDrained || !exempt && !r.d.takeRetry() {
+		return r.noTarget(false)
+	}
+	if exempt {
+		return nil
+	}
+	timer := time.NewTimer(r.d.jitter(retryJitter))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return r.ended(ctx)
+	}
+}
+
 // attempt sends the completion to one target. It returns false without an error if
 // another attempt may be made.
 func (r *run) attempt(ctx context.Context) (bool, error) {
-	t, release, err := r.d.acquire(ctx, r)
+	p, err := r.d.acquire(ctx, r)
 	if err != nil {
 		return false, err
 	}
-	defer release()
+	defer p.release()
+	if r.result.Attempts == 0 {
+		r.bestCached = p.flight.BestCached
+	}
 	if err := r.allow(); err != nil {
 		return false, err
 	}
+	if !p.send() {
+		r.lastDrained = true
+		return false, nil
+	}
+	return r.transmit(ctx, p)
+}
+
+// transmit makes the call and follows its stream.
+func (r *run) transmit(ctx context.Context, p *pass) (bool, error) {
 	r.result.Attempts++
-	r.result.TargetID = t.ID
+	r.result.TargetID = p.target.ID
+	r.lastDrained = false
 	if r.result.Attempts > 1 {
-		r.d.countRetry(t.ID, r.lastErr)
+		r.d.countRetry(p.target.ID, r.lastErr)
 	}
 	request := &target.CompletionRequest{
 		RequestID:    fmt.Sprintf("%s-%d", r.c.RequestID, r.result.Attempts),
@@ -105,15 +183,25 @@
 		ResumeText:   string(r.assembler.text),
 		ResumeOffset: r.assembler.next,
 	}
+	if r.over {
+		request.Priority = overRatePriority
+	}
 	r.assembler.begin(r.result.Attempts)
-	attemptContext, cancel := context.WithCancel(ctx)
+	spanContext, end := r.d.observer.StartSpan(ctx, "target")
+	attemptContext, cancel := context.WithCancel(spanContext)
 	defer cancel()
-	stream, err := r.d.options.Engines.Complete(attemptContext, t, request)
+	// A target that never answers must not hold the request until its deadline.
+	f := &follower{run: r, ctx: ctx, cancel: cancel, target: p.target, requestID: request.RequestID, pass: p}
+	timer := time.AfterFunc(f.silence(), cancel)
+	stream, err := r.d.options.Engines.Complete(attemptContext, p.target, request)
+	timer.Stop()
+	end(err)
 	if err != nil {
-		return false, r.sendFailed(ctx, t, err)
+		return false, r.sendFailed(ctx, p, request.RequestID, err)
 	}
 	r.mayHaveRun = true
-	return r.follow(ctx, cancel, t, request.RequestID, stream)
+	f.epoch = stream.Epoch()
+	return f.follow(stream)
 }
 
 // allow asks the gate right before a send.
@@ -125,151 +213,73 @@
 }
 
 // sendFailed classifies an attempt that brought no stream; nil allows another one.
-func (r *run) sendFailed(ctx context.Context, t *config.Target, err error) error {
+func (r *run) sendFailed(ctx context.Context, p *pass, requestID string, err error) error {
 	r.lastErr = err
-	r.tried[t.ID] = true
+	r.tried[p.target.ID] = true
 	var call *target.CallError
 	isCall := errors.As(err, &call)
 	if !isCall || !call.NotRun {
 		r.mayHaveRun = true
+		r.wasted += p.flight.Uncached
+		r.d.cancelAttempt(ctx, p.target, requestID)
 	}
 	if ctx.Err() != nil {
 		return r.ended(ctx)
 	}
-	if isCall && call.NotRun && call.Status >= 400 && call.Status < 500 && !call.Draining && call.Status != 429 {
-		return refusal.New(refusal.InvalidRequest, "the engine rejected the request with status %d", call.Status).WithCause(err)
-	}
-	r.d.observeFailure(t.ID, err)
-	return nil
-}
-
-// follow delivers a stream. A broken or stalled stream is resumed at the engine;
-// false without an error leaves it to another attempt.
-func (r *run) follow(ctx context.Context, cancel context.CancelFunc, t *config.Target, id string, s target.TokenStream) (bool, error) {
-	silent := 0
-	for {
-		before := r.assembler.next
-		reader := newStreamReader(s)
-		err := r.deliver(ctx, t, id, reader)
-		switch {
-		case err == nil:
-			reader.close()
-			cancel()
-			r.d.observeSuccess(t.ID)
-			return true, nil
-		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
-			reader.close()
-			cancel()
-			return false, err
-		}
-		r.lastErr = err
-		reader.abandon()
-		cancel()
-		if r.assembler.next == before {
-			silent++
-		} else {
-			silent = 0
-		}
-		if silent >= maxResumes {
-			break
-		}
-		var resumeContext context.Context
-		resumeContext, cancel = context.WithCancel(ctx)
-		s, err = r.d.options.Engines.Resume(resumeContext, t, id, r.assembler.next)
-		if err != nil {
-			cancel()
-			r.lastErr = err
-			break
+	if isCall {
+		r.lastDrained = call.NotRun && call.Draining
+		switch call.Status {
+		case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+			return refusal.New(refusal.InvalidRequest, "the engine rejected the request with status %d", call.Status).WithCause(err)
 		}
 	}
-	r.tried[t.ID] = true
-	r.d.observeFailure(t.ID, r.lastErr)
-	r.d.cancelAttempt(ctx, t, id)
-	if ctx.Err() != nil {
-		return false, r.ended(ctx)
-	}
-	return false, nil
-}
-
-// deliver passes tokens on until the end marker. It returns nil only if the stream
-// was complete.
-func (r *run) deliver(ctx context.Context, t *config.Target, id string, reader *streamReader) error {
-	for {
-		event, err := reader.next(ctx, r.d.options.StallTimeout)
-		if ctx.Err() != nil {
-			return r.ended(ctx)
-		}
-		if err != nil {
-			return err
-		}
-		if event.Usage != nil {
-			r.result.Usage = *event.Usage
-			continue
-		}
-		if event.Done {
-			if !r.assembler.finished {
-				return errors.New("the stream ended before its last token")
-			}
-			return nil
-		}
-		isNext, err := r.assembler.accept(r.result.Attempts, event)
-		if err != nil {
-			return err
-		}
-		if !isNext {
-			continue
-		}
-		if err := r.emit(t, id, reader.stream.Epoch(), event); err != nil {
-			return err
-		}
-	}
-}
-
-// emit passes one token to the caller.
-func (r *run) emit(t *config.Target, id, epoch string, event target.TokenEvent) error {
-	if r.delivered == 0 {
-		r.result.TimeToFirstToken = r.d.clock().Sub(r.started)
-		r.d.observeFirstToken(t.ID)
-	}
-	position := StreamPosition{EngineRequestID: id, TargetID: t.ID, Epoch: epoch, Offset: r.assembler.next}
-	r.delivered++
-	if err := r.sink(Token{Position: position, Text: event.Text, FinishReason: event.FinishReason}); err != nil {
-		return errors.WithMessage(errCallerGone, err.Error())
-	}
+	r.d.failed(p.lane, err)
 	return nil
 }
 
-// reconnect continues a stream for a caller that came back.
+// reconnect continues a stream for a caller that came back. The engine's copy is read
+// from the start: only with the whole text can another engine go on if this one fails.
+// If the engine no longer keeps the start, it is read from the caller's offset.
 func (r *run) reconnect(ctx context.Context) (Result, error) {
 	from := r.c.ResumeFrom
+	lost := refusal.New(refusal.StreamNotResumable, "the engine does not keep the stream").WithRun(refusal.Unknown)
 	t := r.d.options.Config().Target(from.TargetID)
 	if t == nil {
-		return Result{}, refusal.New(refusal.StreamNotResumable, "the stream's target has gone").WithRun(refusal.Unknown)
+		return Result{}, lost
 	}
 	if err := r.allow(); err != nil {
-		return r.fail(err)
+		return Result{}, refusal.From(err).WithRun(refusal.Unknown)
 	}
 	r.mayHaveRun = true
+	r.skip = from.Offset
 	r.result.Attempts, r.result.TargetID = 1, t.ID
-	r.assembler = assembler{attempt: 1, next: from.Offset}
-	streamContext, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s, err := r.d.options.Engines.Resume(streamContext, t, from.EngineRequestID, from.Offset)
-	if err == nil && s.Epoch() != from.Epoch {
+	for _, offset := range []int{0, from.Offset} {
+		streamContext, cancel := context.WithCancel(ctx)
+		s, err := r.d.options.Engines.Resume(streamContext, t, from.EngineRequestID, offset)
+		if err == nil && s.Epoch() != from.Epoch {
+			// The request id is the same, but the engine has restarted since.
+			err = errors.Errorf("the engine's epoch is %q, the stream's %q", s.Epoch(), from.Epoch)
+		}
+		if err != nil {
+			cancel()
+			r.lastErr = err
+			continue
+		}
+		r.assembler = assembler{attempt: 1, next: offset}
+		f := &follower{run: r, ctx: ctx, cancel: cancel, target: t, requestID: from.EngineRequestID, epoch: from.Epoch}
+		done, err := f.follow(s)
 		cancel()
-		err = errors.Errorf("the engine's epoch is %q, the stream's %q", s.Epoch(), from.Epoch)
-	}
-	if err != nil {
-		return Result{}, refusal.New(refusal.StreamNotResumable, "the engine does not keep the stream").WithRun(refusal.Unknown).WithCause(err)
-	}
-	done, err := r.follow(ctx, cancel, t, from.EngineRequestID, s)
-	if err != nil {
-		return r.fail(err)
-	}
-	if !done {
-		return Result{}, refusal.New(refusal.StreamNotResumable, "the engine lost the stream").WithRun(refusal.Unknown).WithCause(r.lastErr)
+		switch {
+		case err != nil:
+			return r.fail(err)
+		case done:
+			return r.summary(), nil
+		case offset == 0 && r.assembler.next >= from.Offset:
+			return r.complete(ctx)
+		}
+		break
 	}
-	return r.finish()
+	return Result{}, lost.WithCause(r.lastErr)
 }
 
 // ended says why the context of a completion ended.
@@ -277,11 +287,23 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal.New(refusal.DeadlineUnreachable, "the deadline has passed").WithCause(ctx.Err())
 	}
-	return errors.WithMessage(errCallerGone, ctx.Err().Error())
+	return &callerGoneError{ctx.Err()}
+}
+
+func (r *run) noTarget(full bool) error {
+	if full {
+		return refusal.New(refusal.Overloaded, "the queues of all targets of model %q are full", r.c.Model).
+			WithRetryAfter(overloadRetryAfter).WithCause(r.lastErr)
+	}
+	if r.mayHaveRun {
+		return refusal.New(refusal.TargetFailed, "no target of model %q completed the request", r.c.Model).WithCause(r.lastErr)
+	}
+	return refusal.New(refusal.TargetUnavailable, "no target of model %q is available", r.c.Model).
+		WithRetryAfter(overloadRetryAfter).WithCause(r.lastErr)
 }
 
-func (r *run) targetFailure() error {
-	return refusal.New(refusal.TargetFailed, "no engine completed the request").WithCause(r.lastErr)
+func (r *run) unreachable(predicted time.Duration) error {
+	return refusal.New(refusal.DeadlineUnreachable, "the first token is expected in %v, after the deadline", predicted.Round(time.Millisecond))
 }
 
 // fail returns the error as a refusal whose run state is true.
@@ -297,8 +319,24 @@
 	return r.result, known.WithRun(state)
 }
 
+// summary returns the result of a completion that reached its last token.
+func (r *run) summary() Result {
+	r.result.Usage.CompletionTokens = r.assembler.next
+	if r.result.Usage.PromptTokens == 0 {
+		r.result.Usage.PromptTokens = prefix.Tokens(len(r.c.Prompt))
+	}
+	return r.result
+}
+
 // finish counts a completion that reached its last token.
-func (r *run) finish() (Result, error) {
-	r.d.countCompletion(r)
-	return r.result, nil
+func (r *run) finish() Result {
+	result := r.summary()
+	r.d.count(r.c.AccountID, Measures{
+		PromptTokens:     result.Usage.PromptTokens,
+		CachedTokens:     result.Usage.CachedTokens,
+		WastedTokens:     r.wasted + max(0, r.bestCached-result.Usage.CachedTokens),
+		OutputTokens:     result.Usage.CompletionTokens,
+		TimeToFirstToken: result.TimeToFirstToken,
+	})
+	return result
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,14 +11,20 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/target"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 // maintenanceInterval is how often Run applies the configuration and expires state.
 const maintenanceInterval = 100 * time.Millisecond
 
+const defaultIndexBlocks = 1 << 20
+
 // Observer takes spans and measures. Methods must not block.
 type Observer interface {
-	// StartSpan starts a span for one step of a request; the function ends it.
+	// StartSpan starts a span for one step of a request (route, queue, target, stream);
+	// the function ends it.
 	StartSpan(ctx context.Context, step string) (context.Context, func(error))
 	// CompletionDone is called once for each completion that got a last token.
 	CompletionDone(accountID string, m Measures)
@@ -66,8 +72,10 @@
 	// Observer may be nil, which means no spans and no measures.
 	Observer Observer
 	// StallTimeout is how long a stream may be silent before it is resumed; zero
-	// means 5 s.
+	// means 5 s. Before the first token the predicted time is added three times.
 	StallTimeout time.Duration
+	// IndexBlocks bounds the index of cached blocks; zero means 1,048,576, about 40 MB.
+	IndexBlocks int
 }
 
 // Dispatcher implements Completer, Explainer, ServiceChooser, TargetSet and
@@ -80,8 +88,16 @@
 
 	mu       sync.Mutex
 	random   *rand.Rand
-	revision uint64
-	targets  map[string]*targetState
+	applied  *config.Index
+	knobs    preset.Knobs
+	index    *prefix.Index
+	router   *routing.Router
+	retries  routing.RetryBudget
+	lanes    map[string]*lane
+	accounts map[string]*meter
+	// prefills holds, by flight, who waits for the flight's first token.
+	prefills map[uint64][]chan struct{}
+	nextItem uint64
 	totals   Totals
 }
 
@@ -102,13 +118,27 @@
 	if o.StallTimeout == 0 {
 		o.StallTimeout = defaultStallTimeout
 	}
+	if o.IndexBlocks == 0 {
+		o.IndexBlocks = defaultIndexBlocks
+	}
 	d := &Dispatcher{
 		options:  o,
 		clock:    o.Clock,
 		logger:   o.Logger,
 		observer: o.Observer,
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		targets:  map[string]*targetState{},
+		lanes:    map[string]*lane{},
+		accounts: map[string]*meter{},
+		prefills: map[uint64][]chan struct{}{},
+	}
+	d.index = prefix.NewIndex(o.IndexBlocks, d.random.Uint64())
+	d.knobs = preset.For("")
+	var err error
+	d.router, err = routing.NewRouter(routing.Options{
+		Policy: o.Policy, Knobs: &d.knobs, Zone: o.Self.Zone, Region: o.Self.Region, Index: d.index,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch")
 	}
 	if d.clock == nil {
 		d.clock = time.Now
@@ -131,9 +161,23 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			d.mu.Lock()
-			d.syncLocked()
-			d.mu.Unlock()
+			d.maintain()
+		}
+	}
+}
+
+// maintain follows the configuration and drops what has run out.
+func (d *Dispatcher) maintain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	now := d.clock()
+	d.router.Expire(now)
+	for _, l := range d.lanes {
+		for _, item := range l.queue.Expire(now) {
+			d.router.End(item.Value.flight)
+			d.wake(item.Value.flight.ID())
+			item.Value.answer <- answerExpired
 		}
 	}
 }
--- a/internal/target/contract.go
+++ b/internal/target/contract.go
@@ -65,7 +65,9 @@
 	MeasuredAt           time.Time
 }
 
-// EngineClient talks to engines. Errors are *CallError.
+// EngineClient talks to engines. Errors are *CallError. Cancelling the context of
+// Complete or Resume ends a blocked Next and releases the connection without a cancel
+// at the engine, so that the stream can be resumed there.
 type EngineClient interface {
 	Complete(ctx context.Context, t *config.Target, r *CompletionRequest) (TokenStream, error)
 	// Resume continues a stream that is still kept at the engine, from a token offset.
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -17,6 +17,9 @@
 	PromptBytes int
 	// Tried targets are not chosen again.
 	Tried map[string]bool
+	// SameWeights leaves out targets that would have to load the weights, because a
+	// stream can only be continued where they are.
+	SameWeights bool
 }
 
 // Decision is a choice with what it was based on.
@@ -137,10 +140,13 @@
 		c.Network, c.Prefill, c.Load = s.network, float64(c.Uncached)*s.tokenCost, 0
 		if s.weights != weights && s.weights != 0 && q.Weights != "" {
 			c.Load = weightsLoad
+			if q.SameWeights {
+				c.Excluded = Tried
+			}
 		}
 		if s.special {
 			p := r.replicas[handle]
-			c.Excluded = r.exclusion(p, q, now, count)
+			c.Excluded = max(c.Excluded, r.exclusion(p, q, now, count))
 			c.Queue += p.estimator.Residual(now)
 			if p.far {
 				c.Network += linkSeconds + linkWait
