--- /dev/null
+++ b/test/scenario/programs_test.go
@@ -0,0 +1,150 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+	"github.com/sequoiaroad/sequoiaroad/standin/platform"
+	"github.com/sequoiaroad/sequoiaroad/standin/relay"
+	"github.com/sequoiaroad/sequoiaroad/standin/service"
+)
+
+func listenAndServe(address string, handler http.Handler) {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	fmt.Fprintln(os.Stderr, server.ListenAndServe())
+	os.Exit(1)
+}
+
+func platformMain() {
+	set := flag.NewFlagSet("platform-standin", flag.ContinueOnError)
+	listen := set.String("listen", "", "IP:port")
+	lag := set.Duration("host-list-lag", 0, "delay of the host list")
+	parseFlags(set)
+	listenAndServe(*listen, platform.New(platform.Options{HostListLag: *lag}))
+}
+
+func engineMain() {
+	set := flag.NewFlagSet("engine-standin", flag.ContinueOnError)
+	listen := set.String("listen", "", "IP:port")
+	var o engine.Options
+	set.StringVar(&o.ID, "id", "", "target id")
+	set.StringVar(&o.WeightsVersion, "weights", "1", "weights version")
+	set.DurationVar(&o.DecodePerToken, "token-delay", 0, "time between tokens")
+	set.DurationVar(&o.PrefillPerToken, "prefill", 0, "time for each uncached prompt token")
+	set.IntVar(&o.CacheBlocks, "cache-blocks", 0, "limit of the prefix cache")
+	set.BoolVar(&o.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	parseFlags(set)
+	e := engine.New(o)
+	mux := http.NewServeMux()
+	mux.Handle("/", e)
+	mux.HandleFunc("POST /standin/drain", func(http.ResponseWriter, *http.Request) { e.SetDraining(true) })
+	mux.HandleFunc("GET /standin/received", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "%+v\n", e.Received())
+	})
+	mux.HandleFunc("GET /standin/counters", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "%+v\n", e.Counters())
+	})
+	listenAndServe(*listen, mux)
+}
+
+func serviceMain() {
+	set := flag.NewFlagSet("service-standin", flag.ContinueOnError)
+	listen := set.String("listen", "", "IP:port")
+	var o service.Options
+	set.StringVar(&o.ID, "id", "", "replica")
+	set.DurationVar(&o.Delay, "delay", 0, "time before each answer")
+	parseFlags(set)
+	s := service.New(o)
+	mux := http.NewServeMux()
+	mux.Handle("/", s)
+	mux.HandleFunc("GET /standin/received", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, "%+v\n", s.Received())
+	})
+	listenAndServe(*listen, mux)
+}
+
+// networkMain stands between hosts, and between hosts and the platform, so that a
+// script can cut links. Host i is reached at NET.1i:8091 and reaches the platform at
+// NET.1:910i.
+//
+//	POST /isolate?host=i         cuts host i from all other hosts and the platform
+//	POST /isolate?host=i&store=  cuts it from the other hosts only
+//	POST /cut-store?host=i       cuts it from the platform only
+//	POST /heal                   restores all links
+func networkMain() {
+	set := flag.NewFlagSet("network-standin", flag.ContinueOnError)
+	base := set.String("net", "", "first three octets of all addresses")
+	hosts := set.Int("hosts", 0, "number of hosts")
+	parseFlags(set)
+	n := &network{base: *base}
+	for i := 1; i <= *hosts; i++ {
+		inner, err := relay.Listen(fmt.Sprintf("%s:8091", n.hostIP(i)), fmt.Sprintf("%s:8081", n.hostIP(i)))
+		exitOn(err)
+		store, err := relay.Listen(fmt.Sprintf("%s.1:%d", *base, 9100+i), fmt.Sprintf("%s.1:9000", *base))
+		exitOn(err)
+		n.inner, n.store = append(n.inner, inner), append(n.store, store)
+	}
+	listenAndServe(*base+".1:9099", n)
+}
+
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type network struct {
+	base         string
+	inner, store []*relay.Relay
+	isolated     map[int]bool
+}
+
+func (n *network) hostIP(i int) string { return fmt.Sprintf("%s.%d", n.base, 10+i) }
+
+func (n *network) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	host, _ := strconv.Atoi(r.URL.Query().Get("host"))
+	if r.URL.Path != "/heal" && (host < 1 || host > len(n.inner)) {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	switch r.URL.Path {
+	case "/isolate":
+		if n.isolated == nil {
+			n.isolated = map[int]bool{}
+		}
+		n.isolated[host] = true
+		n.applyIsolation()
+		if !r.URL.Query().Has("store") {
+			n.store[host-1].Cut(relay.Reset)
+		}
+	case "/cut-store":
+		n.store[host-1].Cut(relay.Reset)
+	case "/heal":
+		n.isolated = nil
+		n.applyIsolation()
+		for _, s := range n.store {
+			s.Restore()
+		}
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// applyIsolation blocks, at the relay of each host, the hosts that can't reach it.
+func (n *network) applyIsolation() {
+	for i := range n.inner {
+		var blocked []string
+		for j := range n.inner {
+			if i != j && (n.isolated[i+1] || n.isolated[j+1]) {
+				blocked = append(blocked, n.hostIP(j+1))
+			}
+		}
+		n.inner[i].BlockSources(blocked)
+	}
+}
