--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -103,7 +103,7 @@
 	var call *target.CallError
 	if errors.As(err, &call) && call.NotRun {
 		if call.Draining {
-			d.router.SetDraining(l.targetID)
+			d.router.SetDraining(l.targetID, now)
 			d.evacuate()
 			return
 		}
--- a/policy/routing/estimate.go
+++ b/policy/routing/estimate.go
@@ -22,6 +22,9 @@
 	runningCost = 0.0001
 	// residualHalfLife is how fast an unexplained delay is forgotten.
 	residualHalfLife = 2 * time.Second
+	// minSampleQueue in seconds: below it, noise hides how right the prediction was.
+	minSampleQueue = 0.02
+	minScale       = 0.05
 	// negligibleResidual in seconds is below what a caller notices.
 	negligibleResidual = 0.001
 	// maxFlights bounds the requests that are tracked until their first token.
@@ -52,6 +55,9 @@
 	recent     int
 	residual   float64
 	residualAt time.Time
+	// scale is the learned part of the reported pending tokens that has to be computed;
+	// zero means all. A target may report whole prompts, of which much is cached.
+	scale float64
 }
 
 // TokenCost returns the learned seconds per prefill token.
@@ -120,7 +126,11 @@
 
 // drainedAt is when the target will have computed what it reported as pending.
 func (e *Estimator) drainedAt() time.Time {
-	return e.report.MeasuredAt.Add(seconds(float64(e.report.PendingPrefillTokens) * e.TokenCost()))
+	scale := e.scale
+	if scale == 0 {
+		scale = 1
+	}
+	return e.report.MeasuredAt.Add(seconds(float64(e.report.PendingPrefillTokens) * e.TokenCost() * scale))
 }
 
 // Residual returns the delay in seconds of the last requests that neither the queue
@@ -145,8 +155,19 @@
 			e.tokenCost += learningRate * (sample - e.tokenCost)
 		}
 	}
+	if own := float64(uncached) * e.TokenCost(); queue > minSampleQueue && queue > 2*own {
+		e.learnScale((observed - own) / queue)
+	}
 	// What neither queue nor prefill explains, for example a lack of batch slots.
 	unexplained := max(0, work-float64(uncached)*e.TokenCost())
 	e.residual += learningRate * (unexplained - e.residual)
 	e.residualAt = now
 }
+
+// learnScale takes the ratio of an observed queueing delay to the predicted one.
+func (e *Estimator) learnScale(ratio float64) {
+	if e.scale == 0 {
+		e.scale = 1
+	}
+	e.scale = min(max(e.scale*(1+learningRate*(min(ratio, 2)-1)), minScale), 1)
+}
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -216,14 +216,18 @@
 	return best, "fewest requests"
 }
 
-// prefixHash hashes the first block consistently over the targets.
+// hashedBlocks is the depth at which the prefix-hash baseline cuts a prompt. One block
+// would send all prompts with a common system prompt to one target.
+const hashedBlocks = 4
+
+// prefixHash hashes the first blocks consistently over the targets.
 type prefixHash struct{}
 
 func (prefixHash) Name() string { return PrefixHash }
 
 func (prefixHash) Choose(prompt *Prompt, candidates []Candidate, max Exclusion) (int, string) {
 	best, top := -1, uint64(0)
-	key := prompt.key(0)
+	key := prompt.key(hashedBlocks - 1)
 	for i := range candidates {
 		if candidates[i].Excluded > max {
 			continue
@@ -232,5 +236,5 @@
 			best, top = i, score
 		}
 	}
-	return best, "hash of the first block"
+	return best, "hash of the first blocks"
 }
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -36,11 +36,14 @@
 	far          bool
 	// A target leaves by the configuration, the host list, or its own word.
 	configLeaving, listLeaving, draining bool
-	unreachable                          bool
-	unreachableUntil                     time.Time
-	weights                              string
-	estimator                            Estimator
-	health                               Health
+	// drainingSince is when the target said itself that it leaves; older load reports
+	// don't take that back.
+	drainingSince    time.Time
+	unreachable      bool
+	unreachableUntil time.Time
+	weights          string
+	estimator        Estimator
+	health           Health
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
@@ -223,9 +226,9 @@
 }
 
 // SetDraining records a target's own word that it leaves.
-func (r *Router) SetDraining(id string) {
+func (r *Router) SetDraining(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
-		p.draining = true
+		p.draining, p.drainingSince = true, now
 		r.refresh(p)
 	}
 }
@@ -243,7 +246,9 @@
 		return
 	}
 	r.index.SetEpoch(id, epoch, weights)
-	p.draining = draining
+	if draining || report.MeasuredAt.After(p.drainingSince) {
+		p.draining = draining
+	}
 	p.unreachable = false
 	if weights != "" {
 		p.weights = weights
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -212,6 +212,14 @@
 	}
 	g.Expect(e.TokenCost()).To(BeNumerically("~", 0.0002, 0.00001))
 
+	// The target reports whole prompts, of which a tenth has to be computed.
+	e = Estimator{}
+	for range 40 {
+		e.Observe(Report{PendingPrefillTokens: 10_000, MeasuredAt: start}, start)
+		e.Learn(100*time.Millisecond, 10, 0, e.Queue(start), start)
+	}
+	g.Expect(e.Queue(start)).To(BeNumerically("~", 0.1, 0.02))
+
 	d := testDocument(3)
 	d.Targets[1].Region = "far"
 	r := testRouter("", d)
@@ -287,6 +295,17 @@
 	g.Expect(r.index.Targets()).To(Equal([]string{"t1"}))
 }
 
+// Guards against an old load report that takes back a target's refusal as leaving.
+func TestLateReportDoesNotEndDraining(t *testing.T) {
+	g := NewWithT(t)
+	r := testRouter("", testDocument(1))
+	r.SetDraining("t0", start.Add(time.Second))
+	r.ObserveLoad("t0", "e", "v", false, Report{MeasuredAt: start}, start.Add(2*time.Second))
+	g.Expect(r.Leaving("t0")).To(BeTrue())
+	r.ObserveLoad("t0", "e", "v", false, Report{MeasuredAt: start.Add(3 * time.Second)}, start.Add(3*time.Second))
+	g.Expect(r.Leaving("t0")).To(BeFalse())
+}
+
 // BenchmarkChoose shows the cost of a choice by replicas of the model, chain length
 // and the share of replicas that hold the prefix, and that other models cost nothing.
 func BenchmarkChoose(b *testing.B) {
