--- /dev/null
+++ b/internal/target/client_test.go
@@ -0,0 +1,287 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+	"github.com/sequoiaroad/sequoiaroad/standin/relay"
+	"github.com/sequoiaroad/sequoiaroad/standin/service"
+)
+
+func serve(t *testing.T, h http.Handler) *config.Target {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return &config.Target{ID: "t1", Kind: config.TargetEngine, URL: server.URL}
+}
+
+func relayTo(t *testing.T, to *config.Target) (*relay.Relay, *config.Target) {
+	r, err := relay.New(strings.TrimPrefix(to.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r, &config.Target{ID: "relayed", Kind: to.Kind, URL: "http://" + r.Addr()}
+}
+
+func request(id string) *target.CompletionRequest {
+	return &target.CompletionRequest{RequestID: id, Body: map[string]any{"model": "m", "prompt": "hello", "max_tokens": 5, "cache_salt": "evil"}}
+}
+
+func readAll(s target.TokenStream) (text string, usage *target.Usage, err error) {
+	for {
+		e, err := s.Next()
+		if err != nil || e.Done {
+			return text, usage, err
+		}
+		text += e.Text
+		if e.Usage != nil {
+			usage = e.Usage
+		}
+	}
+}
+
+func callError(g Gomega, err error) *target.CallError {
+	var failed *target.CallError
+	g.Expect(errors.As(err, &failed)).To(BeTrue(), "%v", err)
+	return failed
+}
+
+// Guards against a stream client that loses tokens, usage or the epoch, and against a
+// caller that sets the fields of the engine protocol.
+func TestCompleteAndResume(t *testing.T) {
+	g := NewWithT(t)
+	e := engine.New(engine.Options{WeightsVersion: "v1"})
+	to := serve(t, e)
+	client := target.NewEngineClient()
+	stream, err := client.Complete(t.Context(), to, request("r1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stream.Epoch()).To(Equal(e.Epoch()))
+	text, usage, err := readAll(stream)
+	stream.Close()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(text).To(Equal(engine.Text([]byte("hello"), 5, "v1")))
+	g.Expect(*usage).To(Equal(target.Usage{PromptTokens: 2, CompletionTokens: 5}))
+	g.Expect(e.Received()[0].Body).NotTo(ContainSubstring("evil"))
+
+	stream, err = client.Resume(t.Context(), to, "r1", 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	event, err := stream.Next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(event).To(Equal(target.TokenEvent{Offset: 3, Text: engine.Token([]byte("hello"), 3, "v1")}))
+	stream.Close()
+	g.Eventually(func() int { return e.Counters().Cancelled }).Should(Equal(1))
+}
+
+// Guards against answers of other requests that are taken for this one's.
+func TestForeignEventsAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	e := engine.New(engine.Options{})
+	to := serve(t, e)
+	e.SetFaults(engine.Faults{WrongID: true})
+	stream, err := target.NewEngineClient().Complete(t.Context(), to, request("r1"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer stream.Close()
+	event, err := stream.Next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(event).To(Equal(target.TokenEvent{Done: true}), "no token may come through")
+}
+
+// Guards against NotRun without proof, and against its absence where the engine or the
+// connection proves it.
+func TestNotRunIsProved(t *testing.T) {
+	g := NewWithT(t)
+	client := target.NewEngineClient()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	_, err = client.Complete(t.Context(), &config.Target{ID: "gone", URL: "http://" + listener.Addr().String()}, request("r"))
+	g.Expect(callError(g, err)).To(HaveField("NotRun", true))
+	g.Expect(callError(g, err).Step).To(Equal(target.StepDial))
+
+	e := engine.New(engine.Options{})
+	to := serve(t, e)
+	e.SetDraining(true)
+	_, err = client.Complete(t.Context(), to, request("r"))
+	g.Expect(callError(g, err)).To(And(HaveField("NotRun", true), HaveField("Draining", true), HaveField("Status", 503)))
+	e.SetDraining(false)
+	e.SetFaults(engine.Faults{DropAfterBytes: -1})
+	_, err = client.Complete(t.Context(), to, request("r"))
+	g.Expect(callError(g, err).NotRun).To(BeFalse())
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	before := len(e.Received())
+	_, err = client.Complete(ctx, to, request("r"))
+	g.Expect(callError(g, err).NotRun).To(BeTrue())
+	g.Expect(e.Received()).To(HaveLen(before))
+}
+
+// Guards against NotRun for a call of which the target got bytes. The link is cut at
+// each byte of the request, and at each byte of the response.
+func TestCutAtEveryByteNeverClaimsNotRunFalsely(t *testing.T) {
+	g := NewWithT(t)
+	s := service.New(service.Options{})
+	r, to := relayTo(t, serve(t, s))
+	client := target.NewServiceClient()
+	call := func(id string) error {
+		_, err := client.Call(t.Context(), to, &target.ServiceRequest{
+			RequestID: "sr-1", Method: http.MethodPost, Path: "/bookings", Once: true, Body: []byte(`{"booking_id":"` + id + `"}`),
+			Header: http.Header{"Idempotency-Key": {"k"}},
+		})
+		return err
+	}
+	const longest = 400
+	notRun := map[string]bool{}
+	for limit := range int64(longest) {
+		for _, up := range []bool{true, false} {
+			if up {
+				r.CutAfter(limit, -1)
+			} else {
+				r.CutAfter(-1, limit)
+			}
+			id := fmt.Sprintf("%d-%v", limit, up)
+			err := call(id)
+			notRun[id] = err != nil && callError(g, err).NotRun
+		}
+	}
+	r.CutAfter(-1, -1)
+	g.Expect(call("last")).To(Succeed())
+	settle(g, s)
+	for id, claimed := range notRun {
+		runs := s.Ledger().BookingRuns(id)
+		g.Expect(runs).To(BeNumerically("<=", 1), id)
+		g.Expect(claimed && runs > 0).To(BeFalse(), "cut %s: not_run was claimed but it ran", id)
+	}
+	g.Expect(s.Ledger().Runs()).To(BeNumerically(">", longest/2), "the cuts must fall on both sides of the run")
+}
+
+// settle waits until requests that were cut off have been executed.
+func settle(g Gomega, s *service.Service) {
+	g.Eventually(func() bool {
+		before := s.Ledger().Runs()
+		time.Sleep(50 * time.Millisecond)
+		return s.Ledger().Runs() == before
+	}).Should(BeTrue())
+}
+
+// Guards against net/http repeating a call by itself: it does so on reused connections
+// for requests with an Idempotency-Key.
+func TestOnceIsSentOnce(t *testing.T) {
+	g := NewWithT(t)
+	var calls atomic.Int32
+	to := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	client := target.NewServiceClient()
+	call := &target.ServiceRequest{RequestID: "sr-1", Method: http.MethodPost, Path: "/", Once: true, Header: http.Header{"Idempotency-Key": {"k"}}}
+	_, err := client.Call(t.Context(), to, call)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = client.Call(t.Context(), to, call)
+	g.Expect(callError(g, err).NotRun).To(BeFalse())
+	g.Expect(calls.Load()).To(Equal(int32(2)))
+}
+
+// Guards against a send after the last check refused it.
+func TestBeforeWriteStopsTheCall(t *testing.T) {
+	g := NewWithT(t)
+	s := service.New(service.Options{})
+	refused := errors.New("refused")
+	for _, once := range []bool{true, false} {
+		_, err := target.NewServiceClient().Call(t.Context(), serve(t, s), &target.ServiceRequest{
+			RequestID: "sr-1", Method: http.MethodPost, Path: "/bookings", Once: once, BeforeWrite: func() error { return refused },
+		})
+		g.Expect(callError(g, err).NotRun).To(BeTrue())
+		g.Expect(err).To(MatchError(refused))
+	}
+	g.Expect(s.Received()).To(BeEmpty())
+}
+
+// Guards against a partial, a swapped or an endless response that is passed on.
+func TestOnlyWholeAndOwnResponses(t *testing.T) {
+	g := NewWithT(t)
+	s := service.New(service.Options{})
+	to := serve(t, s)
+	client := target.NewServiceClient()
+	get := func(to *config.Target) (*target.ServiceResponse, error) {
+		return client.Call(t.Context(), to, &target.ServiceRequest{RequestID: "sr-1.1", Method: http.MethodGet, Path: "/runs"})
+	}
+	response, err := get(to)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(response.Body)).To(Equal(`{"runs":0}`))
+	for i := 1; i < len(response.Body); i++ {
+		s.SetFaults(service.Faults{DropAtByte: i})
+		_, err = get(to)
+		g.Expect(callError(g, err)).To(And(HaveField("NotRun", false), HaveField("Step", target.StepResponse)))
+	}
+	s.SetFaults(service.Faults{WrongID: true})
+	_, err = get(to)
+	g.Expect(err).To(MatchError(ContainSubstring("belongs to another request")))
+	_, err = get(serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"runs\":")
+			_ = conn.Close()
+		}
+	})))
+	g.Expect(err).To(MatchError(ContainSubstring("has no length")))
+}
+
+type observer struct {
+	loads, events, unreachable atomic.Int32
+	last                       atomic.Pointer[target.CacheEvents]
+}
+
+func (o *observer) ObserveLoad(string, target.LoadReport) { o.loads.Add(1) }
+func (o *observer) ObserveCacheEvents(_ string, e target.CacheEvents) (string, uint64) {
+	o.events.Add(1)
+	o.last.Store(&e)
+	return e.Epoch, e.Sequence
+}
+func (o *observer) ObserveUnreachable(string, error) { o.unreachable.Add(1) }
+
+// Guards against pollers that do not follow the configuration or an engine's epoch.
+func TestPollersFollowTheConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	e := engine.New(engine.Options{})
+	to := serve(t, e)
+	var index atomic.Pointer[config.Index]
+	index.Store(config.NewIndex(&config.Document{Targets: []config.Target{*to}}))
+	var changed func()
+	o := &observer{}
+	pollers := target.NewPollers(target.PollerOptions{
+		Client: target.NewEngineClient(), Observer: o, Index: index.Load, Subscribe: func(f func()) { changed = f },
+		Interval: 5 * time.Millisecond,
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- pollers.Run(ctx) }()
+	g.Eventually(o.events.Load).Should(BeNumerically(">", 2))
+	g.Expect(o.last.Load().Reset).To(BeFalse(), "later polls ask for changes only")
+	e.Crash()
+	g.Eventually(func() string { return o.last.Load().Epoch }).Should(Equal(e.Epoch()))
+	index.Store(config.NewIndex(&config.Document{}))
+	changed()
+	g.Eventually(func() bool {
+		before := o.loads.Load()
+		time.Sleep(30 * time.Millisecond)
+		return o.loads.Load() == before
+	}).Should(BeTrue())
+	stop()
+	g.Expect(<-done).To(Succeed())
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -36,18 +36,24 @@
 	}
 	e.mu.Unlock()
 	if limit != 0 {
-		w = &droppingWriter{ResponseWriter: w, left: max(limit, 0)}
+		w = &droppingWriter{ResponseWriter: w, left: max(limit, 0), atOnce: limit < 0}
 	}
 	e.mux.ServeHTTP(w, r)
-	if limit < 0 {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 // droppingWriter closes the connection once its byte limit is reached.
 type droppingWriter struct {
 	http.ResponseWriter
-	left int
+	left   int
+	atOnce bool // even before the header
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (d *droppingWriter) WriteHeader(status int) {
+	if d.atOnce {
+		panic(http.ErrAbortHandler)
+	}
+	d.ResponseWriter.WriteHeader(status)
 }
 
 func (d *droppingWriter) Write(p []byte) (int, error) {
