Test the gateway against the stand-ins

Cause: each path to a refusal can claim not_run falsely, and each way in which an answer ends can lose a part of it.

A property found that an answer without any token ended with [DONE] when the engine's events were all of another request; such an answer is now an error.

Conclusion: the paths to not_run that the tests reach are true.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -194,11 +194,14 @@
 
 // judge turns the outcome into the refusal that the caller sees. A request that may
 // have run is never reported as not run.
+//
+// A whole answer has a last token with a finish reason. A caller that resumes after all
+// tokens gets none; any other answer without one is a failure.
 func (r *completionRun) judge(ctx context.Context, err error) error {
 	switch {
 	case r.sinkErr != nil:
 		err = r.sinkErr
-	case err == nil && r.offset > r.start && r.finish == "":
+	case err == nil && r.finish == "" && r.offset < r.request.maxTokens:
 		err = refusal.New(refusal.TargetFailed, "the answer has no last token").WithRun(refusal.Unknown)
 	case err == nil:
 		return nil
--- /dev/null
+++ b/internal/gateway/complete_test.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+)
+
+const streamBody = `{"model":"m","prompt":"hello","max_tokens":6,"stream":true}`
+
+// Guards against an answer that differs between its forms or from the engine's tokens.
+func TestCompletionForms(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, nil)
+	want := engine.Text([]byte("hello"), 6, "v1")
+
+	r := f.do("POST", "/v1/completions", clubKey, `{"model":"m","prompt":"hello","max_tokens":6}`)
+	g.Expect(r.status).To(Equal(http.StatusOK), r.body)
+	g.Expect(r.header.Get(requestIDHeader)).NotTo(BeEmpty())
+	var whole answerBody
+	g.Expect(json.Unmarshal([]byte(r.body), &whole)).To(Succeed())
+	g.Expect(*whole.Choices[0].Text).To(Equal(want))
+	g.Expect(*whole.Choices[0].FinishReason).To(Equal("length"))
+	g.Expect(*whole.Usage).To(Equal(usageBody{PromptTokens: 2, CompletionTokens: 6, TotalTokens: 8}))
+
+	r = f.do("POST", "/v1/completions", clubKey, `{"model":"m","prompt":"hello","max_tokens":6,"stream":true,"stream_options":{"include_usage":true}}`)
+	events := parseEvents(r.body)
+	g.Expect(eventText(events)).To(Equal(want))
+	g.Expect(events).To(HaveLen(8))
+	g.Expect(events[6].data).To(ContainSubstring(`"total_tokens":8`))
+	g.Expect(events[7].data).To(Equal("[DONE]"))
+
+	chat := `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hel"},{"type":"text","text":"lo"}]}],"max_completion_tokens":3,"stream":true}`
+	r = f.do("POST", "/v1/chat/completions", clubKey, chat)
+	prompt := prefix.ChatPrompt([]prefix.Message{{Role: "user", Content: "hello"}})
+	g.Expect(eventText(parseEvents(r.body))).To(Equal(engine.Text(prompt, 3, "v1")))
+	g.Expect(parseEvents(r.body)[0].data).To(ContainSubstring(`"role":"assistant"`))
+	g.Expect(f.limiter.open).To(BeZero())
+	g.Expect(f.limiter.used).To(Equal(f.limiter.reserved), "these answers used their whole reservation")
+}
+
+// Guards against a bad request that reaches an engine or gets an unclear answer.
+func TestInvalidCompletions(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) { f.options.BodyLimit = 2000 })
+	cases := map[string]refusal.Code{
+		`{`:                                refusal.InvalidRequest,
+		`null`:                             refusal.InvalidRequest,
+		`[]`:                               refusal.InvalidRequest,
+		`{"model":"m","prompt":"x"} {}`:    refusal.InvalidRequest,
+		`{"prompt":"x"}`:                   refusal.InvalidRequest,
+		`{"model":"m"}`:                    refusal.InvalidRequest,
+		`{"model":"m","prompt":["a","b"]}`: refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","max_tokens":0}`:                  refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","max_tokens":1.5}`:                refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","max_tokens":"5"}`:                refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","max_tokens":9e99}`:               refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","n":2}`:                           refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","stream":"yes"}`:                  refusal.InvalidRequest,
+		`{"model":"m","prompt":"x","logprobs":3}`:                    refusal.InvalidRequest,
+		`{"model":"none","prompt":"x"}`:                              refusal.NotFound,
+		`{"model":"m","prompt":"` + strings.Repeat("x", 2000) + `"}`: refusal.BodyTooLarge,
+	}
+	for body, code := range cases {
+		r := f.do("POST", "/v1/completions", clubKey, body)
+		g.Expect(r.refusal()).To(And(HaveField("Code", code), HaveField("Run", refusal.NotRun)), "%.60s", body)
+	}
+	for _, body := range []string{`{"model":"m","messages":[]}`, `{"model":"m","messages":[1]}`, `{"model":"m","messages":[{"role":"user"}]}`,
+		`{"model":"m","messages":[{"content":"x"}]}`, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`} {
+		g.Expect(f.do("POST", "/v1/chat/completions", clubKey, body).refusal().Code).To(Equal(refusal.InvalidRequest), body)
+	}
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody, timeoutHeader, "0").refusal().Code).To(Equal(refusal.InvalidRequest))
+	g.Expect(f.do("GET", "/v1/completions", clubKey, "").refusal().Code).To(Equal(refusal.MethodNotAllowed))
+	g.Expect(f.do("GET", "/v2", clubKey, "").refusal().Code).To(Equal(refusal.NotFound))
+	g.Expect(f.engine.Received()).To(BeEmpty())
+	g.Expect(f.limiter.reserved).To(BeZero())
+}
+
+// Guards against a resumed stream that skips or repeats tokens, and against event ids
+// that work for another account, another body or after a change.
+func TestResumeWithLastEventID(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, nil)
+	events := parseEvents(f.do("POST", "/v1/completions", clubKey, streamBody).body)
+	for i, e := range events[:6] {
+		g.Expect(e.id).To(HaveSuffix(":" + strconv.Itoa(i+1)))
+	}
+	rest := f.do("POST", "/v1/completions", clubKey, streamBody, lastEventIDHeader, events[1].id)
+	g.Expect(rest.status).To(Equal(http.StatusOK), rest.body)
+	again := parseEvents(rest.body)
+	g.Expect(eventText(events[:2]) + eventText(again)).To(Equal(engine.Text([]byte("hello"), 6, "v1")))
+	g.Expect(again[0].id).To(Equal(events[2].id))
+	all := parseEvents(f.do("POST", "/v1/completions", clubKey, streamBody, lastEventIDHeader, events[5].id).body)
+	g.Expect(all).To(Equal([]event{{data: "[DONE]"}}))
+
+	received := len(f.engine.Received())
+	refused := func(key, body, id string) {
+		r := f.do("POST", "/v1/completions", key, body, lastEventIDHeader, id)
+		g.Expect(r.refusal()).To(And(HaveField("Code", refusal.StreamNotResumable), HaveField("Run", refusal.NotRun)), "%s", id)
+	}
+	token, _, _ := strings.Cut(events[1].id, ":")
+	refused(schoolKey, streamBody, events[1].id)
+	refused(clubKey, strings.Replace(streamBody, "hello", "other", 1), events[1].id)
+	for i := range token {
+		changed := []byte(token)
+		changed[i] ^= 1
+		refused(clubKey, streamBody, string(changed)+":2")
+	}
+	for _, id := range []string{"x", ":", token, token + ":", token + ":-1", token + ":7", token[:20] + ":2", ":2", strings.Repeat("A", 2000) + ":2"} {
+		refused(clubKey, streamBody, id)
+	}
+	g.Expect(f.engine.Received()).To(HaveLen(received))
+}
+
+// Guards against a stream that ends without its last token and without an error: the
+// engine drops the connection after each number of tokens, and at bytes within.
+func TestBrokenStreamEndsWithAnError(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, nil)
+	for tokens := 1; tokens < 6; tokens++ {
+		f.engine.SetFaults(engine.Faults{DropAfterTokens: tokens})
+		events := parseEvents(f.do("POST", "/v1/completions", clubKey, streamBody).body)
+		g.Expect(events).To(HaveLen(tokens + 1))
+		last := events[tokens]
+		g.Expect(last.name).To(Equal("error"))
+		g.Expect(reply{body: last.data}.refusal()).To(And(HaveField("Code", refusal.TargetFailed), HaveField("Run", refusal.Unknown)))
+	}
+	for dropAt := 1; dropAt < 900; dropAt += 13 {
+		f.engine.SetFaults(engine.Faults{DropAfterBytes: dropAt})
+		for _, body := range []string{streamBody, strings.Replace(streamBody, "true", "false", 1)} {
+			r := f.do("POST", "/v1/completions", clubKey, body)
+			g.Expect(r.err).NotTo(HaveOccurred())
+			g.Expect(r.body).NotTo(ContainSubstring("[DONE]"), "dropped at %d", dropAt)
+			g.Expect(r.body).To(ContainSubstring(`"run":"unknown"`), "dropped at %d", dropAt)
+		}
+	}
+	g.Expect(f.limiter.open).To(BeZero())
+}
+
+// scriptCompleter emits tokens under a test's control.
+type scriptCompleter func(ctx context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error
+
+func (s scriptCompleter) Complete(ctx context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) (dispatch.Result, error) {
+	return dispatch.Result{}, s(ctx, c, sink)
+}
+
+func scriptToken(offset int, text, finish string) dispatch.Token {
+	return dispatch.Token{Position: dispatch.StreamPosition{EngineRequestID: "r", TargetID: "e", Offset: offset}, Text: text, FinishReason: finish}
+}
+
+// Guards against crossed or late tokens: a gap, a repetition or a missing last token
+// must end the stream with an error, whatever the completer says.
+func TestGapsAreErrors(t *testing.T) {
+	g := NewWithT(t)
+	for _, offsets := range [][]int{{1, 3}, {1, 1}, {2}, {1, 2}} {
+		f := newFixture(t, func(f *fixture) {
+			f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error {
+				for _, o := range offsets {
+					_ = sink(scriptToken(o, "x", ""))
+				}
+				return nil
+			})
+		})
+		r := f.do("POST", "/v1/completions", clubKey, streamBody)
+		g.Expect(r.body).NotTo(ContainSubstring("[DONE]"), "%v", offsets)
+		g.Expect(r.body).To(ContainSubstring(`"code":"target_failed"`), "%v", offsets)
+	}
+}
+
+// Guards against a false not_run after tokens were delivered, even if the completer
+// claims it.
+func TestNotRunIsNotClaimedAfterTokens(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) {
+		f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error {
+			_ = sink(scriptToken(1, "x", ""))
+			return refusal.New(refusal.Overloaded, "no")
+		})
+	})
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody).body).To(ContainSubstring(`"run":"unknown"`))
+	g.Expect(f.do("POST", "/v1/completions", clubKey, strings.Replace(streamBody, "true", "false", 1)).refusal().Run).To(Equal(refusal.Unknown))
+}
+
+// Guards against a stream that goes on after its key was withdrawn.
+func TestWithdrawalEndsAStream(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) {})
+	f.engine.SetFaults(engine.Faults{StallAfterTokens: 2})
+	answer := make(chan reply, 1)
+	go func() { answer <- f.do("POST", "/v1/completions", clubKey, streamBody) }()
+	g.Eventually(func() int { return f.engine.Counters().GeneratedTokens }).Should(Equal(6))
+	time.Sleep(20 * time.Millisecond) // lets the first tokens reach the caller
+	f.view.set(func(v *testView) { v.withdrawn["k1"] = true })
+	var r reply
+	g.Eventually(answer).Should(Receive(&r))
+	events := parseEvents(r.body)
+	last := reply{body: events[len(events)-1].data}.refusal()
+	g.Expect(last).To(And(HaveField("Code", refusal.KeyWithdrawn), HaveField("Run", refusal.Unknown)))
+	g.Expect(r.body).NotTo(ContainSubstring("[DONE]"))
+	g.Eventually(func() int { return f.engine.Counters().Cancelled }).Should(Equal(1))
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody).refusal().Code).To(Equal(refusal.KeyWithdrawn))
+}
+
+// Guards against a dispatch after the configuration became stale, the key was
+// withdrawn, the reservation expired or the deadline passed.
+func TestAllowDispatchChecksAgain(t *testing.T) {
+	g := NewWithT(t)
+	var f *fixture
+	var change func()
+	f = newFixture(t, func(f *fixture) {
+		f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error {
+			change()
+			if err := c.AllowDispatch(); err != nil {
+				return errors.Wrap(err, "dispatch")
+			}
+			return sink(scriptToken(1, "x", "length"))
+		})
+	})
+	for _, c := range []struct {
+		change, undo func()
+		code         refusal.Code
+	}{
+		{func() { f.view.set(func(v *testView) { v.fresh = false }) }, func() { f.view.set(func(v *testView) { v.fresh = true }) }, refusal.HostNotFresh},
+		{func() { f.limiter.invalid = true }, func() { f.limiter.invalid = false }, refusal.Overloaded},
+		{func() { time.Sleep(60 * time.Millisecond) }, func() {}, refusal.DeadlineUnreachable},
+		{func() { f.view.set(func(v *testView) { v.withdrawn["k1"] = true }) }, func() {}, refusal.KeyWithdrawn},
+	} {
+		change = c.change
+		r := f.do("POST", "/v1/completions", clubKey, streamBody, timeoutHeader, "50")
+		g.Expect(r.refusal()).To(And(HaveField("Code", c.code), HaveField("Run", refusal.NotRun)))
+		c.undo()
+	}
+	g.Expect(f.limiter.used).To(BeZero(), "what did not run costs nothing")
+	g.Expect(f.limiter.open).To(BeZero())
+}
+
+// Guards against memory that grows while a caller does not read, and against a stream
+// that a caller holds for ever.
+func TestSlowCallerIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	var sent atomic.Int64
+	ended := make(chan error, 1)
+	text := strings.Repeat("x", 1000)
+	f := newFixture(t, func(f *fixture) {
+		f.options.WriteTimeout = 700 * time.Millisecond
+		f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error {
+			for i := 1; ; i++ {
+				if err := sink(scriptToken(i, text, "")); err != nil {
+					ended <- err
+					return err
+				}
+				sent.Add(1)
+			}
+		})
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+	_, err = conn.Write([]byte("POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + clubKey + "\r\nContent-Length: " +
+		strconv.Itoa(len(streamBody)) + "\r\n\r\n" + streamBody))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() bool {
+		before := sent.Load()
+		time.Sleep(100 * time.Millisecond)
+		return before > 0 && sent.Load() == before
+	}, "5s", "1ms").Should(BeTrue(), "the engine must be stopped")
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	g.Expect(stats.HeapAlloc).To(BeNumerically("<", 64<<20))
+	// The connection is still open, so that only the write deadline can end the stream.
+	g.Eventually(ended, "5s").Should(Receive(HaveOccurred()))
+}
