Add load generator and the command sequoiaroadctl load

An open-loop load from a seed, sent to a running fleet or to hosts and stand-ins in this process, once per routing policy. host.Options takes a wrapper for the transports to targets, which adds the network delays.

The delay of both ways is taken before a call is sent: a connection that delays each read was ruled out, because it is longer and gives the same time to the first token.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -116,7 +116,7 @@
 	root.AddCommand(
 		t.accountsCommand(), t.keysCommand(), t.operatorKeysCommand(), t.routesCommand(), t.modelsCommand(),
 		t.targetsCommand(), t.presetCommand(), t.configCommand(), t.hostsCommand(), t.ordersCommand(),
-		t.unresolvedCommand(), t.explainCommand(), t.initCommand(),
+		t.unresolvedCommand(), t.explainCommand(), t.initCommand(), t.loadCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/ctl/load.go
@@ -0,0 +1,78 @@
+package ctl
+
+import (
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/load"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+const allPolicies = "all"
+
+// loadCommand measures a fleet under load.
+func (t *tool) loadCommand() *cobra.Command {
+	var o load.Options
+	var dev bool
+	var deployment, policy, preset, scenario, plotFile string
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send a load to a fleet and measure it",
+		Long:  "Send an open-loop load to a fleet and measure what its callers see.\n\nWith --dev it starts hosts and stand-ins in this process, afresh for each policy.",
+		Args:  exactArgs(0),
+	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) (err error) {
+		if o.Deployment, err = load.FindDeployment(deployment); err != nil {
+			return &usageError{err}
+		}
+		if dev == (len(o.Addresses) > 0) {
+			return &usageError{errors.New("either --dev or --addresses is required")}
+		}
+		o.Policies = strings.Split(policy, ",")
+		if policy == allPolicies {
+			o.Policies = load.Policies
+		}
+		o.Scenario, o.Preset, o.Progress = load.Scenario(scenario), config.Preset(preset), cmd.ErrOrStderr()
+		results, err := load.Run(cmd.Context(), o)
+		if err != nil {
+			return err
+		}
+		if plotFile != "" {
+			if err := load.Plot(results, plotFile); err != nil {
+				return err
+			}
+		}
+		return t.print(results, func(w *tabwriter.Writer) { loadTable(w, results) })
+	}
+	f := cmd.Flags()
+	f.BoolVar(&dev, "dev", false, "start hosts and stand-ins in this process")
+	f.StringVar(&deployment, "deployment", "inkono", "inkono or lanna: size, network and workload")
+	f.StringVar(&policy, "policy", load.Policies[0], "routing policies separated by commas, or all")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of the load")
+	f.DurationVar(&o.Duration, "duration", load.DefaultDuration, "measured time per policy")
+	f.DurationVar(&o.WarmUp, "warm-up", 0, "load before the measured time; zero means 8 s")
+	f.Float64Var(&o.RateFactor, "rate-factor", 1, "scales the request rate")
+	f.StringVar(&preset, "preset", string(config.PresetOrdinary), "ordinary, peak or maintenance")
+	f.StringVar(&scenario, "scenario", string(load.Ordinary), "ordinary, surge, maintenance or restart")
+	f.StringVar(&plotFile, "plot", "", "draw time to first token by account to this .svg or .png file")
+	f.StringSliceVar(&o.Addresses, "addresses", nil, "callers' addresses of a running fleet")
+	f.StringSliceVar(&o.Keys, "client-key", nil, "client keys of a running fleet, one for each of five accounts")
+	f.StringVar(&o.Model, "model", "", "model to ask of a running fleet")
+	return cmd
+}
+
+func loadTable(w *tabwriter.Writer, results []load.Result) {
+	row(w, "POLICY", "HIT RATE", "ORACLE", "WASTED (tokens)", "TTFT P50 (ms)", "TTFT P99 (ms)", "WORST ACCOUNT", "ITS P99 (ms)",
+		"REFUSED WITHIN RATE", "OVER RATE", "REQUESTS", "FAILED", "ENGINES BUSY", "LAG P99 (ms)")
+	for _, r := range results {
+		row(w, r.Policy, fixed(r.PrefixHitRate, 3), fixed(r.OracleHitRate, 3), r.WastedRecomputeTokens, fixed(r.TTFTP50Ms, 0), fixed(r.TTFTP99Ms, 0),
+			r.WorstAccount, fixed(r.WorstAccountTTFTP99Ms, 0), r.RefusedWithinRate, r.RefusedOverRate, r.Requests, r.Failed,
+			fixed(r.EngineUtilization, 2), fixed(r.GeneratorLagP99Ms, 1))
+	}
+}
+
+func fixed(value float64, digits int) string { return strconv.FormatFloat(value, 'f', digits, 64) }
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -30,9 +30,10 @@
 	client *http.Client
 }
 
-// NewEngineClient returns a client that reuses connections.
-func NewEngineClient() *HTTPEngineClient {
-	return &HTTPEngineClient{httpClient(newTransport(true))}
+// NewEngineClient returns a client that reuses connections. wrap, if not nil, wraps
+// its transport.
+func NewEngineClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPEngineClient {
+	return &HTTPEngineClient{httpClient(wrapped(newTransport(true), wrap))}
 }
 
 // engineFields are the fields of the engine protocol; a caller can't set them.
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -59,9 +59,10 @@
 	once   *http.Client
 }
 
-// NewServiceClient returns a client that reuses connections for repeatable calls.
-func NewServiceClient() *HTTPServiceClient {
-	return &HTTPServiceClient{httpClient(newTransport(true)), httpClient(newTransport(false))}
+// NewServiceClient returns a client that reuses connections for repeatable calls. wrap,
+// if not nil, wraps its transports.
+func NewServiceClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPServiceClient {
+	return &HTTPServiceClient{httpClient(wrapped(newTransport(true), wrap)), httpClient(wrapped(newTransport(false), wrap))}
 }
 
 // plainReader hides the type of a reader, from which net/http would derive a way to
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -161,6 +161,13 @@
 	}
 }
 
+func wrapped(t *http.Transport, wrap func(http.RoundTripper) http.RoundTripper) http.RoundTripper {
+	if wrap == nil {
+		return t
+	}
+	return wrap(t)
+}
+
 // httpClient returns a client that does not follow redirects: a target's redirect is
 // an answer for the caller.
 func httpClient(t http.RoundTripper) *http.Client {
