Continue streams and planned stops without loss; restore routing state at start

Cause 1: after an engine froze in the middle of a stream, the continuation at another engine was refused as overloaded: the gate before each send required a token reservation younger than the freshness deadline, which a running stream has outlived. Cause 2: a host that had begun its planned stop counted the grace twice, in the host and in the gateway, so that the last requests were accepted and then cut. Cause 3: kept connections were closed by the stop just when a caller sent on them. Cause 4: the routing state was not exchanged at a restart.

Change: a further attempt goes on with the first one's reservation; a first attempt that waited longer reserves again. The gateway alone decides when new requests are refused, and a draining host asks callers to close connections.

Ruled out: a longer validity of reservations, which would only move the cut; http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once and has the same race.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -42,7 +42,7 @@
 	// locatorTTL and drainGrace are short, so that a planned stop of the only host
 	// takes about a second.
 	locatorTTL = 500 * time.Millisecond
-	drainGrace = 700 * time.Millisecond
+	drainGrace = 2 * locatorTTL
 	// prefillPerToken is the cost of an uncached prompt token at the stand-ins.
 	prefillPerToken = 100 * time.Microsecond
 	engineCount     = 2
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -73,7 +73,7 @@
 	if c.index == nil {
 		return refusal.New(refusal.HostNotFresh, "this host has no configuration yet")
 	}
-	if c.g.refusesNew() {
+	if c.g.RefusesNew() {
 		return c.withAddresses(refusal.New(refusal.HostDraining, "this host is stopping"))
 	}
 	return nil
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -42,11 +42,10 @@
 	if run.resume, err = run.resumePosition(); err != nil {
 		return err
 	}
-	reservation, err := c.reserve(run.tokensToReserve())
-	if err != nil {
+	if run.reservation, err = c.reserve(run.tokensToReserve()); err != nil {
 		return err
 	}
-	return run.serve(reservation)
+	return run.serve()
 }
 
 func (c *call) reserve(tokens int64) (quota.Reservation, error) {
@@ -63,6 +62,8 @@
 	request *completionRequest
 	ids     eventIDs
 	resume  *dispatch.StreamPosition
+	// reservation is nil after a renewal that found no tokens.
+	reservation quota.Reservation
 	created int64
 	// offset counts the tokens that the caller has or that were taken for it in this
 	// call, which began at start.
@@ -100,7 +101,7 @@
 	return r.request.reservedTokens() - int64(r.start)
 }
 
-func (r *completionRun) serve(reservation quota.Reservation) error {
+func (r *completionRun) serve() error {
 	ctx, cancel := context.WithDeadline(r.r.Context(), r.deadline)
 	defer cancel()
 	ctx, unwatch := r.g.watchKey(ctx, r.call)
@@ -113,9 +114,9 @@
 		r.sinkErr = r.deliver(ctx, t, &whole)
 		return r.sinkErr
 	}
-	result, err := r.g.options.Completer.Complete(ctx, r.completion(reservation), sink)
+	result, err := r.g.options.Completer.Complete(ctx, r.completion(), sink)
 	err = r.judge(ctx, err)
-	r.settle(reservation, result, err)
+	r.settle(result, err)
 	if r.request.stream {
 		return r.endStream(result, err)
 	}
@@ -141,25 +142,44 @@
 	return nil
 }
 
-func (r *completionRun) completion(reservation quota.Reservation) *dispatch.Completion {
+func (r *completionRun) completion() *dispatch.Completion {
 	return &dispatch.Completion{
 		RequestID: r.id, AccountID: r.accountID(), Model: r.request.model, Chat: r.request.chat,
 		Body: r.request.body, Prompt: r.request.prompt, MaxOutputTokens: r.request.maxTokens,
 		Deadline: r.deadline, ResumeFrom: r.resume,
-		AllowDispatch: func() error { return r.allowDispatch(reservation) },
+		AllowDispatch: r.allowDispatch,
 	}
 }
 
 // allowDispatch is the last check before an attempt is sent.
-func (r *completionRun) allowDispatch(reservation quota.Reservation) error {
-	err := r.mayDispatch(reservation)
-	if err == nil {
-		r.allowed.Store(true)
+func (r *completionRun) allowDispatch() error {
+	if r.allowed.Load() {
+		// A further attempt goes on with what the first one was charged for, however
+		// long ago that was.
+		if err := r.mayDispatch(nil); err != nil {
+			return refusal.From(err).WithRun(refusal.Unknown)
+		}
 		return nil
 	}
-	if r.allowed.Load() {
-		return refusal.From(err).WithRun(refusal.Unknown)
+	if err := r.renewReservation(); err != nil {
+		return err
+	}
+	if err := r.mayDispatch(r.reservation); err != nil {
+		return err
+	}
+	r.allowed.Store(true)
+	return nil
+}
+
+// renewReservation reserves again after a long wait in the queue, so that tokens count
+// when they are used and a wait of the system's own making refuses nothing.
+func (r *completionRun) renewReservation() error {
+	if r.reservation.Valid() {
+		return nil
 	}
+	r.reservation.Settle(0)
+	renewed, err := r.reserve(r.tokensToReserve())
+	r.reservation = renewed
 	return err
 }
 
@@ -223,7 +243,11 @@
 
 // settle gives unused tokens back. A request that did not run used none; otherwise the
 // engine's count applies, or the prompt's estimate and the tokens seen.
-func (r *completionRun) settle(reservation quota.Reservation, result dispatch.Result, err error) {
+func (r *completionRun) settle(result dispatch.Result, err error) {
+	reservation := r.reservation
+	if reservation == nil {
+		return
+	}
 	if err != nil && refusal.From(err).Run == refusal.NotRun {
 		reservation.Settle(0)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,6 @@
 	w.Header().Set(requestIDHeader, c.id)
 	// A deadline that an earlier stream set would hold for the whole connection.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-	g.trackDraining()
 	if err := g.route(c); err != nil {
 		c.refuse(err)
 	}
@@ -147,8 +146,7 @@
 	return refusal.New(refusal.NotFound, "there is nothing at this path")
 }
 
-// trackDraining notes when draining began. The grace counts from the first request
-// that saw it, which can only lengthen it.
+// trackDraining notes when draining was first seen, from which the grace counts.
 func (g *Gateway) trackDraining() {
 	if !g.options.Draining() {
 		g.drainingSince.Store(0)
@@ -157,8 +155,10 @@
 	g.drainingSince.CompareAndSwap(0, int64(time.Since(g.started))+1)
 }
 
-// refusesNew reports whether the grace of a draining host is over.
-func (g *Gateway) refusesNew() bool {
+// RefusesNew reports whether the grace of a draining host is over, so that new requests
+// are refused.
+func (g *Gateway) RefusesNew() bool {
+	g.trackDraining()
 	since := g.drainingSince.Load()
 	return since != 0 && time.Since(g.started)-time.Duration(since) > g.options.DrainGrace
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -71,9 +72,11 @@
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
-	gateway    http.Handler
+	api        *gateway.Gateway
+	callerAPI  http.Handler
 	admin      http.Handler
 
+	restored  atomic.Bool
 	stop      stopState
 	drainOnce sync.Once
 	drain     chan struct{}
@@ -206,7 +209,11 @@
 		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
 		Target: h.targetByID, Logger: h.logger.Named("orders"),
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	h.fleet.RegisterSnapshot(snapshotName, h.dispatcher.Snapshot, h.restoreSnapshot)
+	return nil
 }
 
 // emptyIndex stands for the configuration until one is applied.
@@ -233,16 +240,16 @@
 
 func (h *Host) buildAPIs() error {
 	s := &h.options.Settings
-	api := gateway.New(gateway.Options{
+	h.api = gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
 		ServiceClient: target.NewServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
-		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		DrainGrace: s.DrainGrace, Draining: h.stop.draining, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(api))
-	h.gateway = mux
+	mux.Handle("/", h.stop.count(h.api))
+	h.callerAPI = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
 		Orders: &orderAdapter{service: h.orders}, Drain: h.Drain, Logger: h.logger,
@@ -284,7 +291,8 @@
 	h.addTask(&group, "pollers", h.pollers.Run)
 	h.addTask(&group, "claims", h.claims.Run)
 	h.addTask(&group, "target list", h.watchLeavingTargets)
-	h.addServer(&group, "caller server", h.callerListener, h.gateway)
+	h.addTask(&group, "snapshots", h.keepSnapshots)
+	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
 	h.addServer(&group, "admin server", h.adminListener, h.admin)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/host/snapshot.go
@@ -0,0 +1,80 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+)
+
+const (
+	// snapshotName names the routing state in the exchange between hosts.
+	snapshotName = "routing"
+	// snapshotObjectPrefix is followed by the availability zone: hosts of one zone see
+	// much the same targets, and a host replaced under a new id finds it too.
+	snapshotObjectPrefix = "snapshots/routing/"
+	// peerSnapshotWait is how long a starting host waits for a peer's snapshot before it
+	// reads the object store. After a restart of all hosts no peer has one.
+	peerSnapshotWait = time.Second
+	// snapshotInterval is the mean time between two snapshots in the object store. At 9
+	// hosts it costs 0.3 writes a second.
+	snapshotInterval = 30 * time.Second
+	snapshotTimeout  = 5 * time.Second
+)
+
+// restoreSnapshot takes routing state from a peer or from the object store. What it
+// says of caches is checked against the engines' epochs.
+func (h *Host) restoreSnapshot(data []byte) error {
+	if err := h.dispatcher.Restore(data); err != nil {
+		return err
+	}
+	h.restored.Store(true)
+	return nil
+}
+
+// keepSnapshots restores the routing state from the object store if no peer has given
+// any, and then writes it there from time to time.
+func (h *Host) keepSnapshots(ctx context.Context) error {
+	if sleep(ctx, peerSnapshotWait) && !h.restored.Load() {
+		if err := h.readSnapshotObject(ctx); err != nil {
+			h.logger.Info("no routing snapshot in the object store", "error", err)
+		}
+	}
+	for sleep(ctx, jittered(snapshotInterval)) {
+		if err := h.writeSnapshotObject(ctx); err != nil {
+			h.logger.Debug("routing snapshot was not written", "error", err)
+		}
+	}
+	return nil
+}
+
+// jittered spreads the writes of hosts that started together.
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
+func (h *Host) snapshotObject() string { return snapshotObjectPrefix + h.self.Zone }
+
+func (h *Host) readSnapshotObject(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	data, err := h.options.Platform.Objects.GetObject(ctx, h.snapshotObject())
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return h.restoreSnapshot(data)
+}
+
+func (h *Host) writeSnapshotObject(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	data, err := h.dispatcher.Snapshot()
+	if err != nil {
+		return err
+	}
+	return h.options.Platform.Objects.PutObject(ctx, h.snapshotObject(), data)
+}
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -8,32 +8,37 @@
 	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
+	"github.com/sequoiaroad/sequoiaroad/internal/gateway"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
 // pollInterval is how often the planned stop looks whether requests are running.
 const pollInterval = 20 * time.Millisecond
 
-// stopState counts running requests and says when new ones are refused.
+// stopState counts running requests of a host that may be stopping.
 type stopState struct {
-	refuse  atomic.Bool
+	began   atomic.Bool
 	running atomic.Int64
 }
 
-func (s *stopState) refusing() bool { return s.refuse.Load() }
+func (s *stopState) draining() bool { return s.began.Load() }
 
-// count counts requests that the host may serve; requests that a draining host
+// count counts the requests that the gateway may serve; those that a draining host
 // refuses do not delay its stop.
-func (s *stopState) count(next http.Handler) http.Handler {
+func (s *stopState) count(api *gateway.Gateway) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining() {
+			// Without it a caller could send on a kept connection just when the stop
+			// closes it, and could not tell whether its request ran.
+			w.Header().Set("Connection", "close")
+		}
 		s.running.Add(1)
-		if !s.refusing() {
+		if api.RefusesNew() {
+			s.running.Add(-1)
+		} else {
 			defer s.running.Add(-1)
-			next.ServeHTTP(w, r)
-			return
 		}
-		s.running.Add(-1)
-		next.ServeHTTP(w, r)
+		api.ServeHTTP(w, r)
 	})
 }
 
@@ -51,10 +56,12 @@
 	s := &h.options.Settings
 	h.logger.Info("planned stop starts", "grace", s.DrainGrace)
 	h.fleet.SetDraining(true)
-	if !sleep(stopCtx, s.DrainGrace) {
-		return nil
+	h.stop.began.Store(true)
+	for !h.api.RefusesNew() {
+		if !sleep(stopCtx, pollInterval) {
+			return nil
+		}
 	}
-	h.stop.refuse.Store(true)
 	if !h.waitForRequests(stopCtx, s.DrainTimeout) {
 		h.logger.Warn("planned stop ends with requests still running", "requests", h.stop.running.Load())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,7 +84,7 @@
 
 	flags.DurationVar(&s.FreshnessDeadline, "freshness-deadline", 3*time.Second, "age of the newest configuration evidence at which keyed requests are refused")
 	flags.DurationVar(&s.LocatorTTL, "locator-ttl", 5*time.Second, "time that callers may keep an answer of the locator")
-	flags.DurationVar(&s.DrainGrace, "drain-grace", 8*time.Second, "time after the start of a planned stop in which new requests are still served; longer than locator-ttl")
+	flags.DurationVar(&s.DrainGrace, "drain-grace", 10*time.Second, "time after the start of a planned stop in which new requests are still served; at least twice locator-ttl")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 15*time.Minute, "longest wait for running requests at a planned stop")
 	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account; zero refuses at once")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in bytes")
@@ -190,8 +190,8 @@
 	if s.FleetSecret == "" {
 		faults = append(faults, "--fleet-secret is required: it authenticates hosts and signs stream positions")
 	}
-	if s.DrainGrace <= s.LocatorTTL {
-		faults = append(faults, "--drain-grace must be longer than --locator-ttl, or callers still use an address that refuses them")
+	if s.DrainGrace < 2*s.LocatorTTL {
+		faults = append(faults, "--drain-grace must be at least twice --locator-ttl, or callers still use an address that refuses them")
 	}
 	for _, a := range []struct{ flag, listen, address string }{
 		{"caller", s.CallerListen, s.CallerAddress},
