Keep a shared first block from hiding a running prefill

A chain's first pending block decided alone which prefill was seen, so another target's work on the common first block hid the one on the document; requests also waited for a whole other prompt to save that one block. Targets without a learned cost looked ten times slower than the others.

Change: pending prefills are found per run of blocks and target; a request waits only if that saves at least half of its work; targets without a cost of their own use the one learned over the fleet; RecomputeWeight is 2 in ordinary, 3 in peak and 1 in maintenance.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -172,27 +172,38 @@
 }
 
 // BenchmarkPolicies shows hit rate, recomputation and time to first token of each
-// policy on the same requests, over stand-in engines with a cache that holds a part
-// of the documents.
+// policy on the same requests, over stand-in engines with caches that hold all or half
+// of the documents, at light and high load.
 func BenchmarkPolicies(b *testing.B) {
-	const requests = 400
-	prompts := sharedPrompts(requests)
-	for _, policy := range []string{"predicted-ttft", "prefix-hash", "least-loaded", "round-robin"} {
-		b.Run(policy, func(b *testing.B) {
-			for range b.N {
-				f := newEngineFixture(8, policy, engine.Options{
-					CacheBlocks: 80, PrefillPerToken: 10 * time.Microsecond, DecodePerToken: time.Millisecond,
-					LoadLag: 50 * time.Millisecond, EventDelay: 50 * time.Millisecond, EventLoss: 0.01,
-				})
-				time.Sleep(200 * time.Millisecond) // the first polls
-				report(b, f, prompts)
-				f.stop()
-			}
-		})
+	scenarios := []struct {
+		name        string
+		requests    int
+		interval    time.Duration
+		cacheBlocks int
+	}{
+		{"light", 400, 10 * time.Millisecond, 80},
+		{"heavy", 1000, 3 * time.Millisecond, 80},
+		{"small-cache", 800, 5 * time.Millisecond, 34},
+	}
+	for _, s := range scenarios {
+		prompts := sharedPrompts(s.requests)
+		for _, policy := range []string{"predicted-ttft", "prefix-hash", "least-loaded", "round-robin"} {
+			b.Run(s.name+"/"+policy, func(b *testing.B) {
+				for range b.N {
+					f := newEngineFixture(8, policy, engine.Options{
+						CacheBlocks: s.cacheBlocks, PrefillPerToken: 10 * time.Microsecond, DecodePerToken: time.Millisecond,
+						LoadLag: 50 * time.Millisecond, EventDelay: 50 * time.Millisecond, EventLoss: 0.01,
+					})
+					time.Sleep(200 * time.Millisecond) // the first polls
+					report(b, f, prompts, s.interval)
+					f.stop()
+				}
+			})
+		}
 	}
 }
 
-func report(b *testing.B, f *engineFixture, prompts [][]byte) {
+func report(b *testing.B, f *engineFixture, prompts [][]byte, interval time.Duration) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var delays []time.Duration
@@ -206,7 +217,7 @@
 			defer mu.Unlock()
 			delays = append(delays, result.TimeToFirstToken)
 		})
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(interval)
 	}
 	wait.Wait()
 	var sum engine.Counters
--- a/policy/preset/preset.go
+++ b/policy/preset/preset.go
@@ -11,11 +11,12 @@
 // Knobs are the parameters of routing and queues.
 type Knobs struct {
 	// RecomputeWeight is added to the cost of computing tokens that are not cached, as
-	// a share of the time it takes. It stands for the work of others that the
-	// recomputation delays. Zero looks only at the request's own time to first token.
-	// Peak raises it, because at full load every recomputed token delays another
-	// request; maintenance lowers it, because the targets that remain must take the
-	// prefixes of those that leave.
+	// a multiple of the time it takes. It stands for the work of others that the
+	// recomputation delays. Zero looks only at the request's own time to first token,
+	// which under load spills hot prefixes until each target computes all of them: on
+	// the stand-ins 0.5 recomputed 2.5 times as much as 2. Peak raises it, because at
+	// full load every recomputed token delays another request; maintenance lowers it,
+	// because the targets that remain must take the prefixes of those that leave.
 	RecomputeWeight float64
 	// TieShare is the share of the prefill time by which targets may differ and still
 	// count as equal, so that hosts agree on one by hashing despite different views of
@@ -68,14 +69,14 @@
 	k := ordinary()
 	switch p {
 	case config.PresetPeak:
-		k.RecomputeWeight = 0.6
+		k.RecomputeWeight = 3
 		k.TieShare = 0.15
 		k.RetryShare = 0.05
 		k.ReinstateOver = 20 * time.Second
 		k.QueueItems = 2048
 		k.OverRateShare = 0.25
 	case config.PresetMaintenance:
-		k.RecomputeWeight = 0.15
+		k.RecomputeWeight = 1
 		k.TieShare = 0.35
 		k.UncertainShare = 0.25
 		k.RetryShare = 0.25
@@ -88,7 +89,7 @@
 
 func ordinary() Knobs {
 	return Knobs{
-		RecomputeWeight: 0.3,
+		RecomputeWeight: 2,
 		TieShare:        0.25,
 		UncertainShare:  0.5,
 		RetryShare:      0.1,
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -47,6 +47,7 @@
 	r.fill(q, now, true)
 	chosen, reason := r.choose(q)
 	if chosen < 0 {
+		r.clearWaits()
 		return Decision{}, false
 	}
 	c := &r.candidates[chosen]
@@ -57,8 +58,9 @@
 	d.TargetID = d.replica.id
 	d.Claim.Sequence = r.index.Sequence(d.TargetID)
 	if c.waits && r.policy.Name() == PredictedTTFT {
-		d.WaitFor = r.computing.owner
+		d.WaitFor = r.runs[r.waits[c.Handle]-1].owner
 	}
+	r.clearWaits()
 	for _, m := range r.matches {
 		if m.Handle == c.Handle {
 			d.Claim.Blocks = int(m.Blocks)
@@ -98,6 +100,7 @@
 	if i >= 0 {
 		chosen = r.replicas[r.candidates[i].Handle].id
 	}
+	r.clearWaits()
 	for _, c := range r.candidates {
 		all = append(all, Explained{c, r.replicas[c.Handle].id})
 	}
@@ -115,9 +118,8 @@
 		}
 		r.cached[m.Handle] = int32(tokens)
 	}
-	first, end, computing := r.pending.find(q.Chain, now)
-	r.computing = computing
 	prompt := int32(prefix.Tokens(q.PromptBytes))
+	r.expectPending(q, prompt, now)
 	linkSeconds := float64(q.PromptBytes) / r.link.Rate
 	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
 	at := r.clock(now)
@@ -129,10 +131,10 @@
 		c, s := &r.candidates[i], &r.summaries[handle]
 		cached := r.cached[handle]
 		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
-		if c.waits = end > 0 && computing.handle == handle && cached >= int32(first*blockTokens) &&
-			cached < int32(end*blockTokens); c.waits {
-			cached = int32(end * blockTokens)
-			c.Queue = max(c.Queue, computing.ready.Sub(now).Seconds())
+		run := r.waits[handle]
+		if c.waits = run > 0; c.waits {
+			cached = int32(r.runs[run-1].end * blockTokens)
+			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
 		}
 		c.Cached = min(cached, prompt)
 		c.Uncached = prompt - c.Cached
@@ -160,6 +162,25 @@
 	}
 }
 
+// expectPending notes the targets that are computing blocks of the chain. Waiting for
+// them is considered only if it saves at least half of the work: for less, for example
+// a common first block, the request would wait for all of another prompt.
+func (r *Router) expectPending(q *Query, prompt int32, now time.Time) {
+	r.runs = r.pending.find(q.Chain, now, r.runs[:0])
+	for i, run := range r.runs {
+		cached, end := r.cached[run.handle], int32(run.end*blockTokens)
+		if cached >= int32(run.from*blockTokens) && cached < end && 2*(end-cached) >= prompt-cached {
+			r.waits[run.handle] = int32(i) + 1
+		}
+	}
+}
+
+func (r *Router) clearWaits() {
+	for _, run := range r.runs {
+		r.waits[run.handle] = 0
+	}
+}
+
 func (r *Router) exclusion(p *replica, q *Query, now time.Time, count bool) Exclusion {
 	if p.leaving() {
 		return Leaving
@@ -206,8 +227,9 @@
 	d.replica.queuedTokens += d.Uncached
 	r.refresh(d.replica)
 	ready := now.Add(seconds(d.Predicted))
-	r.pending.start(q.Chain[min(d.Cached/blockTokens, len(q.Chain)):], pendingBlock{
-		handle: d.replica.handle, owner: f.id, ready: ready, expires: ready.Add(pendingGrace),
+	from := min(d.Cached/blockTokens, len(q.Chain))
+	r.pending.start(q.Chain[from:], pendingBlock{
+		handle: d.replica.handle, owner: f.id, from: from, ready: ready, expires: ready.Add(pendingGrace),
 	}, now)
 	if d.replica.far {
 		r.link.Allow(LinkRequest, q.PromptBytes, now)
@@ -240,6 +262,7 @@
 	p.estimator.Learn(now.Sub(f.sentAt), f.Uncached, f.network, f.queue, now)
 	p.estimator.End(f.id)
 	r.refresh(p)
+	r.followFleetCost()
 	if r.byID[p.id] == p {
 		r.index.SetEpoch(p.id, epoch, "")
 		r.index.Stored(p.id, epoch, f.chain)
--- a/policy/routing/estimate.go
+++ b/policy/routing/estimate.go
@@ -49,8 +49,12 @@
 // The zero value is ready to use and knows nothing.
 type Estimator struct {
 	tokenCost float64
-	report    Report
-	flights   []flight
+	// fleet is the cost learned over all targets, used while this one has none of its
+	// own; nil or zero means a default. Without it, targets that were never used would
+	// look far slower or faster than the others.
+	fleet   *float64
+	report  Report
+	flights []flight
 	// recent is the sum of the flights that the last report can't contain.
 	recent     int
 	residual   float64
@@ -62,10 +66,13 @@
 
 // TokenCost returns the learned seconds per prefill token.
 func (e *Estimator) TokenCost() float64 {
-	if e.tokenCost == 0 {
-		return defaultTokenCost
+	switch {
+	case e.tokenCost != 0:
+		return e.tokenCost
+	case e.fleet != nil && *e.fleet != 0:
+		return *e.fleet
 	}
-	return e.tokenCost
+	return defaultTokenCost
 }
 
 // SetTokenCost restores a learned cost; values out of range are ignored.
@@ -154,6 +161,12 @@
 		} else {
 			e.tokenCost += learningRate * (sample - e.tokenCost)
 		}
+		if e.fleet != nil {
+			if *e.fleet == 0 {
+				*e.fleet = sample
+			}
+			*e.fleet += learningRate * (sample - *e.fleet)
+		}
 	}
 	if own := float64(uncached) * e.TokenCost(); queue > minSampleQueue && queue > 2*own {
 		e.learnScale((observed - own) / queue)
--- a/policy/routing/learned.go
+++ b/policy/routing/learned.go
@@ -36,6 +36,9 @@
 		}
 		if p.estimator.tokenCost == 0 {
 			p.estimator.SetTokenCost(l.TokenCost)
+			if r.fleetCost == 0 {
+				r.fleetCost = p.estimator.tokenCost
+			}
 		}
 		if p.health == (Health{}) && l.ReinstatedIn > 0 && l.ReinstatedIn <= maxEjection+time.Minute {
 			p.health = Health{
@@ -46,4 +49,5 @@
 		}
 		r.refresh(p)
 	}
+	r.followFleetCost()
 }
--- a/policy/routing/pending.go
+++ b/policy/routing/pending.go
@@ -13,7 +13,9 @@
 type pendingBlock struct {
 	handle int32
 	owner  uint64
-	ready  time.Time
+	// from is the first block that the owner computes; the target has those before it.
+	from  int
+	ready time.Time
 	// expires frees the entry if its request never ends.
 	expires time.Time
 }
@@ -47,27 +49,33 @@
 	}
 }
 
-// find returns the first pending block of the chain, and up to which block the same
-// target computes the chain.
-func (p *pendingPrefills) find(chain []prefix.BlockHash, now time.Time) (first, end int, b pendingBlock) {
+// pendingRun is a part of a chain that ends before block end and is computed by the
+// same target.
+type pendingRun struct {
+	pendingBlock
+	end int
+}
+
+// find appends the pending runs of a chain, in order. Different targets may compute
+// different parts, for example a common first block and a document after it.
+func (p *pendingPrefills) find(chain []prefix.BlockHash, now time.Time, runs []pendingRun) []pendingRun {
 	if len(p.blocks) == 0 {
-		return 0, 0, b
+		return runs
 	}
-	for first = range chain {
-		entry, ok := p.blocks[chain[first]]
-		if !ok || entry.expires.Before(now) {
+	for i := range chain {
+		b, ok := p.blocks[chain[i]]
+		if !ok || b.expires.Before(now) {
 			continue
 		}
-		for end = first; end < len(chain); end++ {
-			next, ok := p.blocks[chain[end]]
-			if !ok || next.handle != entry.handle || next.expires.Before(now) {
-				break
-			}
-			b = next
+		if last := len(runs) - 1; last >= 0 && runs[last].end == i && runs[last].handle == b.handle {
+			from := min(runs[last].from, b.from)
+			runs[last] = pendingRun{b, i + 1}
+			runs[last].from = from
+			continue
 		}
-		return first, end, b
+		runs = append(runs, pendingRun{b, i + 1})
 	}
-	return 0, 0, b
+	return runs
 }
 
 // expire drops the entries of requests that never ended and of targets that went.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -94,13 +95,18 @@
 	byService    map[string][]*replica
 	listLeaving  map[string]bool
 	nextID       uint64
-	serviceTurn  int
+	// fleetCost is the prefill cost learned over all targets, and refreshedCost the
+	// value that the summaries contain.
+	fleetCost, refreshedCost float64
+	serviceTurn              int
 
 	matches    []prefix.Match
 	cached     []int32 // by handle, in tokens; zero between choices
 	candidates []Candidate
-	// computing is the pending prefill found for the query in progress.
-	computing pendingBlock
+	// runs are the pending prefills of the query in progress; waits holds, by handle,
+	// the position after the run that the target computes, or zero.
+	runs  []pendingRun
+	waits []int32
 }
 
 // NewRouter returns a router without targets.
@@ -148,7 +154,7 @@
 func (r *Router) configure(t *config.Target) {
 	p := r.byID[t.ID]
 	if p == nil {
-		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID]}
+		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost}}
 		p.handle = r.takeHandle(p)
 		r.byID[t.ID] = p
 		if t.Kind == config.TargetEngine {
@@ -182,6 +188,21 @@
 	return now.Sub(r.origin).Seconds()
 }
 
+// followFleetCost refreshes all summaries after a change of the cost that targets
+// without an own one use.
+func (r *Router) followFleetCost() {
+	const negligibleChange = 0.1
+	if math.Abs(r.fleetCost-r.refreshedCost) <= negligibleChange*r.refreshedCost {
+		return
+	}
+	r.refreshedCost = r.fleetCost
+	for _, p := range r.replicas {
+		if p != nil && p.estimator.tokenCost == 0 {
+			r.refresh(p)
+		}
+	}
+}
+
 // refresh updates the summary of a replica after a change.
 func (r *Router) refresh(p *replica) {
 	if int(p.handle) >= len(r.replicas) || r.replicas[p.handle] != p {
@@ -209,6 +230,7 @@
 	}
 	r.replicas = append(r.replicas, p)
 	r.cached = append(r.cached, 0)
+	r.waits = append(r.waits, 0)
 	r.summaries = append(r.summaries, summary{})
 	return int32(len(r.replicas) - 1)
 }
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -155,6 +155,36 @@
 	g.Expect(third.BestCached).To(Equal(20_000))
 }
 
+// Guards against a document that is computed twice because another target computes
+// the first block that all documents share, and against waiting for that block alone.
+func TestSharedFirstBlockDoesNotHideAPrefill(t *testing.T) {
+	g := NewWithT(t)
+	r := testRouter("", testDocument(8))
+	document := func(byte1 byte) *Query {
+		prompt := make([]byte, 10*prefix.BlockBytes)
+		for i := prefix.BlockBytes; i < len(prompt); i++ {
+			prompt[i] = byte1
+		}
+		seed := prefix.Identity{AccountID: "x", Model: "m", WeightsVersion: "v"}.Seed()
+		return &Query{Model: "m", Weights: "v", Chain: prefix.Chain(seed, prompt), PromptBytes: len(prompt)}
+	}
+	one, two := document(1), document(2)
+	first, _ := r.Choose(one, start)
+	r.Send(r.Begin(one, first, start), start)
+	second, _ := r.Choose(two, start)
+	g.Expect(second.WaitFor).To(BeZero())
+	g.Expect(second.TargetID).NotTo(Equal(first.TargetID))
+	r.Send(r.Begin(two, second, start), start)
+	for q, d := range map[*Query]Decision{one: first, two: second} {
+		again, _ := r.Choose(q, start)
+		g.Expect(again.TargetID).To(Equal(d.TargetID))
+		g.Expect(again.WaitFor).NotTo(BeZero())
+	}
+	for _, w := range r.waits {
+		g.Expect(w).To(BeZero())
+	}
+}
+
 // Guards against a failed prefill that still attracts requests.
 func TestFailedPrefillIsForgotten(t *testing.T) {
 	g := NewWithT(t)
