--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
+)
+
+// maintenanceInterval is how often Run applies the configuration and expires state.
+const maintenanceInterval = 100 * time.Millisecond
+
+const defaultIndexBlocks = 1 << 20
+
+// Observer takes spans and measures. Methods must not block.
+type Observer interface {
+	// StartSpan starts a span for one step of a request (route, queue, target, stream);
+	// the function ends it.
+	StartSpan(ctx context.Context, step string) (context.Context, func(error))
+	// CompletionDone is called once for each completion that got a last token.
+	CompletionDone(accountID string, m Measures)
+	// Retried is called when a further attempt is made.
+	Retried(targetID, reason string)
+}
+
+// Measures are the counters of one completion.
+type Measures struct {
+	PromptTokens int
+	CachedTokens int
+	// WastedTokens were recomputed although a usable target had them cached when the
+	// target was chosen, or were computed again by a further attempt.
+	WastedTokens     int
+	OutputTokens     int
+	TimeToFirstToken time.Duration
+}
+
+// Totals are the sums of Measures since the start of the process.
+type Totals struct {
+	Completions  uint64
+	PromptTokens uint64
+	CachedTokens uint64
+	WastedTokens uint64
+	OutputTokens uint64
+	Retries      uint64
+}
+
+// Options are the settings of a Dispatcher.
+type Options struct {
+	// Config returns the configuration in force. Required.
+	Config func() *config.Index
+	// Self is this host; its zone and region give network delays.
+	Self config.Member
+	// Engines sends completions. Required.
+	Engines target.EngineClient
+	// Policy names the routing policy; empty means "predicted-ttft".
+	Policy string
+	// Clock returns the time; nil means time.Now.
+	Clock func() time.Time
+	// Logger may be nil, which means no log.
+	Logger hclog.Logger
+	// Seed makes random draws repeatable; zero is a seed as any other.
+	Seed uint64
+	// Observer may be nil, which means no spans and no measures.
+	Observer Observer
+	// StallTimeout is how long a stream may be silent before it is resumed; zero
+	// means 5 s. Before the first token the predicted time is added three times.
+	StallTimeout time.Duration
+	// IndexBlocks bounds the index of cached blocks; zero means 1,048,576, about 40 MB.
+	IndexBlocks int
+}
+
+// Dispatcher implements Completer, Explainer, ServiceChooser, TargetSet and
+// target.Observer. All methods may be called concurrently.
+type Dispatcher struct {
+	options  Options
+	clock    func() time.Time
+	logger   hclog.Logger
+	observer Observer
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	applied  *config.Index
+	knobs    preset.Knobs
+	index    *prefix.Index
+	router   *routing.Router
+	retries  routing.RetryBudget
+	lanes    map[string]*lane
+	accounts map[string]*meter
+	// prefills holds, by flight, who waits for the flight's first token.
+	prefills map[uint64][]chan struct{}
+	nextItem uint64
+	totals   Totals
+}
+
+var (
+	_ Completer       = (*Dispatcher)(nil)
+	_ Explainer       = (*Dispatcher)(nil)
+	_ ServiceChooser  = (*Dispatcher)(nil)
+	_ TargetSet       = (*Dispatcher)(nil)
+	_ target.Observer = (*Dispatcher)(nil)
+)
+
+// New returns a dispatcher that routes by the configuration at once; Run keeps its
+// state bounded.
+func New(o Options) (*Dispatcher, error) {
+	if o.Config == nil || o.Engines == nil {
+		return nil, errors.New("dispatch: Config and Engines are required")
+	}
+	if o.StallTimeout == 0 {
+		o.StallTimeout = defaultStallTimeout
+	}
+	if o.IndexBlocks == 0 {
+		o.IndexBlocks = defaultIndexBlocks
+	}
+	d := &Dispatcher{
+		options:  o,
+		clock:    o.Clock,
+		logger:   o.Logger,
+		observer: o.Observer,
+		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		lanes:    map[string]*lane{},
+		accounts: map[string]*meter{},
+		prefills: map[uint64][]chan struct{}{},
+	}
+	d.index = prefix.NewIndex(o.IndexBlocks, d.random.Uint64())
+	d.knobs = preset.For("")
+	var err error
+	d.router, err = routing.NewRouter(routing.Options{
+		Policy: o.Policy, Knobs: &d.knobs, Zone: o.Self.Zone, Region: o.Self.Region, Index: d.index,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch")
+	}
+	if d.clock == nil {
+		d.clock = time.Now
+	}
+	if d.logger == nil {
+		d.logger = hclog.NewNullLogger()
+	}
+	if d.observer == nil {
+		d.observer = nopObserver{}
+	}
+	return d, nil
+}
+
+// Run applies configuration changes and expires state until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.maintain()
+		}
+	}
+}
+
+// maintain follows the configuration and drops what has run out.
+func (d *Dispatcher) maintain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	now := d.clock()
+	d.router.Expire(now)
+	for _, l := range d.lanes {
+		for _, item := range l.queue.Expire(now) {
+			d.router.End(item.Value.flight)
+			d.wake(item.Value.flight.ID())
+			item.Value.answer <- answerExpired
+		}
+	}
+}
+
+// Totals returns the sums of all measures.
+func (d *Dispatcher) Totals() Totals {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.totals
+}
+
+type nopObserver struct{}
+
+func (nopObserver) StartSpan(ctx context.Context, _ string) (context.Context, func(error)) {
+	return ctx, func(error) {}
+}
+func (nopObserver) CompletionDone(string, Measures) {}
+func (nopObserver) Retried(string, string)          {}
--- /dev/null
+++ b/test/scenario/caller_test.go
@@ -0,0 +1,348 @@
+package scenario
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+)
+
+// callerMain is a client program: "caller http METHOD URL", "caller stream ADDRESS" and
+// "caller load ADDRESS,ADDRESS" and
+// "caller flood ADDRESS,ADDRESS".
+func callerMain() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: caller http|stream|load|flood ...")
+		os.Exit(2)
+	}
+	kind := os.Args[1]
+	c := parseCaller(os.Args[2:])
+	var err error
+	switch kind {
+	case "http":
+		err = c.plain()
+	case "stream":
+		err = c.stream(c.args[0], c.prompt)
+	case "load":
+		err = c.load()
+	case "flood":
+		err = c.flood()
+	default:
+		err = fmt.Errorf("unknown kind %s", kind)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type headerFlags []string
+
+func (h *headerFlags) String() string     { return strings.Join(*h, ",") }
+func (h *headerFlags) Set(s string) error { *h = append(*h, s); return nil }
+
+type caller struct {
+	key, model, prompt, body, weights string
+	tokens, workers                   int
+	status                            int
+	timeout                           time.Duration
+	headers                           headerFlags
+	args                              []string
+	client                            *http.Client
+}
+
+func parseCaller(args []string) *caller {
+	c := &caller{}
+	set := flag.NewFlagSet("caller", flag.ContinueOnError)
+	set.StringVar(&c.key, "key", "", "client key")
+	set.StringVar(&c.model, "model", "m1", "model")
+	set.StringVar(&c.prompt, "prompt", "Hello", "prompt")
+	set.StringVar(&c.body, "body", "", "request body")
+	set.StringVar(&c.weights, "weights", "1", "weights version of the expected text")
+	set.IntVar(&c.tokens, "tokens", 16, "tokens to generate")
+	set.IntVar(&c.workers, "workers", 4, "callers at once")
+	set.IntVar(&c.status, "status", 0, "expected HTTP status; zero means any 2xx")
+	set.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait")
+	set.Var(&c.headers, "header", "Name: value")
+	if err := set.Parse(args); err != nil {
+		os.Exit(2)
+	}
+	c.args = set.Args()
+	c.client = &http.Client{Timeout: c.timeout}
+	return c
+}
+
+func (c *caller) send(method, url, body string) (*http.Response, error) {
+	return c.sendWith(c.headers, method, url, body)
+}
+
+func (c *caller) sendWith(headers headerFlags, method, url, body string) (*http.Response, error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ":")
+		r.Header.Set(name, strings.TrimSpace(value))
+	}
+	return c.client.Do(r)
+}
+
+// plain prints status and body of one request.
+func (c *caller) plain() error {
+	response, err := c.send(c.args[0], c.args[1], c.body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d %s\n", response.StatusCode, text)
+	if c.status == response.StatusCode || c.status == 0 && response.StatusCode/100 == 2 {
+		return nil
+	}
+	return fmt.Errorf("status %d", response.StatusCode)
+}
+
+// refusedError is a refusal of the router.
+type refusedError struct {
+	status int
+	code   string
+	run    string
+}
+
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("refused: %d %s run=%s", e.status, e.code, e.run)
+}
+
+func readRefusal(response *http.Response) *refusedError {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+			Run  string `json:"run"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&body)
+	return &refusedError{response.StatusCode, body.Error.Code, body.Error.Run}
+}
+
+// stream checks that a streamed completion is whole and in order. With several
+// addresses it goes on at the next one, by Last-Event-ID, when the connection breaks.
+func (c *caller) stream(addresses, prompt string) error {
+	list := strings.Split(addresses, ",")
+	r := &streamReader{}
+	for i := 0; ; i++ {
+		err := c.streamOnce(list[i%len(list)], prompt, r)
+		if err == nil {
+			break
+		}
+		var broken *brokenError
+		if !errors.As(err, &broken) || i+1 >= maxReconnects*len(list) || len(list) == 1 {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "reconnect after %q: %v\n", r.lastID, err)
+		time.Sleep(retryInterval)
+	}
+	if want := engine.Text([]byte(prompt), c.tokens, c.weights); r.text.String() != want {
+		return fmt.Errorf("the text is %q, not %q", r.text.String(), want)
+	}
+	fmt.Printf("stream of %d tokens is complete\n", c.tokens)
+	return nil
+}
+
+const maxReconnects = 20
+
+// brokenError says that a connection could not be made or broke in the middle.
+type brokenError struct{ err error }
+
+func (e *brokenError) Error() string { return e.err.Error() }
+func (e *brokenError) Unwrap() error { return e.err }
+
+// streamReader collects the text over all connections of one stream.
+type streamReader struct {
+	text   strings.Builder
+	lastID string
+}
+
+func (c *caller) streamOnce(address, prompt string, r *streamReader) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, c.model, prompt, c.tokens)
+	headers := c.headers
+	if r.lastID != "" {
+		headers = append(headers[:len(headers):len(headers)], "Last-Event-ID: "+r.lastID)
+	}
+	response, err := c.sendWith(headers, http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		return &brokenError{err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return readRefusal(response)
+	}
+	return r.read(response.Body)
+}
+
+// read takes events until the end marker.
+func (r *streamReader) read(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id:"); ok {
+			r.lastID = strings.TrimSpace(id)
+		}
+		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return nil
+		}
+		if err := r.event(data); err != nil {
+			return err
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return &brokenError{err}
+	}
+	return &brokenError{errors.New("the stream ended without its end marker")}
+}
+
+func (r *streamReader) event(data string) error {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+		Error *struct {
+			Code string `json:"code"`
+			Run  string `json:"run"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return fmt.Errorf("bad event %q: %w", data, err)
+	}
+	if chunk.Error != nil {
+		return fmt.Errorf("stream error %s run=%s", chunk.Error.Code, chunk.Error.Run)
+	}
+	for _, choice := range chunk.Choices {
+		r.text.WriteString(choice.Text)
+	}
+	return nil
+}
+
+// flood sends whole completions from several workers to all addresses for a time and
+// prints how many were answered and refused.
+func (c *caller) flood() error {
+	addresses := strings.Split(c.args[0], ",")
+	deadline := time.Now().Add(c.timeout)
+	var mu sync.Mutex
+	codes := map[string]int{}
+	var workers sync.WaitGroup
+	for w := range c.workers {
+		workers.Go(func() {
+			for i := 0; time.Now().Before(deadline); i++ {
+				code := c.floodOnce(addresses[(w+i)%len(addresses)], fmt.Sprintf("flood %d %d", w, i))
+				mu.Lock()
+				codes[code]++
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	fmt.Printf("answers %v\n", codes)
+	return nil
+}
+
+func (c *caller) floodOnce(address, prompt string) string {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, c.model, prompt, c.tokens)
+	response, err := c.send(http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		time.Sleep(retryInterval)
+		return "broken"
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		refused := readRefusal(response)
+		time.Sleep(retryInterval)
+		return refused.code
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return "ok"
+}
+
+// load sends streams from several workers until SIGTERM. Each worker asks the hosts
+// in turn, goes to the next one on a refusal that says not_run or on a refused
+// connection, and counts any other failure as a lost request.
+func (c *caller) load() error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	ended := make(chan struct{})
+	go func() { <-stop; close(ended) }()
+	addresses := strings.Split(c.args[0], ",")
+	var mu sync.Mutex
+	done, refused := 0, 0
+	var failures []string
+	var workers sync.WaitGroup
+	for w := range c.workers {
+		workers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				retries, err := c.streamAnywhere(addresses, w+i, fmt.Sprintf("worker %d request %d", w, i), ended)
+				mu.Lock()
+				done++
+				refused += retries
+				if err != nil {
+					failures = append(failures, err.Error())
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	fmt.Printf("requests %d refused-not-run %d failed %d\n", done, refused, len(failures))
+	if len(failures) > 0 {
+		return fmt.Errorf("lost requests: %s", strings.Join(failures, "; "))
+	}
+	return nil
+}
+
+func (c *caller) streamAnywhere(addresses []string, first int, prompt string, ended chan struct{}) (int, error) {
+	deadline := time.Now().Add(c.timeout)
+	for retries := 0; ; retries++ {
+		err := c.stream(addresses[(first+retries)%len(addresses)], prompt)
+		if err == nil || !safeToRepeat(err) || time.Now().After(deadline) {
+			return retries, err
+		}
+		select {
+		case <-ended:
+			return retries, nil
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func safeToRepeat(err error) bool {
+	if refused, ok := err.(*refusedError); ok {
+		return refused.run == "not_run"
+	}
+	return strings.Contains(err.Error(), "connection refused")
+}
