Let the host decide when the gateway refuses new requests

Cause: the host passed its refusal as the gateway's draining state. A refusal of a second write by net/http could claim not_run although the first connection had been written to. A stream's write deadline stayed on the connection.

Ruled out: a grace in both places, whose clocks differ.

--- a/internal/gateway/complete_test.go
+++ b/internal/gateway/complete_test.go
@@ -252,6 +252,18 @@
 	g.Expect(f.limiter.open).To(BeZero())
 }
 
+// Guards against a stream's write deadline that outlives it and breaks later requests
+// of the same connection.
+func TestConnectionOutlivesAStream(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) { f.options.WriteTimeout = 100 * time.Millisecond })
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody).body).To(ContainSubstring("[DONE]"))
+	time.Sleep(150 * time.Millisecond)
+	r := f.do("POST", "/v1/completions", clubKey, "{")
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.refusal().Code).To(Equal(refusal.InvalidRequest))
+}
+
 // Guards against memory that grows while a caller does not read, and against a stream
 // that a caller holds for ever.
 func TestSlowCallerIsBounded(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,8 +59,13 @@
 	DefaultMaxOutputTokens int
 	// WriteTimeout ends a stream whose caller takes nothing for so long; zero means 15 s.
 	WriteTimeout time.Duration
-	// Draining reports whether this host is stopping; nil means never.
+	// Draining reports whether this host is stopping, in which case the locator does not
+	// name it; nil means never.
 	Draining func() bool
+	// Refusing reports whether a draining host refuses new requests; nil means once
+	// DrainGrace has passed. A host that counts running requests for its stop sets it, so
+	// that no request is taken after the count.
+	Refusing func() bool
 	Logger   hclog.Logger
 	Tracer   trace.Tracer
 }
@@ -118,8 +123,8 @@
 	c := &call{g: g, w: w, r: r, id: target.RequestIDPrefix + uuid.NewString(), index: g.options.View.Index()}
 	c.credentials = target.NewCredentials(r.Header, c.isKey)
 	w.Header().Set(requestIDHeader, c.id)
-	// A deadline that an earlier stream set would hold for the whole connection.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	// The write deadline of a stream would go on to hold for the whole connection.
+	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	g.trackDraining()
 	if err := g.route(c); err != nil {
 		c.refuse(err)
@@ -159,6 +164,9 @@
 
 // refusesNew reports whether the grace of a draining host is over.
 func (g *Gateway) refusesNew() bool {
+	if g.options.Refusing != nil {
+		return g.options.Refusing()
+	}
 	since := g.drainingSince.Load()
 	return since != 0 && time.Since(g.started)-time.Duration(since) > g.options.DrainGrace
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -218,15 +218,15 @@
 		cancelAttempt()
 		if err == nil {
 			done(nil)
-			return refuseIf(refuse, s.relay(response))
+			return refuse(s.relay(response))
 		}
+		mayHaveRun = mayHaveRun || !provedNotRun(err)
 		var refused *refusal.Refusal
 		if errors.As(err, &refused) { // by allowSend, which is no fault of the target
 			done(nil)
 			return refuse(refused)
 		}
 		done(err)
-		mayHaveRun = mayHaveRun || !provedNotRun(err)
 		tried = append(tried, t.ID)
 		if len(tried) == maxServiceAttempts || ctx.Err() != nil {
 			return refuse(refusal.New(failureCode(mayHaveRun), "no replica answered").WithCause(err))
@@ -235,13 +235,6 @@
 	}
 }
 
-func refuseIf(refuse func(error) error, err error) error {
-	if err == nil {
-		return nil
-	}
-	return refuse(err)
-}
-
 // allowSend holds the last checks before the first byte is sent.
 func (s *serviceCall) allowSend() error { return s.mayDispatch(s.reservation) }
 
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -275,6 +275,22 @@
 	g.Expect(f.do("GET", "/healthz", "", "").status).To(Equal(http.StatusOK))
 }
 
+// Guards against requests that a host takes after it has stopped counting them, and
+// against refusals before that.
+func TestHostDecidesWhenToRefuse(t *testing.T) {
+	g := NewWithT(t)
+	var refusing atomic.Bool
+	f := newFixture(t, func(f *fixture) {
+		f.draining, f.options.Refusing, f.options.LocatorTTL = true, refusing.Load, time.Millisecond
+	})
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").status).To(Equal(http.StatusOK))
+	time.Sleep(10 * time.Millisecond)
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").status).To(Equal(http.StatusOK))
+	refusing.Store(true)
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").refusal()).To(code(refusal.HostDraining, refusal.NotRun))
+	g.Expect(f.do("GET", "/services/booking/echo", "", "").refusal()).To(code(refusal.HostDraining, refusal.NotRun))
+}
+
 // Guards against a refused key that is answered like a missing one, and against a new
 // key being called invalid by a host that can't know it yet.
 func TestKeys(t *testing.T) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -237,7 +237,7 @@
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
 		ServiceClient: target.NewServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
-		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -16,8 +16,9 @@
 
 // stopState counts running requests and says when new ones are refused.
 type stopState struct {
-	refuse  atomic.Bool
-	running atomic.Int64
+	draining atomic.Bool
+	refuse   atomic.Bool
+	running  atomic.Int64
 }
 
 func (s *stopState) refusing() bool { return s.refuse.Load() }
@@ -50,6 +51,7 @@
 	}
 	s := &h.options.Settings
 	h.logger.Info("planned stop starts", "grace", s.DrainGrace)
+	h.stop.draining.Store(true)
 	h.fleet.SetDraining(true)
 	if !sleep(stopCtx, s.DrainGrace) {
 		return nil
