Test the gateway with the dispatcher, traces and trailers

Cause: the tests used a completer of their own; traces and trailers were not looked at for the caller's key.

Change: crashes, drops and stalls behind the dispatcher; resume with Last-Event-ID; the key's confinement covers spans and trailers.

--- /dev/null
+++ b/internal/gateway/dispatch_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/standin/engine"
+)
+
+// newDispatchFixture returns a gateway with the dispatcher in front of engines.
+func newDispatchFixture(t *testing.T, count int) (*fixture, []*engine.Engine) {
+	var engines []*engine.Engine
+	f := newFixture(t, func(f *fixture) {
+		document := f.view.index.Document().Clone()
+		for i := range count {
+			e := engine.New(engine.Options{WeightsVersion: "v1", Models: []string{"m"}, DecodePerToken: 2 * time.Millisecond})
+			server := httptest.NewServer(e)
+			t.Cleanup(server.Close)
+			engines = append(engines, e)
+			document.Targets = append(document.Targets, config.Target{
+				ID: "e" + strconv.Itoa(i), Kind: config.TargetEngine, URL: server.URL, Models: []string{"m"},
+			})
+		}
+		f.view.index = config.NewIndex(document)
+		client := target.NewEngineClient(nil)
+		d, err := dispatch.New(dispatch.Options{Config: f.view.Index, Engines: client, StallTimeout: 200 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		pollers := target.NewPollers(target.PollerOptions{Client: client, Observer: d, Index: f.view.Index, Interval: 20 * time.Millisecond})
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = d.Run(ctx) })
+		running.Go(func() { _ = pollers.Run(ctx) })
+		t.Cleanup(func() { stop(); running.Wait() })
+		f.options.Completer, f.options.Services = d, d
+	})
+	return f, engines
+}
+
+// Guards against a caller that notices an engine's failure: crashes, dropped and
+// stalled connections in the middle of a stream must not change the answer.
+func TestEngineFailuresAreHidden(t *testing.T) {
+	g := NewWithT(t)
+	f, engines := newDispatchFixture(t, 3)
+	want := engine.Text([]byte("hello"), 20, "v1")
+	body := `{"model":"m","prompt":"hello","max_tokens":20,"stream":true}`
+	for _, faults := range []engine.Faults{{}, {CrashAfterTokens: 7}, {DropAfterTokens: 6}, {StallAfterTokens: 15}} {
+		engines[0].SetFaults(faults)
+		engines[1].SetFaults(faults)
+		for range 3 {
+			r := f.do("POST", "/v1/completions", clubKey, body)
+			events := parseEvents(r.body)
+			g.Expect(eventText(events)).To(Equal(want), "%+v: %s", faults, r.body)
+			g.Expect(events[len(events)-1].data).To(Equal("[DONE]"))
+			for i, e := range events[:len(events)-1] {
+				g.Expect(e.id).To(HaveSuffix(":" + strconv.Itoa(i+1)))
+			}
+			whole := f.do("POST", "/v1/completions", clubKey, strings.Replace(body, "true", "false", 1))
+			g.Expect(whole.body).To(ContainSubstring(want), "%+v", faults)
+		}
+	}
+	g.Expect(f.limiter.open).To(BeZero())
+}
+
+// Guards against requests that are rejected although an engine is idle: two of three
+// engines refuse all work and report no load.
+func TestRefusingEnginesArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	f, engines := newDispatchFixture(t, 3)
+	engines[0].SetFaults(engine.Faults{RefuseNotRun: true})
+	engines[1].SetFaults(engine.Faults{RefuseNotRun: true})
+	for i := range 30 {
+		r := f.do("POST", "/v1/completions", clubKey, `{"model":"m","prompt":"hello","max_tokens":2}`)
+		g.Expect(r.status).To(Equal(200), "request %d: %s", i, r.body)
+	}
+}
+
+// Guards against a caller that can't go on at a host after its connection was lost.
+func TestResumeThroughTheDispatcher(t *testing.T) {
+	g := NewWithT(t)
+	f, _ := newDispatchFixture(t, 2)
+	body := `{"model":"m","prompt":"hello","max_tokens":20,"stream":true}`
+	events := parseEvents(f.do("POST", "/v1/completions", clubKey, body).body)
+	rest := f.do("POST", "/v1/completions", clubKey, body, lastEventIDHeader, events[4].id)
+	g.Expect(eventText(events[:5]) + eventText(parseEvents(rest.body))).To(Equal(engine.Text([]byte("hello"), 20, "v1")))
+	g.Expect(rest.body).To(HaveSuffix("data: [DONE]\n\n"))
+	all := f.do("POST", "/v1/completions", clubKey, body, lastEventIDHeader, events[19].id)
+	g.Expect(all.body).To(Equal("data: [DONE]\n\n"))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,8 +123,6 @@
 	c := &call{g: g, w: w, r: r, id: target.RequestIDPrefix + uuid.NewString(), index: g.options.View.Index()}
 	c.credentials = target.NewCredentials(r.Header, c.isKey)
 	w.Header().Set(requestIDHeader, c.id)
-	// The write deadline of a stream would go on to hold for the whole connection.
-	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	g.trackDraining()
 	if err := g.route(c); err != nil {
 		c.refuse(err)
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -21,6 +21,8 @@
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
 	"github.com/sequoiaroad/sequoiaroad/standin/relay"
 	"github.com/sequoiaroad/sequoiaroad/standin/service"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"pgregory.net/rapid"
 )
 
@@ -206,7 +208,10 @@
 // targets, logs and error bodies.
 func TestTheKeyStaysInside(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(t, nil)
+	spans := tracetest.NewSpanRecorder()
+	f := newFixture(t, func(f *fixture) {
+		f.options.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	})
 	encoded := base64.StdEncoding.EncodeToString([]byte("user:" + clubKey))
 	for _, route := range []string{"/services/booking/echo", bookings} {
 		r := f.do("POST", route+"?key="+clubKey+"&a=1&b="+encoded+"&c="+url.QueryEscape("x "+clubKey), clubKey, "{}",
@@ -219,6 +224,15 @@
 	unknown := f.do("GET", "/services/"+clubKey+"/x", clubKey, "")
 	g.Expect(unknown.refusal().Code).To(Equal(refusal.NotFound))
 	g.Expect(unknown.body).NotTo(ContainSubstring(clubKey))
+	request, err := http.NewRequest("PUT", f.url+"/services/booking/echo", io.NopCloser(strings.NewReader("x")))
+	g.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+clubKey)
+	request.Trailer = http.Header{"X-Sum": {"1"}, "X-Leak": {encoded}}
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	last := f.service.Received()[len(f.service.Received())-1]
+	g.Expect(last.Trailer).To(Equal(http.Header{"X-Sum": {"1"}}))
 	f.service.SetFaults(service.Faults{DropAtByte: -1})
 	failed := f.do("GET", "/services/booking/runs?x="+clubKey, clubKey, "")
 	g.Expect(failed.refusal().Run).To(Equal(refusal.Unknown))
@@ -240,6 +254,10 @@
 	}
 	g.Expect(f.logs.String()).NotTo(ContainSubstring(clubKey))
 	g.Expect(f.logs.String()).To(ContainSubstring("request refused"))
+	g.Expect(spans.Ended()).NotTo(BeEmpty())
+	for _, s := range spans.Ended() {
+		g.Expect(fmt.Sprint(s.Name(), s.Attributes(), s.Events(), s.Status())).NotTo(ContainSubstring(clubKey))
+	}
 }
 
 func host(id, zone string, draining, live bool) fleet.HostStatus {
