--- a/internal/gateway/complete_test.go
+++ b/internal/gateway/complete_test.go
@@ -166,11 +166,15 @@
 // must end the stream with an error, whatever the completer says.
 func TestGapsAreErrors(t *testing.T) {
 	g := NewWithT(t)
-	for _, offsets := range [][]int{{1, 3}, {1, 1}, {2}, {1, 2}} {
+	for _, offsets := range [][]int{{1, 3}, {1, 1}, {1, 3, 4}, {2}, {1, 2}, {}} {
 		f := newFixture(t, func(f *fixture) {
 			f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, sink func(dispatch.Token) error) error {
-				for _, o := range offsets {
-					_ = sink(scriptToken(o, "x", ""))
+				for i, o := range offsets {
+					finish := ""
+					if i == len(offsets)-1 && o != 2 {
+						finish = "length"
+					}
+					_ = sink(scriptToken(o, "x", finish))
 				}
 				return nil
 			})
@@ -248,6 +252,18 @@
 	g.Expect(f.limiter.open).To(BeZero())
 }
 
+// Guards against a stream's write deadline that outlives it and breaks later requests
+// of the same connection.
+func TestConnectionOutlivesAStream(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) { f.options.WriteTimeout = 100 * time.Millisecond })
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody).body).To(ContainSubstring("[DONE]"))
+	time.Sleep(150 * time.Millisecond)
+	r := f.do("POST", "/v1/completions", clubKey, "{")
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.refusal().Code).To(Equal(refusal.InvalidRequest))
+}
+
 // Guards against memory that grows while a caller does not read, and against a stream
 // that a caller holds for ever.
 func TestSlowCallerIsBounded(t *testing.T) {
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -4,20 +4,25 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
 	"github.com/sequoiaroad/sequoiaroad/standin/relay"
 	"github.com/sequoiaroad/sequoiaroad/standin/service"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"pgregory.net/rapid"
 )
 
@@ -136,7 +141,7 @@
 	f.view.set(func(v *testView) { v.withdrawn["k1"] = true })
 	r := <-answer
 	g.Expect(r.refusal()).To(code(refusal.KeyWithdrawn, refusal.Done))
-	g.Expect(r.body).NotTo(ContainSubstring("b2"))
+	g.Expect(r.body).NotTo(ContainSubstring("booking_id"))
 	g.Expect(f.registry.state("club/booking/i2")).To(Equal("done"))
 }
 
@@ -153,6 +158,26 @@
 	g.Expect(f.do("GET", "/services/booking/runs", clubKey, "").refusal().Run).To(Equal(refusal.Unknown))
 }
 
+// Guards against a booking on a reused connection, on which net/http repeats a request
+// with an Idempotency-Key after the target closed it.
+func TestBookingIsNotRepeatedOnAReusedConnection(t *testing.T) {
+	g := NewWithT(t)
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if calls.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	f := newFixture(t, func(f *fixture) { f.chooser.replicas = []*config.Target{{ID: "r", URL: server.URL}} })
+	send := func(key string) reply { return f.do("POST", bookings, clubKey, "", idempotencyKeyHeader, key) }
+	g.Expect(send("i1").status).To(Equal(http.StatusOK))
+	g.Expect(send("i2").refusal()).To(code(refusal.TargetFailed, refusal.Unknown))
+	g.Expect(calls.Load()).To(Equal(int32(2)))
+}
+
 // Guards against a path that the route table and the target read differently, which
 // would reach a keyed route through an open one.
 func TestAmbiguousPathsAreRejected(t *testing.T) {
@@ -183,7 +208,10 @@
 // targets, logs and error bodies.
 func TestTheKeyStaysInside(t *testing.T) {
 	g := NewWithT(t)
-	f := newFixture(t, nil)
+	spans := tracetest.NewSpanRecorder()
+	f := newFixture(t, func(f *fixture) {
+		f.options.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	})
 	encoded := base64.StdEncoding.EncodeToString([]byte("user:" + clubKey))
 	for _, route := range []string{"/services/booking/echo", bookings} {
 		r := f.do("POST", route+"?key="+clubKey+"&a=1&b="+encoded+"&c="+url.QueryEscape("x "+clubKey), clubKey, "{}",
@@ -193,10 +221,25 @@
 	}
 	f.do("POST", "/v1/completions", clubKey, `{"model":"m","prompt":"my key is `+clubKey+`","api_key":"`+clubKey+`","user":"`+encoded+`"}`)
 	f.do("POST", "/v1/completions", clubKey, `{"model":"`+clubKey+`","prompt":"x"}`)
-	f.do("GET", "/services/"+clubKey+"/x", clubKey, "")
+	unknown := f.do("GET", "/services/"+clubKey+"/x", clubKey, "")
+	g.Expect(unknown.refusal().Code).To(Equal(refusal.NotFound))
+	g.Expect(unknown.body).NotTo(ContainSubstring(clubKey))
+	request, err := http.NewRequest("PUT", f.url+"/services/booking/echo", io.NopCloser(strings.NewReader("x")))
+	g.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+clubKey)
+	request.Trailer = http.Header{"X-Sum": {"1"}, "X-Leak": {encoded}}
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	last := f.service.Received()[len(f.service.Received())-1]
+	g.Expect(last.Trailer).To(Equal(http.Header{"X-Sum": {"1"}}))
 	f.service.SetFaults(service.Faults{DropAtByte: -1})
 	failed := f.do("GET", "/services/booking/runs?x="+clubKey, clubKey, "")
 	g.Expect(failed.refusal().Run).To(Equal(refusal.Unknown))
+	f.limiter.err = refusal.New(refusal.RateLimited, "%s is over its limit", clubKey).WithCause(errors.New("bucket of " + clubKey))
+	limited := f.do("GET", "/services/booking/runs", clubKey, "")
+	g.Expect(limited.refusal().Code).To(Equal(refusal.RateLimited))
+	g.Expect(limited.body).NotTo(ContainSubstring(clubKey))
 
 	for _, r := range f.service.Received() {
 		text := fmt.Sprint(r)
@@ -211,6 +254,10 @@
 	}
 	g.Expect(f.logs.String()).NotTo(ContainSubstring(clubKey))
 	g.Expect(f.logs.String()).To(ContainSubstring("request refused"))
+	g.Expect(spans.Ended()).NotTo(BeEmpty())
+	for _, s := range spans.Ended() {
+		g.Expect(fmt.Sprint(s.Name(), s.Attributes(), s.Events(), s.Status())).NotTo(ContainSubstring(clubKey))
+	}
 }
 
 func host(id, zone string, draining, live bool) fleet.HostStatus {
@@ -246,6 +293,22 @@
 	g.Expect(f.do("GET", "/healthz", "", "").status).To(Equal(http.StatusOK))
 }
 
+// Guards against requests that a host takes after it has stopped counting them, and
+// against refusals before that.
+func TestHostDecidesWhenToRefuse(t *testing.T) {
+	g := NewWithT(t)
+	var refusing atomic.Bool
+	f := newFixture(t, func(f *fixture) {
+		f.draining, f.options.Refusing, f.options.LocatorTTL = true, refusing.Load, time.Millisecond
+	})
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").status).To(Equal(http.StatusOK))
+	time.Sleep(10 * time.Millisecond)
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").status).To(Equal(http.StatusOK))
+	refusing.Store(true)
+	g.Expect(f.do("GET", "/v1/models", clubKey, "").refusal()).To(code(refusal.HostDraining, refusal.NotRun))
+	g.Expect(f.do("GET", "/services/booking/echo", "", "").refusal()).To(code(refusal.HostDraining, refusal.NotRun))
+}
+
 // Guards against a refused key that is answered like a missing one, and against a new
 // key being called invalid by a host that can't know it yet.
 func TestKeys(t *testing.T) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -72,7 +72,6 @@
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
-	api        *gateway.Gateway
 	callerAPI  http.Handler
 	admin      http.Handler
 
@@ -240,15 +239,15 @@
 
 func (h *Host) buildAPIs() error {
 	s := &h.options.Settings
-	h.api = gateway.New(gateway.Options{
+	api := gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
 		ServiceClient: target.NewServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
-		DrainGrace: s.DrainGrace, Draining: h.stop.draining, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(h.api))
+	mux.Handle("/", h.stop.count(api))
 	h.callerAPI = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
