--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -179,7 +179,7 @@
 }
 
 func (h *Host) connectTargets() (err error) {
-	engines := target.NewEngineClient(h.options.WrapTransport)
+	engines := target.NewWrappedEngineClient(h.options.WrapTransport)
 	h.dispatcher, err = dispatch.New(dispatch.Options{
 		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
 		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
@@ -235,7 +235,7 @@
 	s := &h.options.Settings
 	api := gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
-		ServiceClient: target.NewServiceClient(h.options.WrapTransport),
+		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
 		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
--- a/internal/load/deployment.go
+++ b/internal/load/deployment.go
@@ -59,13 +59,13 @@
 		Name: "inkono", service: "booking", serviceReplicas: 3,
 		zones:        []zone{{"kigali-a", "kigali", 4, 3}, {"kigali-b", "kigali", 3, 2}, {"musanze-a", "musanze", 2, 2}},
 		betweenZones: 500 * time.Microsecond, betweenRegions: 8 * time.Millisecond, toCallers: 3 * time.Millisecond,
-		linkBytesPerSecond: linkRate, requestsPerSecond: 150, manuals: 38,
+		linkBytesPerSecond: linkRate, requestsPerSecond: 190, manuals: 38,
 	},
 	{
 		Name: "lanna", service: "printing", serviceReplicas: 3,
 		zones:        []zone{{"cnx-a", "th-north", 5, 3}, {"cnx-b", "th-north", 5, 2}, {"kkc-a", "th-northeast", 4, 2}},
 		betweenZones: 1500 * time.Microsecond, betweenRegions: 8 * time.Millisecond, toCallers: time.Millisecond,
-		linkBytesPerSecond: linkRate, requestsPerSecond: 230, manuals: 60,
+		linkBytesPerSecond: linkRate, requestsPerSecond: 290, manuals: 60,
 	},
 }
 
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -30,9 +30,12 @@
 	client *http.Client
 }
 
-// NewEngineClient returns a client that reuses connections. wrap, if not nil, wraps
-// its transport.
-func NewEngineClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPEngineClient {
+// NewEngineClient returns a client that reuses connections.
+func NewEngineClient() *HTTPEngineClient { return NewWrappedEngineClient(nil) }
+
+// NewWrappedEngineClient is NewEngineClient with a wrapper for its transport; nil means
+// none.
+func NewWrappedEngineClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPEngineClient {
 	return &HTTPEngineClient{httpClient(wrapped(newTransport(true), wrap))}
 }
 
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -59,9 +59,12 @@
 	once   *http.Client
 }
 
-// NewServiceClient returns a client that reuses connections for repeatable calls. wrap,
-// if not nil, wraps its transports.
-func NewServiceClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPServiceClient {
+// NewServiceClient returns a client that reuses connections for repeatable calls.
+func NewServiceClient() *HTTPServiceClient { return NewWrappedServiceClient(nil) }
+
+// NewWrappedServiceClient is NewServiceClient with a wrapper for its transports; nil
+// means none.
+func NewWrappedServiceClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPServiceClient {
 	return &HTTPServiceClient{httpClient(wrapped(newTransport(true), wrap)), httpClient(wrapped(newTransport(false), wrap))}
 }
 
