--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -47,7 +47,7 @@
 	}
 	index := config.NewIndex(document)
 	current := func() *config.Index { return index }
-	client := target.NewEngineClient(nil)
+	client := target.NewEngineClient()
 	d, err := New(Options{Config: current, Engines: client, Policy: policy, StallTimeout: 300 * time.Millisecond, IndexBlocks: 100_000})
 	if err != nil {
 		panic(err)
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -64,7 +64,7 @@
 	resume  *dispatch.StreamPosition
 	// reservation is nil after a renewal that found no tokens.
 	reservation quota.Reservation
-	created int64
+	created     int64
 	// offset counts the tokens that the caller has or that were taken for it in this
 	// call, which began at start.
 	offset int
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -31,7 +31,7 @@
 			})
 		}
 		f.view.index = config.NewIndex(document)
-		client := target.NewEngineClient(nil)
+		client := target.NewEngineClient()
 		d, err := dispatch.New(dispatch.Options{Config: f.view.Index, Engines: client, StallTimeout: 200 * time.Millisecond})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -329,8 +329,8 @@
 		Targets: []config.Target{*f.replicas[0], *f.replicas[1]},
 	})
 	f.options = Options{
-		View: f.view, Limiter: f.limiter, Services: f.chooser, Claims: f.registry, ServiceClient: target.NewServiceClient(nil),
-		Completer:    &testCompleter{target.NewEngineClient(nil), &config.Target{ID: "e1", URL: engineServer.URL}},
+		View: f.view, Limiter: f.limiter, Services: f.chooser, Claims: f.registry, ServiceClient: target.NewServiceClient(),
+		Completer:    &testCompleter{target.NewEngineClient(), &config.Target{ID: "e1", URL: engineServer.URL}},
 		StreamSecret: []byte("secret"), DefaultDeadline: func() time.Duration { return 10 * time.Second },
 		Logger:   hclog.New(&hclog.LoggerOptions{Output: f.logs, Level: hclog.Trace}),
 		Draining: func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.draining },
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -65,7 +65,7 @@
 	g := NewWithT(t)
 	e := engine.New(engine.Options{WeightsVersion: "v1"})
 	to := serve(t, e)
-	client := target.NewEngineClient(nil)
+	client := target.NewEngineClient()
 	stream, err := client.Complete(t.Context(), to, request("r1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(stream.Epoch()).To(Equal(e.Epoch()))
@@ -91,7 +91,7 @@
 	e := engine.New(engine.Options{})
 	to := serve(t, e)
 	e.SetFaults(engine.Faults{WrongID: true})
-	stream, err := target.NewEngineClient(nil).Complete(t.Context(), to, request("r1"))
+	stream, err := target.NewEngineClient().Complete(t.Context(), to, request("r1"))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer stream.Close()
 	event, err := stream.Next()
@@ -103,7 +103,7 @@
 // connection proves it.
 func TestNotRunIsProved(t *testing.T) {
 	g := NewWithT(t)
-	client := target.NewEngineClient(nil)
+	client := target.NewEngineClient()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(listener.Close()).To(Succeed())
@@ -135,7 +135,7 @@
 	g := NewWithT(t)
 	s := service.New(service.Options{})
 	r, to := relayTo(t, serve(t, s))
-	client := target.NewServiceClient(nil)
+	client := target.NewServiceClient()
 	call := func(id string) error {
 		_, err := client.Call(t.Context(), to, &target.ServiceRequest{
 			RequestID: "sr-1", Method: http.MethodPost, Path: "/bookings", Once: true, Body: []byte(`{"booking_id":"` + id + `"}`),
@@ -188,7 +188,7 @@
 		}
 		_, _ = io.WriteString(w, "{}")
 	}))
-	client := target.NewServiceClient(nil)
+	client := target.NewServiceClient()
 	call := &target.ServiceRequest{RequestID: "sr-1", Method: http.MethodPost, Path: "/", Once: true, Header: http.Header{"Idempotency-Key": {"k"}}}
 	_, err := client.Call(t.Context(), to, call)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -203,7 +203,7 @@
 	s := service.New(service.Options{})
 	refused := errors.New("refused")
 	for _, once := range []bool{true, false} {
-		_, err := target.NewServiceClient(nil).Call(t.Context(), serve(t, s), &target.ServiceRequest{
+		_, err := target.NewServiceClient().Call(t.Context(), serve(t, s), &target.ServiceRequest{
 			RequestID: "sr-1", Method: http.MethodPost, Path: "/bookings", Once: once, BeforeWrite: func() error { return refused },
 		})
 		g.Expect(callError(g, err).NotRun).To(BeTrue())
@@ -217,7 +217,7 @@
 	g := NewWithT(t)
 	s := service.New(service.Options{})
 	to := serve(t, s)
-	client := target.NewServiceClient(nil)
+	client := target.NewServiceClient()
 	get := func(to *config.Target) (*target.ServiceResponse, error) {
 		return client.Call(t.Context(), to, &target.ServiceRequest{RequestID: "sr-1.1", Method: http.MethodGet, Path: "/runs"})
 	}
@@ -246,7 +246,7 @@
 func TestErrorsDoNotNameTheURL(t *testing.T) {
 	g := NewWithT(t)
 	to := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
-	_, err := target.NewServiceClient(nil).Call(t.Context(), to, &target.ServiceRequest{RequestID: "sr-1", Method: http.MethodGet, Path: "/x", RawQuery: "q=secret"})
+	_, err := target.NewServiceClient().Call(t.Context(), to, &target.ServiceRequest{RequestID: "sr-1", Method: http.MethodGet, Path: "/x", RawQuery: "q=secret"})
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(err.Error()).NotTo(ContainSubstring("secret"))
 }
@@ -274,7 +274,7 @@
 	var changed func()
 	o := &observer{}
 	pollers := target.NewPollers(target.PollerOptions{
-		Client: target.NewEngineClient(nil), Observer: o, Index: index.Load, Subscribe: func(f func()) { changed = f },
+		Client: target.NewEngineClient(), Observer: o, Index: index.Load, Subscribe: func(f func()) { changed = f },
 		Interval: 5 * time.Millisecond,
 	})
 	ctx, stop := context.WithCancel(t.Context())
