Stop counting spent grants as outstanding

Cause: a spent grant counted as outstanding until its lapse, which stopped the refill. Change: a holder reports a grant that is spent, expired or given up, with the next request to its issuer or within 250 ms; the issuer then counts it as spent. Tokens refunded to a reported grant go back to the issuer. A written history shows that spending them again would exceed the limits.

--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -27,6 +27,7 @@
 		return nil, errors.Wrapf(err, "decode grant request of host %s", from.HostID)
 	}
 	reply := &GrantReply{Revision: m.Revision, Answers: make([]GrantAnswer, len(m.Asks))}
+	l.takeBack(m.Returned)
 	for i, ask := range m.Asks {
 		reply.Answers[i] = l.answer(m.Revision, ask)
 	}
@@ -70,7 +71,12 @@
 	if err := msgpack.Unmarshal(request.Body, &m); err != nil {
 		return nil, errors.Wrapf(err, "decode grant return of host %s", from.HostID)
 	}
-	for _, r := range m.Returned {
+	l.takeBack(m.Returned)
+	return &GrantReturnAck{}, nil
+}
+
+func (l *FleetLimiter) takeBack(returned []ReturnedTokens) {
+	for _, r := range returned {
 		a, now, _, err := l.lockCurrent(r.Account)
 		if err != nil {
 			continue
@@ -81,7 +87,6 @@
 		}
 		a.mu.Unlock()
 	}
-	return &GrantReturnAck{}, nil
 }
 
 // ask requests grants for the waiters of an account: all that the first one lacks
@@ -112,7 +117,9 @@
 		if rank > 0 {
 			ask.Need, ask.Want = 0, need-result.lent
 		}
-		request := &GrantRequest{Revision: revision, Asks: []GrantAsk{ask}}
+		request := &GrantRequest{
+			Revision: revision, Asks: []GrantAsk{ask}, Returned: l.returnsTo(a, homes[rank].InnerAddress),
+		}
 		if answers := l.request(homes[rank], request, timeout); answers != nil {
 			result.add(rank, answers[0])
 		}
@@ -120,6 +127,22 @@
 	l.finishAsk(a, result)
 }
 
+// returnsTo collects the account's returns to one issuer. If the message fails, their
+// tokens count as spent.
+func (l *FleetLimiter) returnsTo(a *account, issuer string) []ReturnedTokens {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var returned []ReturnedTokens
+	for _, r := range a.state.Holder().ReturnsTo(l.clock(), issuer) {
+		returned = append(returned, returnedTokens(a.id, r))
+	}
+	return returned
+}
+
+func returnedTokens(accountID string, r limit.Return) ReturnedTokens {
+	return ReturnedTokens{Account: accountID, Epoch: r.ID.Epoch, Number: r.ID.Number, Total: r.Total}
+}
+
 // askResult sums up the answers of the homes.
 type askResult struct {
 	need, lent int64
@@ -275,9 +298,7 @@
 				m = &GrantReturn{}
 				messages[r.Issuer] = m
 			}
-			m.Returned = append(m.Returned, ReturnedTokens{
-				Account: a.id, Epoch: r.ID.Epoch, Number: r.ID.Number, Total: r.Total,
-			})
+			m.Returned = append(m.Returned, returnedTokens(a.id, r))
 		}
 	}
 	return messages
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -35,6 +35,8 @@
 type GrantRequest struct {
 	Revision uint64     `msgpack:"r"`
 	Asks     []GrantAsk `msgpack:"k"`
+	// Returned takes effect before the asks.
+	Returned []ReturnedTokens `msgpack:"t,omitempty"`
 }
 
 // WireType implements wire.Message.
@@ -61,7 +63,7 @@
 // WireType implements wire.Message.
 func (*GrantReply) WireType() wire.Type { return wire.TypeGrantReply }
 
-// ReturnedTokens names the tokens of one grant that will not be spent.
+// ReturnedTokens ends one grant and names its tokens that will not be spent.
 type ReturnedTokens struct {
 	Account string `msgpack:"a"`
 	Epoch   uint64 `msgpack:"e"`
@@ -71,7 +73,7 @@
 	Total int64 `msgpack:"t"`
 }
 
-// GrantReturn gives unspent tokens back to the home that granted them.
+// GrantReturn ends grants and gives unspent tokens back to the home that granted them.
 type GrantReturn struct {
 	Returned []ReturnedTokens `msgpack:"k"`
 }
--- a/policy/limit/holder.go
+++ b/policy/limit/holder.go
@@ -25,11 +25,12 @@
 	// returned counts the tokens that will never be spent.
 	returned int64
 	queued   bool // in the holder's returns
-	// dropped says that the holder no longer spends the grant.
+	// dropped says that the holder no longer spends the grant, as it has told or
+	// will tell the issuer. Tokens refunded to it go back to the issuer.
 	dropped bool
 }
 
-// Return names the tokens of a grant that will not be spent.
+// Return ends a grant and names the tokens that will not be spent.
 type Return struct {
 	Issuer string
 	ID     GrantID
@@ -82,11 +83,14 @@
 
 // giveUp marks tokens of a grant as never to be spent.
 func (h *Holder) giveUp(g *Grant, tokens int64) {
-	if tokens <= 0 {
-		return
-	}
 	g.free -= tokens
 	g.returned += tokens
+	h.queue(g)
+}
+
+// queue reports a dropped grant to its issuer. That of a spent grant matters too: it
+// stops counting as outstanding, so that refill can go on.
+func (h *Holder) queue(g *Grant) {
 	if !g.queued && len(h.returns) < maxQueuedReturns {
 		g.queued = true
 		h.returns = append(h.returns, g)
@@ -117,6 +121,12 @@
 		tokens -= n
 		parts = append(parts, part{grant: g, tokens: n})
 	}
+	h.grants = slices.DeleteFunc(h.grants, func(g *Grant) bool {
+		if g.free == 0 {
+			h.drop(g)
+		}
+		return g.dropped
+	})
 	return parts
 }
 
@@ -139,12 +149,25 @@
 		}
 		h.grants = nil
 	}
-	due := make([]Return, 0, len(h.returns))
-	for _, g := range h.returns {
+	return h.takeReturns(func(*Grant) bool { return true })
+}
+
+// ReturnsTo hands over the returns that are due to one issuer.
+func (h *Holder) ReturnsTo(now time.Time, issuer string) []Return {
+	h.expire(now)
+	return h.takeReturns(func(g *Grant) bool { return g.Issuer == issuer })
+}
+
+func (h *Holder) takeReturns(chosen func(*Grant) bool) []Return {
+	var due []Return
+	h.returns = slices.DeleteFunc(h.returns, func(g *Grant) bool {
+		if !chosen(g) {
+			return false
+		}
 		g.queued = false
 		due = append(due, Return{Issuer: g.Issuer, ID: g.ID, Total: g.returned})
-	}
-	h.returns = nil
+		return true
+	})
 	return due
 }
 
--- a/policy/limit/pool.go
+++ b/policy/limit/pool.go
@@ -4,7 +4,7 @@
 
 // maxLapsedGrants bounds how many lapsed grants of a pool can still be refunded.
 // A refund of an older one is lost, which is safe.
-const maxLapsedGrants = 256
+const maxLapsedGrants = 2048
 
 // maxOutstandingGrants bounds the memory of a pool. It covers 350 hosts that ask
 // several times per lifetime.
@@ -41,7 +41,8 @@
 
 	bucket Bucket
 	issued map[uint64]*issuedGrant
-	// outstanding and lapsed are in order of lapse.
+	// outstanding is in order of issue and still has the grants returned early;
+	// lapsed is in order of lapse.
 	outstanding []*issuedGrant
 	lapsed      []*issuedGrant
 	nextNumber  uint64
@@ -82,10 +83,12 @@
 	for len(p.outstanding) > 0 && !p.outstanding[0].lapsesAt.After(now) {
 		g := p.outstanding[0]
 		p.outstanding = p.outstanding[1:]
+		if g.lapsed {
+			continue
+		}
 		p.raiseShare(g.lapsesAt)
 		p.bucket.advance(g.lapsesAt)
-		g.mark, g.lapsed = p.bucket.lapse(float64(g.tokens-g.returned)), true
-		p.keepLapsed(g)
+		p.lapse(g)
 	}
 	p.raiseShare(now)
 	p.bucket.advance(now)
@@ -98,7 +101,9 @@
 	}
 }
 
-func (p *Pool) keepLapsed(g *issuedGrant) {
+// lapse counts what was not returned of a grant as spent.
+func (p *Pool) lapse(g *issuedGrant) {
+	g.mark, g.lapsed = p.bucket.lapse(float64(g.tokens-g.returned)), true
 	p.lapsed = append(p.lapsed, g)
 	if len(p.lapsed) > maxLapsedGrants {
 		delete(p.issued, p.lapsed[0].number)
@@ -142,25 +147,24 @@
 	return GrantID{Epoch: p.epoch, Number: g.number}, tokens, true
 }
 
-// Return takes back tokens of a grant that were not spent. The total counts all
-// tokens returned from the grant so far, so that a repeated or late message
-// returns nothing twice. After its lapse a grant is refunded like a Take.
+// Return takes back the tokens of a grant that were not spent and counts the rest as
+// spent, since the holder spends no more of it. The total counts all tokens returned
+// from the grant so far, so that a repeated or late message returns nothing twice.
+// Tokens returned after that or after the lapse are refunded like those of a Take.
 func (p *Pool) Return(now time.Time, id GrantID, total int64) {
 	p.advance(now)
 	g := p.issued[id.Number]
 	if id.Epoch != p.epoch || g == nil {
 		return
 	}
-	tokens := min(total, g.tokens) - g.returned
-	if tokens <= 0 {
-		return
-	}
+	tokens := max(0, min(total, g.tokens)-g.returned)
 	g.returned += tokens
 	if g.lapsed {
 		p.bucket.Refund(now, g.mark, float64(tokens))
 		return
 	}
 	p.bucket.restore(float64(tokens))
+	p.lapse(g)
 }
 
 // Level returns the available tokens.
--- a/policy/limit/property_test.go
+++ b/policy/limit/property_test.go
@@ -128,6 +128,34 @@
 	g.Expect(history(newAccountDoesNotWait)).NotTo(BeEmpty())
 }
 
+// Guards against a holder that reports a grant as used up and then spends the tokens
+// that a settled request gave back to it.
+func TestReturnedGrantIsNotSpentAgain(t *testing.T) {
+	history := func(f fault) string {
+		s := &simulation{choose: func(n int) int { return min(1, n-1) }, fault: f}
+		owner, holder := s.newProcess("a"), s.newProcess("b")
+		s.processes = []*process{owner, holder}
+		s.revisions = []revision{{limits: Limits{100, 100}, members: []*process{owner}}}
+		s.apply(owner, 0)
+		s.apply(holder, 0)
+		s.now += 10 * time.Second
+		s.renewAll()
+		s.answer(owner, holder, 0, 100, 100, s.clock(holder))
+		s.deliver()
+		s.reserve(holder, 0)
+		s.sendReturns(holder)
+		s.deliver()
+		s.now += 900 * time.Millisecond
+		s.settle(holder)
+		s.reserve(owner, 0)
+		s.reserve(holder, 0)
+		return s.violation
+	}
+	g := NewWithT(t)
+	g.Expect(history(noFault)).To(BeEmpty())
+	g.Expect(history(returnedGrantIsReused)).NotTo(BeEmpty())
+}
+
 // Guards against a clock at the drift bound that refills above the account's rate.
 func TestFastClockStaysWithinRate(t *testing.T) {
 	start := time.Unix(1000, 0)
