--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -76,14 +76,10 @@
 // choose takes the least excluded candidates: a reinstating or ejected target is used
 // only if no other is left, a leaving or tried one never.
 func (r *Router) choose(q *Query) (int, string) {
-	least := Leaving
-	for i := range r.candidates {
-		least = min(least, r.candidates[i].Excluded)
-	}
-	if least >= Tried {
+	if r.least >= Tried {
 		return -1, ""
 	}
-	return r.policy.Choose(&Prompt{Chain: q.Chain, Key: q.Key}, r.candidates, least)
+	return r.policy.Choose(&Prompt{Chain: q.Chain, Key: q.Key}, r.candidates, r.least)
 }
 
 // Explained is a candidate for display.
@@ -122,6 +118,7 @@
 	r.expectPending(q, prompt, now)
 	linkSeconds := float64(q.PromptBytes) / r.link.Rate
 	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
+	r.least = Leaving
 	at := r.clock(now)
 	weights := r.versions[q.Weights]
 	handles := r.byModel[q.Model]
@@ -131,7 +128,10 @@
 		c, s := &r.candidates[i], &r.summaries[handle]
 		cached := r.cached[handle]
 		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
-		run := r.waits[handle]
+		run := int32(0)
+		if len(r.runs) > 0 {
+			run = r.waits[handle]
+		}
 		if c.waits = run > 0; c.waits {
 			cached = int32(r.runs[run-1].end * blockTokens)
 			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
@@ -156,6 +156,7 @@
 		} else if len(q.Tried) > 0 && q.Tried[r.replicas[handle].id] {
 			c.Excluded = Tried
 		}
+		r.least = min(r.least, c.Excluded)
 	}
 	for _, m := range r.matches {
 		r.cached[m.Handle] = 0
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -50,6 +50,8 @@
 	Excluded         Exclusion
 	// waits says that Cached includes blocks that another request computes now.
 	waits bool
+	// cost is the policy's own figure.
+	cost float64
 	// Hash is the hash of the target's id for rendezvous hashing.
 	Hash                          uint64
 	Network, Queue, Prefill, Load float64
@@ -127,7 +129,8 @@
 		if c.Excluded > max {
 			continue
 		}
-		cost := p.cost(c)
+		c.cost = p.cost(c)
+		cost := c.cost
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -143,7 +146,7 @@
 	}
 	tie := bestCost + p.tie(&candidates[best])
 	chosen := p.agree(candidates, max, best, prompt.key(blocksOf(candidates[best].Cached)), func(c *Candidate) bool {
-		return c.Cached == candidates[best].Cached && p.cost(c) <= tie
+		return c.Cached == candidates[best].Cached && c.cost <= tie
 	})
 	if candidates[chosen].Cached > 0 {
 		return chosen, "longest cached prefix in the least time"
@@ -156,9 +159,9 @@
 // requests that share the hot prefix spill to the same target.
 func (p *predictedTTFT) spill(prompt *Prompt, candidates []Candidate, max Exclusion, best, warm int) (int, string) {
 	key := prompt.key(blocksOf(candidates[warm].Cached) - 1)
-	limit := min(p.cost(&candidates[warm]), p.cost(&candidates[best])+p.tie(&candidates[best]))
+	limit := min(candidates[warm].cost, candidates[best].cost+p.tie(&candidates[best]))
 	chosen := p.agree(candidates, max, best, key, func(c *Candidate) bool {
-		return c.Cached >= candidates[best].Cached && p.cost(c) <= limit
+		return c.Cached >= candidates[best].Cached && c.cost <= limit
 	})
 	return chosen, "the warm target's queue takes longer than a recomputation"
 }
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -103,6 +103,7 @@
 	matches    []prefix.Match
 	cached     []int32 // by handle, in tokens; zero between choices
 	candidates []Candidate
+	least      Exclusion // the lowest among the candidates
 	// runs are the pending prefills of the query in progress; waits holds, by handle,
 	// the position after the run that the target computes, or zero.
 	runs  []pendingRun
