Refuse early only on a learned prefill cost

Cause: right after a start the assumed prefill cost can be ten times too high; with it a long prompt with a short deadline would be refused although the fleet has capacity.

Change: without a measured cost the prediction is no ground for a refusal; the deadline itself still ends the request. The test now learns a cost first, and checks in addition that an unlearned one refuses nothing.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/target"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 // Guards against skipped, repeated or foreign tokens: whatever events come from
@@ -154,8 +155,13 @@
 	_, err = f.d.Complete(ctx, &Completion{Model: "other"}, sink)
 	expectRefusal(g, err, refusal.NotFound, refusal.NotRun)
 
+	// Only a learned prefill cost is a ground for an early refusal.
 	late := completion("a", 100)
 	late.Deadline = time.Now().Add(time.Second)
+	unlearned := newFixture(1)
+	_, err = unlearned.d.Complete(ctx, late, sink)
+	g.Expect(err).NotTo(HaveOccurred())
+	f.d.router.ImportLearned([]routing.Learned{{TargetID: "t0", TokenCost: 0.0001}, {TargetID: "t1", TokenCost: 0.0001}}, time.Now())
 	_, err = f.d.Complete(ctx, late, sink)
 	expectRefusal(g, err, refusal.DeadlineUnreachable, refusal.NotRun)
 
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -165,6 +165,9 @@
 	}
 	end(nil)
 	predicted := time.Duration(decision.Predicted * float64(time.Second))
+	if !decision.Learned {
+		predicted = 0 // a default is no ground to refuse a request
+	}
 	if !r.c.Deadline.IsZero() && now.Add(predicted).After(r.c.Deadline) {
 		return queued{}, r.unreachable(predicted)
 	}
@@ -173,7 +176,7 @@
 		waiting := make(chan struct{})
 		d.prefills[decision.WaitFor] = append(d.prefills[decision.WaitFor], waiting)
 		l.prefillWaiters++
-		return queued{lane: l, prefill: waiting, computes: decision.WaitFor, patience: predicted + prefillGrace}, nil
+		return queued{lane: l, prefill: waiting, computes: decision.WaitFor, patience: time.Duration(decision.Predicted*float64(time.Second)) + prefillGrace}, nil
 	}
 	w := &waiter{flight: d.router.Begin(query, decision, now), over: r.over, answer: make(chan answer, 1)}
 	d.nextItem++
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -38,8 +38,11 @@
 	WaitFor uint64
 	// Predicted is the predicted time to first token in seconds.
 	Predicted float64
-	network   float64
-	replica   *replica
+	// Learned says that the prediction rests on measurements. Without any, it is no
+	// ground to refuse a request.
+	Learned bool
+	network float64
+	replica *replica
 }
 
 // Choose returns the target for a request, or false if none can take it.
@@ -56,6 +59,7 @@
 		Predicted: c.Total(), network: c.Network, replica: r.replicas[c.Handle],
 	}
 	d.TargetID = d.replica.id
+	d.Learned = d.replica.estimator.Learned()
 	d.Claim.Sequence = r.index.Sequence(d.TargetID)
 	if c.waits && r.policy.Name() == PredictedTTFT {
 		d.WaitFor = r.runs[r.waits[c.Handle]-1].owner
