--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -49,6 +50,9 @@
 	Settings  settings.Host
 	Platform  Platform
 	Telemetry *telemetry.Telemetry
+	// WrapTransport wraps the transports to targets, for example to add the delays of
+	// a network; nil means none.
+	WrapTransport func(http.RoundTripper) http.RoundTripper
 }
 
 // Host is the router process of one host.
@@ -68,9 +72,10 @@
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
-	gateway    http.Handler
+	callerAPI  http.Handler
 	admin      http.Handler
 
+	restored  atomic.Bool
 	stop      stopState
 	drainOnce sync.Once
 	drain     chan struct{}
@@ -176,7 +181,7 @@
 }
 
 func (h *Host) connectTargets() (err error) {
-	engines := target.NewEngineClient()
+	engines := target.NewWrappedEngineClient(h.options.WrapTransport)
 	h.dispatcher, err = dispatch.New(dispatch.Options{
 		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
 		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
@@ -203,7 +208,11 @@
 		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
 		Target: h.targetByID, Logger: h.logger.Named("orders"),
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	h.fleet.RegisterSnapshot(snapshotName, h.dispatcher.Snapshot, h.restoreSnapshot)
+	return nil
 }
 
 // emptyIndex stands for the configuration until one is applied.
@@ -232,14 +241,14 @@
 	s := &h.options.Settings
 	api := gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
-		ServiceClient: target.NewServiceClient(),
+		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
-		Draining: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
 	mux.Handle("/", h.stop.count(api))
-	h.gateway = mux
+	h.callerAPI = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
 		Orders: &orderAdapter{service: h.orders}, Drain: h.Drain, Logger: h.logger,
@@ -281,7 +290,8 @@
 	h.addTask(&group, "pollers", h.pollers.Run)
 	h.addTask(&group, "claims", h.claims.Run)
 	h.addTask(&group, "target list", h.watchLeavingTargets)
-	h.addServer(&group, "caller server", h.callerListener, h.gateway)
+	h.addTask(&group, "snapshots", h.keepSnapshots)
+	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
 	h.addServer(&group, "admin server", h.adminListener, h.admin)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -16,8 +16,9 @@
 
 // stopState counts running requests and says when new ones are refused.
 type stopState struct {
-	refuse  atomic.Bool
-	running atomic.Int64
+	draining atomic.Bool
+	refuse   atomic.Bool
+	running  atomic.Int64
 }
 
 func (s *stopState) refusing() bool { return s.refuse.Load() }
@@ -26,13 +27,17 @@
 // refuses do not delay its stop.
 func (s *stopState) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			// Without it a caller could send on a kept connection just when the stop
+			// closes it, and could not tell whether its request ran.
+			w.Header().Set("Connection", "close")
+		}
 		s.running.Add(1)
-		if !s.refusing() {
+		if s.refusing() {
+			s.running.Add(-1)
+		} else {
 			defer s.running.Add(-1)
-			next.ServeHTTP(w, r)
-			return
 		}
-		s.running.Add(-1)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -50,6 +55,7 @@
 	}
 	s := &h.options.Settings
 	h.logger.Info("planned stop starts", "grace", s.DrainGrace)
+	h.stop.draining.Store(true)
 	h.fleet.SetDraining(true)
 	if !sleep(stopCtx, s.DrainGrace) {
 		return nil
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -31,8 +31,12 @@
 }
 
 // NewEngineClient returns a client that reuses connections.
-func NewEngineClient() *HTTPEngineClient {
-	return &HTTPEngineClient{httpClient(newTransport(true))}
+func NewEngineClient() *HTTPEngineClient { return NewWrappedEngineClient(nil) }
+
+// NewWrappedEngineClient is NewEngineClient with a wrapper for its transport; nil means
+// none.
+func NewWrappedEngineClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPEngineClient {
+	return &HTTPEngineClient{httpClient(wrapped(newTransport(true), wrap))}
 }
 
 // engineFields are the fields of the engine protocol; a caller can't set them.
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -60,8 +60,12 @@
 }
 
 // NewServiceClient returns a client that reuses connections for repeatable calls.
-func NewServiceClient() *HTTPServiceClient {
-	return &HTTPServiceClient{httpClient(newTransport(true)), httpClient(newTransport(false))}
+func NewServiceClient() *HTTPServiceClient { return NewWrappedServiceClient(nil) }
+
+// NewWrappedServiceClient is NewServiceClient with a wrapper for its transports; nil
+// means none.
+func NewWrappedServiceClient(wrap func(http.RoundTripper) http.RoundTripper) *HTTPServiceClient {
+	return &HTTPServiceClient{httpClient(wrapped(newTransport(true), wrap)), httpClient(wrapped(newTransport(false), wrap))}
 }
 
 // plainReader hides the type of a reader, from which net/http would derive a way to
