--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -38,8 +38,11 @@
 	WaitFor uint64
 	// Predicted is the predicted time to first token in seconds.
 	Predicted float64
-	network   float64
-	replica   *replica
+	// Learned says that the prediction rests on measurements. Without any, it is no
+	// ground to refuse a request.
+	Learned bool
+	network float64
+	replica *replica
 }
 
 // Choose returns the target for a request, or false if none can take it.
@@ -56,6 +59,7 @@
 		Predicted: c.Total(), network: c.Network, replica: r.replicas[c.Handle],
 	}
 	d.TargetID = d.replica.id
+	d.Learned = d.replica.estimator.Learned()
 	d.Claim.Sequence = r.index.Sequence(d.TargetID)
 	if c.waits && r.policy.Name() == PredictedTTFT {
 		d.WaitFor = r.runs[r.waits[c.Handle]-1].owner
@@ -76,14 +80,10 @@
 // choose takes the least excluded candidates: a reinstating or ejected target is used
 // only if no other is left, a leaving or tried one never.
 func (r *Router) choose(q *Query) (int, string) {
-	least := Leaving
-	for i := range r.candidates {
-		least = min(least, r.candidates[i].Excluded)
-	}
-	if least >= Tried {
+	if r.least >= Tried {
 		return -1, ""
 	}
-	return r.policy.Choose(&Prompt{Chain: q.Chain, Key: q.Key}, r.candidates, least)
+	return r.policy.Choose(&Prompt{Chain: q.Chain, Key: q.Key}, r.candidates, r.least)
 }
 
 // Explained is a candidate for display.
@@ -122,6 +122,7 @@
 	r.expectPending(q, prompt, now)
 	linkSeconds := float64(q.PromptBytes) / r.link.Rate
 	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
+	r.least = Leaving
 	at := r.clock(now)
 	weights := r.versions[q.Weights]
 	handles := r.byModel[q.Model]
@@ -131,7 +132,10 @@
 		c, s := &r.candidates[i], &r.summaries[handle]
 		cached := r.cached[handle]
 		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
-		run := r.waits[handle]
+		run := int32(0)
+		if len(r.runs) > 0 {
+			run = r.waits[handle]
+		}
 		if c.waits = run > 0; c.waits {
 			cached = int32(r.runs[run-1].end * blockTokens)
 			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
@@ -156,6 +160,7 @@
 		} else if len(q.Tried) > 0 && q.Tried[r.replicas[handle].id] {
 			c.Excluded = Tried
 		}
+		r.least = min(r.least, c.Excluded)
 	}
 	for _, m := range r.matches {
 		r.cached[m.Handle] = 0
