Bound the time of an attempt at a stalled replica and of a slow write

Cause: a stalled replica took half of a lookup's deadline, a minute by default; a response that is not streamed was written under one deadline or none.

Change: AttemptTimeout, 3 s by default, for all but the last attempt at an idempotent call; bodies are written in parts of 64 KiB with a deadline each.

Ruled out: one deadline in proportion to the length, which needs a guess of the slowest caller's rate.

After: a caller that reads 7 MiB in 0.9 s gets all of it with a write timeout of 0.4 s; with one part for all, the test fails with an unexpected EOF.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,6 +21,7 @@
 	timeoutHeader     = "Request-Timeout-Ms"
 	maxRequestTimeout = 24 * time.Hour
 	bodyReadTimeout   = 30 * time.Second
+	writePartBytes    = 64 << 10
 )
 
 // call is one request of a caller.
@@ -228,5 +229,19 @@
 	c.w.Header().Set("Content-Type", "application/json")
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
-	_, _ = c.w.Write(body) // a caller that is gone gets nothing
+	c.writeBody(body)
+}
+
+// writeBody writes in parts with a deadline for each, so that a slow caller gets a long
+// body and one that takes nothing does not hold it. A caller that is gone can ask again.
+func (c *call) writeBody(body []byte) {
+	control := http.NewResponseController(c.w)
+	for len(body) > 0 {
+		part := body[:min(len(body), writePartBytes)]
+		body = body[len(part):]
+		_ = control.SetWriteDeadline(time.Now().Add(c.g.options.WriteTimeout)) // not every writer has one
+		if _, err := c.w.Write(part); err != nil {
+			return
+		}
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	defaultDeadline        = 2 * time.Minute
 	defaultMaxOutputTokens = 256
 	defaultWriteTimeout    = 15 * time.Second
+	defaultAttemptTimeout  = 3 * time.Second
 	// drainGraceFactor makes the grace outlast every cached answer of the locator.
 	drainGraceFactor = 2
 )
@@ -59,6 +60,9 @@
 	DefaultMaxOutputTokens int
 	// WriteTimeout ends a stream whose caller takes nothing for so long; zero means 15 s.
 	WriteTimeout time.Duration
+	// AttemptTimeout ends an attempt at an idempotent service call, so that a stalled
+	// replica does not use up the caller's time; zero means 3 s.
+	AttemptTimeout time.Duration
 	// Draining reports whether this host is stopping, in which case the locator does not
 	// name it; nil means never.
 	Draining func() bool
@@ -87,6 +91,9 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = defaultWriteTimeout
 	}
+	if o.AttemptTimeout == 0 {
+		o.AttemptTimeout = defaultAttemptTimeout
+	}
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -238,12 +238,13 @@
 // allowSend holds the last checks before the first byte is sent.
 func (s *serviceCall) allowSend() error { return s.mayDispatch(s.reservation) }
 
-// attemptContext leaves half of the time that remains for a further attempt.
+// attemptContext leaves time for a further attempt, and at least half of what remains.
+// The last attempt has all the time that remains, so that a slow service can answer.
 func (s *serviceCall) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if s.attempt+1 >= maxServiceAttempts {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Until(s.deadline)/2)
+	return context.WithTimeout(ctx, min(time.Until(s.deadline)/2, s.g.options.AttemptTimeout))
 }
 
 func failureCode(mayHaveRun bool) refusal.Code {
@@ -287,9 +288,8 @@
 			h[http.TrailerPrefix+name] = values
 		}
 	}
-	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(s.g.options.WriteTimeout))
 	s.w.WriteHeader(status)
-	_, _ = s.w.Write(body) // a caller that is gone can ask again
+	s.writeBody(body)
 }
 
 // serveOnce runs a non-idempotent call at most once. Each turn of the loop has its own
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -178,6 +179,52 @@
 	g.Expect(calls.Load()).To(Equal(int32(2)))
 }
 
+// Guards against a lookup that waits for a stalled replica until its deadline.
+func TestStalledReplicaIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) { f.options.AttemptTimeout = 100 * time.Millisecond })
+	stalled := service.New(service.Options{})
+	stalled.SetFaults(service.Faults{Stall: true})
+	server := httptest.NewServer(stalled)
+	defer server.Close()
+	f.chooser.replicas = append([]*config.Target{{ID: "stalled", URL: server.URL}}, f.replicas...)
+	began := time.Now()
+	g.Expect(f.do("GET", "/services/booking/runs", clubKey, "").body).To(Equal(`{"runs":0}`))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+}
+
+// Guards against a long response that a slow caller does not get whole.
+func TestSlowCallerGetsALongResponse(t *testing.T) {
+	g := NewWithT(t)
+	long := strings.Repeat("x", 7<<20)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, long) }))
+	defer server.Close()
+	f := newFixture(t, func(f *fixture) { f.options.WriteTimeout = 400 * time.Millisecond })
+	f.chooser.replicas = []*config.Target{{ID: "r", URL: server.URL}}
+	request, err := http.NewRequest("GET", f.url+"/services/booking/runs", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+clubKey)
+	narrow := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			err = conn.(*net.TCPConn).SetReadBuffer(16 << 10) // otherwise the kernel takes most of the response
+		}
+		return conn, err
+	}}
+	defer narrow.CloseIdleConnections()
+	response, err := narrow.RoundTrip(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	total, part := 0, make([]byte, 400<<10)
+	for err == nil {
+		var n int
+		n, err = io.ReadFull(response.Body, part)
+		total += n
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Expect(total).To(Equal(len(long)), "%v", err)
+}
+
 // Guards against a path that the route table and the target read differently, which
 // would reach a keyed route through an open one.
 func TestAmbiguousPathsAreRejected(t *testing.T) {
