--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,8 +157,7 @@
 	return refusal.New(refusal.NotFound, "there is nothing at this path")
 }
 
-// trackDraining notes when draining began. The grace counts from the first request
-// that saw it, which can only lengthen it.
+// trackDraining notes when draining was first seen, from which the grace counts.
 func (g *Gateway) trackDraining() {
 	if !g.options.Draining() {
 		g.drainingSince.Store(0)
