Test the renewal of a reservation after a wait

Cause: the renewal had no test, and a second question after a failed renewal dereferenced a reservation that was given up.

Change: a test of the charge after a renewal and after a failed one; a missing reservation is reserved anew.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -174,10 +174,12 @@
 // renewReservation reserves again after a long wait in the queue, so that tokens count
 // when they are used and a wait of the system's own making refuses nothing.
 func (r *completionRun) renewReservation() error {
-	if r.reservation.Valid() {
-		return nil
+	if r.reservation != nil {
+		if r.reservation.Valid() {
+			return nil
+		}
+		r.reservation.Settle(0)
 	}
-	r.reservation.Settle(0)
 	renewed, err := r.reserve(r.tokensToReserve())
 	r.reservation = renewed
 	return err
--- a/internal/gateway/complete_test.go
+++ b/internal/gateway/complete_test.go
@@ -252,6 +252,31 @@
 	g.Expect(f.limiter.open).To(BeZero())
 }
 
+// Guards against a wait in the queue that refuses a request, or charges it twice.
+func TestExpiredReservationIsRenewedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, func(f *fixture) { f.limiter.expireFirst = true })
+	g.Expect(f.do("POST", "/v1/completions", clubKey, streamBody).body).To(ContainSubstring("[DONE]"))
+	g.Expect(f.limiter.reserved).To(Equal(int64(16)), "two reservations of 8")
+	g.Expect(f.limiter.used).To(Equal(int64(8)))
+	g.Expect(f.limiter.open).To(BeZero())
+
+	f = newFixture(t, func(f *fixture) {
+		f.limiter.expireFirst = true
+		f.options.Completer = scriptCompleter(func(_ context.Context, c *dispatch.Completion, _ func(dispatch.Token) error) error {
+			f.limiter.mu.Lock()
+			f.limiter.err = refusal.New(refusal.RateLimited, "no tokens")
+			f.limiter.mu.Unlock()
+			g.Expect(c.AllowDispatch()).To(HaveOccurred())
+			return c.AllowDispatch() // asked again after a refusal, it refuses again
+		})
+	})
+	r := f.do("POST", "/v1/completions", clubKey, streamBody)
+	g.Expect(r.refusal()).To(And(HaveField("Code", refusal.RateLimited), HaveField("Run", refusal.NotRun)))
+	g.Expect(f.limiter.open).To(BeZero())
+	g.Expect(f.limiter.used).To(BeZero())
+}
+
 // Guards against a stream's write deadline that outlives it and breaks later requests
 // of the same connection.
 func TestConnectionOutlivesAStream(t *testing.T) {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -68,12 +68,14 @@
 
 // testLimiter counts what is reserved and settled.
 type testLimiter struct {
-	mu       sync.Mutex
-	err      error
-	invalid  bool
-	open     int
-	reserved int64
-	used     int64
+	mu      sync.Mutex
+	err     error
+	invalid bool
+	// expireFirst makes the first reservation too old to dispatch.
+	expireFirst bool
+	open        int
+	reserved    int64
+	used        int64
 }
 
 func (l *testLimiter) Reserve(_ context.Context, account string, tokens int64) (quota.Reservation, error) {
@@ -84,18 +86,19 @@
 	}
 	l.open++
 	l.reserved += tokens
-	return &testReservation{limiter: l}, nil
+	return &testReservation{limiter: l, expired: l.expireFirst && l.reserved == tokens}, nil
 }
 
 type testReservation struct {
 	limiter *testLimiter
 	settled bool
+	expired bool
 }
 
 func (r *testReservation) Valid() bool {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
-	return !r.limiter.invalid
+	return !r.limiter.invalid && !r.expired
 }
 
 func (r *testReservation) Settle(used int64) {
