Answer for a second after the last request of a planned stop

Cause: a stream that began before the stop leaves its connection open. A caller that used it again just when the stop closed it got EOF instead of a refusal. Change: a stopping host goes on refusing for one second after its last request. Ruled out: closing connections earlier, which has the same race at another moment.

--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -11,6 +11,11 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
+// refusalLinger is how long a stopping host still answers after its last request has
+// ended. A stream that began before the stop leaves its connection open; a caller that
+// uses it again must get a refusal and not a closed connection.
+const refusalLinger = time.Second
+
 // pollInterval is how often the planned stop looks whether requests are running.
 const pollInterval = 20 * time.Millisecond
 
@@ -65,6 +70,7 @@
 		h.logger.Warn("planned stop ends with requests still running", "requests", h.stop.running.Load())
 	}
 	h.leave(stopCtx)
+	sleep(stopCtx, refusalLinger)
 	return nil
 }
 
