--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"bytes"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
@@ -29,3 +33,259 @@
 		c.g.Expect(h.fleet.Index().Document().Preset).To(Equal(config.PresetPeak))
 	}
 }
+
+// Guards against a restarted host that goes back to an older configuration, keeps
+// its predecessor listed, or never serves again.
+func TestRestartedHostReplacesItsEntry(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	_, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	hosts[2].stop()
+	hosts[2] = c.start("host-2", hosts[2].address)
+	c.awaitAgreement(hosts)
+	c.g.Expect(hosts[2].fleet.Index().Document().Preset).To(Equal(config.PresetPeak))
+}
+
+// Guards against hosts that restart together and wait for each other, because the
+// incarnations that would have to acknowledge a change are gone.
+func TestHerdRestart(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(7)
+	for _, h := range hosts {
+		h.stop()
+	}
+	for i, h := range hosts {
+		hosts[i] = c.start(h.fleet.Self().HostID, h.address)
+	}
+	c.awaitAgreement(hosts)
+}
+
+// Guards against a host that starts without the store and stays without a
+// configuration, and against evidence that counts its new incarnation.
+func TestHostRestartsWhileStoreIsDown(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	revision := hosts[0].fleet.Index().Document().Revision
+	c.store.setDown(true)
+	hosts[2].stop()
+	hosts[2] = c.start("host-2", hosts[2].address)
+	c.g.Eventually(hosts[2].fleet.Fresh, testDeadline).Should(BeTrue())
+	c.g.Expect(hosts[2].fleet.Index().Document().Revision).To(Equal(revision))
+	c.g.Expect(hosts[2].fleet.Index().Document().Members).NotTo(ContainElement(hosts[2].fleet.Self()))
+	c.store.setDown(false)
+	c.awaitAgreement(hosts)
+}
+
+// Guards against hosts that stop serving when the store is down although a majority
+// of the members answers.
+func TestHostsStayFreshWhileStoreIsDown(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	c.store.setDown(true)
+	c.g.Consistently(func() bool {
+		return hosts[0].fleet.Fresh() && hosts[1].fleet.Fresh() && hosts[2].fleet.Fresh()
+	}, DefaultFreshnessDeadline+time.Second, 50*time.Millisecond).Should(BeTrue())
+}
+
+// Guards against a withdrawn key that keeps working while the store is down, also on
+// a host that starts later, and against a withdrawal that is never accepted.
+func TestWithdrawalSpreadsWhileStoreIsDown(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	c.store.setDown(true)
+	start := time.Now()
+	_, err := hosts[0].fleet.Propose(testContext(t), withdrawKey("k2"), ProposeOptions{})
+	c.g.Expect(errors.Is(err, ErrNotAccepted)).To(BeTrue(), "%v", err)
+	withdrawn := func() bool {
+		return hosts[0].fleet.Withdrawn("k2") && hosts[1].fleet.Withdrawn("k2") && hosts[2].fleet.Withdrawn("k2")
+	}
+	c.g.Eventually(withdrawn, testDeadline, 10*time.Millisecond).Should(BeTrue())
+	c.g.Expect(time.Since(start)).To(BeNumerically("<", DefaultFreshnessDeadline))
+	hosts[2].stop()
+	hosts[2] = c.start("host-2", hosts[2].address)
+	c.g.Eventually(withdrawn, testDeadline, 10*time.Millisecond).Should(BeTrue())
+	c.g.Expect(hosts[1].fleet.Withdrawn("k1")).To(BeFalse())
+
+	c.store.setDown(false)
+	c.g.Eventually(func() bool {
+		return hosts[1].fleet.Index().ClientKey("two") == nil
+	}, testDeadline, 20*time.Millisecond).Should(BeTrue())
+	c.g.Expect(hosts[1].fleet.Withdrawn("k2")).To(BeTrue())
+}
+
+// Guards against a minority that serves with an old configuration after the
+// deadline, and against one that does not recover.
+func TestPartitionedMinorityGoesStale(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(5)
+	minority := hosts[3:]
+	c.setPartitioned(true, minority...)
+	start := time.Now()
+	report, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(time.Since(start)).To(BeNumerically("<", DefaultFreshnessDeadline+time.Second))
+	c.g.Expect(report.Confirmed).To(ConsistOf("host-0", "host-1", "host-2"))
+	c.g.Expect(report.Expired).To(ConsistOf("host-3", "host-4"))
+	c.g.Expect(report.Pending).To(BeEmpty())
+	for _, h := range minority {
+		c.g.Expect(h.fleet.Fresh()).To(BeFalse())
+	}
+	c.setPartitioned(false, minority...)
+	c.awaitAgreement(hosts)
+	for _, h := range hosts {
+		c.g.Expect(h.fleet.Index().Document().Preset).To(Equal(config.PresetPeak))
+	}
+}
+
+// Guards against a minority with the store that accepts a change without the
+// majority, which may count itself fresh without the store.
+func TestMinorityCannotCommitUnlessForced(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	c.setPartitioned(true, hosts[1:]...)
+	_, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(errors.Is(err, ErrNoMajority)).To(BeTrue(), "%v", err)
+	report, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{Force: true})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(report.Pending).To(ConsistOf("host-1", "host-2"))
+	c.g.Expect(hosts[1].fleet.Fresh()).To(BeTrue())
+	c.setPartitioned(false, hosts[1:]...)
+	c.awaitAgreement(hosts)
+}
+
+// Guards against two operators whose changes both succeed although the second never
+// saw the first.
+func TestRacingOperatorsGetOneConflict(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	expected := hosts[0].fleet.Index().Document().Revision
+	results := make(chan error, 2)
+	for i, preset := range []config.Preset{config.PresetPeak, config.PresetMaintenance} {
+		go func() {
+			_, err := hosts[i].fleet.Propose(testContext(t), setPreset(preset), ProposeOptions{ExpectedRevision: expected})
+			results <- err
+		}()
+	}
+	errs := []error{<-results, <-results}
+	conflicts := 0
+	for _, err := range errs {
+		if errors.Is(err, ErrRevisionConflict) {
+			conflicts++
+		}
+	}
+	c.g.Expect(conflicts).To(Equal(1), "%v", errs)
+	c.awaitAgreement(hosts)
+	history, err := hosts[2].fleet.History(testContext(t), 2)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(history).To(HaveLen(2))
+	c.g.Expect(history[0].Revision).To(Equal(expected + 1))
+	c.g.Expect(history[1].Revision).To(Equal(expected))
+}
+
+// Guards against a lost answer that is reported as a failure or applied twice.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	before := hosts[0].fleet.Index().Document().Revision
+	c.store.loseNextCommits(1)
+	report, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(report.Revision).To(Equal(before + 1))
+	c.g.Expect(report.Confirmed).To(HaveLen(3))
+}
+
+// Guards against hosts that stay stale because a proposer was killed after its push,
+// and against a withdrawn attempt that a later change revives.
+func TestProposerKilledBetweenPushAndCommit(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	reached, killed := make(chan struct{}), make(chan struct{})
+	var paused atomic.Bool
+	c.store.setBeforeCommit(func() {
+		if paused.CompareAndSwap(false, true) {
+			close(reached)
+			<-killed
+		}
+	})
+	kill := sync.OnceFunc(func() { close(killed) })
+	defer kill()
+	result := make(chan error, 1)
+	go func() {
+		_, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+		result <- err
+	}()
+	<-reached
+	before := hosts[1].fleet.Index().Document().Revision
+	c.setPartitioned(true, hosts[0])
+	c.g.Eventually(func() bool {
+		return hosts[1].fleet.pendingCount() == 0 && hosts[2].fleet.pendingCount() == 0 &&
+			hosts[1].fleet.Index().Document().Revision > before && hosts[1].fleet.Fresh() && hosts[2].fleet.Fresh()
+	}, testDeadline, 20*time.Millisecond).Should(BeTrue())
+	c.g.Expect(hosts[1].fleet.Index().Document().Preset).NotTo(Equal(config.PresetPeak))
+	kill()
+	c.g.Expect(<-result).NotTo(Succeed())
+	hosts[0].stop()
+	c.setPartitioned(false, hosts[0])
+	hosts[0] = c.start("host-0", hosts[0].address)
+	c.awaitAgreement(hosts)
+}
+
+// Guards against a lost host that stays a member, and against removal of a silent
+// host that the host list still names.
+func TestGoneHostIsRemoved(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(5) // three of five remain, which is a majority
+	hosts[2].stop()
+	hosts[3].stop()
+	c.unlist("host-3")
+	c.g.Eventually(func() int { return len(hosts[0].fleet.Index().Document().Members) }, testDeadline, 50*time.Millisecond).Should(Equal(4))
+	c.g.Expect(hosts[0].fleet.listsHost("host-2")).To(BeTrue())
+	c.g.Expect(hosts[0].fleet.listsHost("host-3")).To(BeFalse())
+}
+
+// Guards against a snapshot that is cut at a piece's end or never reaches a starting
+// host.
+func TestStartingHostGetsSnapshot(t *testing.T) {
+	c := newCluster(t)
+	data := bytes.Repeat([]byte("0123456789abcdef"), 3*snapshotPieceBytes/16+1)
+	first := c.startWith("host-0", "", func(f *Fleet) {
+		f.RegisterSnapshot("index", func() ([]byte, error) { return data, nil }, nil)
+	})
+	received := make(chan []byte, 1)
+	second := c.startWith("host-1", "", func(f *Fleet) {
+		f.RegisterSnapshot("index", nil, func(b []byte) error {
+			received <- b
+			return nil
+		})
+	})
+	c.g.Eventually(received, testDeadline).Should(Receive(Equal(data)))
+	c.awaitAgreement([]*host{first, second})
+}
+
+// Guards against a bootstrap that overwrites a configuration.
+func TestBootstrapKeepsAnExistingConfiguration(t *testing.T) {
+	c := newCluster(t)
+	err := Bootstrap(testContext(t), c.store, initialDocument())
+	c.g.Expect(errors.Is(err, ErrRevisionConflict)).To(BeTrue(), "%v", err)
+	lossy := newFakeStore()
+	lossy.loseNextCommits(1)
+	c.g.Expect(Bootstrap(testContext(t), lossy, initialDocument())).To(Succeed())
+}
+
+// Guards against a subscriber that misses a revision or a withdrawal.
+func TestSubscribersHearChanges(t *testing.T) {
+	c := newCluster(t)
+	calls := make(chan struct{}, 100)
+	h := c.startWith("host-0", "", func(f *Fleet) {
+		f.Subscribe(func() { calls <- struct{}{} })
+	})
+	c.awaitAgreement([]*host{h})
+	c.store.setDown(true)
+	for len(calls) > 0 {
+		<-calls
+	}
+	_, err := h.fleet.Propose(testContext(t), withdrawKey("k1"), ProposeOptions{})
+	c.g.Expect(errors.Is(err, ErrNotAccepted)).To(BeTrue(), "%v", err)
+	c.g.Eventually(calls, testDeadline).Should(Receive())
+}
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -46,6 +46,12 @@
 	s.loseCommits = n
 }
 
+func (s *fakeStore) setBeforeCommit(hook func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeCommit = hook
+}
+
 func (s *fakeStore) Get(_ context.Context, table, key string) (platform.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -224,6 +230,12 @@
 
 // start runs a host; an empty address binds a new one.
 func (c *cluster) start(id, address string) *host {
+	c.t.Helper()
+	return c.startWith(id, address, func(*Fleet) {})
+}
+
+// startWith runs a host after prepare has registered with it.
+func (c *cluster) startWith(id, address string, prepare func(*Fleet)) *host {
 	c.t.Helper()
 	c.mu.Lock()
 	c.incarnation++
@@ -253,6 +265,7 @@
 		Seed:   uint64(c.incarnation),
 	})
 	c.g.Expect(err).NotTo(HaveOccurred())
+	prepare(f)
 	c.mu.Lock()
 	c.hostList[id] = address
 	c.mu.Unlock()
@@ -307,6 +320,13 @@
 	}, testDeadline, 20*time.Millisecond).Should(Succeed())
 }
 
+// pendingCount returns the number of pending pushes of a host.
+func (f *Fleet) pendingCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.PendingCount()
+}
+
 func setPreset(preset config.Preset) config.Mutation {
 	return func(d *config.Document) error {
 		d.Preset = preset
