Bound weights versions; retry rejected continuations

Cause: a target that reports ever new weights versions made two maps grow without bound. A 400 for a continuation ended a stream that another engine could have finished.

Change: versions no target has are forgotten above 4,096; a rejected continuation counts as a failed attempt.

--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -228,6 +228,10 @@
 	}
 	if isCall {
 		r.lastDrained = call.NotRun && call.Draining
+	}
+	if isCall && r.assembler.next == 0 {
+		// A request that one engine has begun to answer is not at fault if another
+		// engine rejects its continuation.
 		switch call.Status {
 		case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 			return refusal.New(refusal.InvalidRequest, "the engine rejected the request with status %d", call.Status).WithCause(err)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -186,6 +186,24 @@
 	g.Expect(f.engines.sent).To(HaveLen(1))
 }
 
+// Guards against a stream that ends because one engine rejects its continuation.
+func TestRejectedContinuationGoesToAnotherEngine(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(3)
+	first := f.d.Explain("a", "m", completion("a", 0).Prompt).Chosen
+	rejects := script{callErr: &target.CallError{Step: "response", NotRun: true, Status: 400, Err: errFake}}
+	for _, id := range []string{"t0", "t1", "t2"} {
+		f.engines.scripts[id] = []script{rejects}
+	}
+	f.engines.scripts[first] = []script{{breakAt: 4}}
+	f.engines.scripts[first+"/resume"] = []script{{noResume: true}}
+	sink, got := collect()
+	_, err := f.d.Complete(context.Background(), completion("a", 0), sink)
+	g.Expect(err).NotTo(HaveOccurred())
+	text, _ := got()
+	g.Expect(text).To(Equal(wholeAnswer()))
+}
+
 // Guards against an engine that goes on computing for a caller that is gone, and a
 // sink's refusal that is replaced by another.
 func TestCallerGoneCancelsAtTheEngine(t *testing.T) {
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -15,6 +15,9 @@
 	// bytesPerEntry is the upper bound for a block with up to five holders: 32 bytes
 	// for the entry and at most 8 for its share of the buckets.
 	bytesPerEntry = 40
+	// maxVersions bounds the weights versions that are numbered, above the number of
+	// targets of the largest fleet.
+	maxVersions = 4096
 	// unknownVersion stands for a weights version that no target has reported.
 	unknownVersion = -1
 )
@@ -158,11 +161,27 @@
 		return 0
 	}
 	if x.versions[weights] == 0 {
+		if len(x.versions) >= maxVersions {
+			x.renumber()
+		}
 		x.versions[weights] = int32(len(x.versions)) + 1
 	}
 	return x.versions[weights]
 }
 
+// renumber forgets versions that no target has any more.
+func (x *Index) renumber() {
+	clear(x.versions)
+	for _, t := range x.targets {
+		if t.weights != "" && x.versions[t.weights] == 0 {
+			x.versions[t.weights] = int32(len(x.versions)) + 1
+		}
+	}
+	for _, t := range x.targets {
+		x.publish(t)
+	}
+}
+
 // startEpoch drops everything known of a target's older epoch.
 func (x *Index) startEpoch(t *indexTarget, epoch string) {
 	if t.epoch != "" {
--- a/policy/prefix/index_test.go
+++ b/policy/prefix/index_test.go
@@ -164,6 +164,24 @@
 	g.Expect(len(x.slots)).To(BeNumerically("<=", int(noSlot)))
 }
 
+// Guards against memory that grows with each weights version, and against versions
+// that are mixed up when numbers are used again.
+func TestVersionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	x := NewIndex(100, 1)
+	chain := testChain("a", "v", 1, 2)
+	x.SetEpoch("steady", "e", "v")
+	x.Stored("steady", "e", chain)
+	for i := range 3 * maxVersions {
+		x.SetEpoch("t", "e", fmt.Sprint("w", i))
+	}
+	x.Stored("t", "e", chain)
+	g.Expect(len(x.versions)).To(BeNumerically("<=", maxVersions))
+	g.Expect(x.Lookup("v", chain, nil)).To(HaveLen(1))
+	g.Expect(x.Lookup(fmt.Sprint("w", 3*maxVersions-1), chain, nil)).To(HaveLen(1))
+	g.Expect(x.Lookup("w0", chain, nil)).To(BeEmpty())
+}
+
 // Guards against a correction that overrides newer events, or that is not applied.
 func TestCorrection(t *testing.T) {
 	g := NewWithT(t)
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -22,6 +22,9 @@
 	// pendingGrace is how long after its predicted end a prefill stays pending, if
 	// its request never reports a first token.
 	pendingGrace = 5 * time.Second
+	// maxVersions bounds the numbered weights versions; it is above the number of
+	// targets of the largest fleet.
+	maxVersions = 4096
 	// readmitUnreachable is how long one failed poll keeps a target out; the next poll
 	// decides anew.
 	readmitUnreachable = time.Second
@@ -209,6 +212,17 @@
 	if int(p.handle) >= len(r.replicas) || r.replicas[p.handle] != p {
 		return // no longer configured
 	}
+	if p.weights != "" && r.versions[p.weights] == 0 {
+		if len(r.versions) >= maxVersions && len(r.byID) < maxVersions {
+			clear(r.versions)
+			r.versions[p.weights] = 1
+			for _, other := range r.replicas {
+				if other != nil {
+					r.refresh(other)
+				}
+			}
+		}
+	}
 	if p.weights != "" && r.versions[p.weights] == 0 {
 		r.versions[p.weights] = int32(len(r.versions)) + 1
 	}
