Export the state of a host and trace a completion as one

Cause: refusals, limits, the store, queues, breakers and freshness were not in the metrics; the spans of a completion were in several traces; the label of retries was the text of an error, which has no bound and may quote a caller.

A request span is the parent of all others; the gateway's span around the dispatcher is named completion, since the dispatcher has a span named stream. Retries and span errors carry one of a few kinds. The empty model label of the measures is gone.

Ruled out: error text with keys redacted as a label, because redaction does not bound it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,9 +26,12 @@
 	// StartSpan starts a span for one step of a request (route, queue, target, stream);
 	// the function ends it.
 	StartSpan(ctx context.Context, step string) (context.Context, func(error))
+	// Routed is called with the context of a route span before it ends. The choice is
+	// computed only if the observer calls choice, before it returns.
+	Routed(ctx context.Context, choice func() Choice)
 	// CompletionDone is called once for each completion that got a last token.
 	CompletionDone(accountID string, m Measures)
-	// Retried is called when a further attempt is made.
+	// Retried is called when a further attempt is made; the reason is a FailureKind.
 	Retried(targetID, reason string)
 }
 
@@ -194,5 +197,6 @@
 func (nopObserver) StartSpan(ctx context.Context, _ string) (context.Context, func(error)) {
 	return ctx, func(error) {}
 }
-func (nopObserver) CompletionDone(string, Measures) {}
-func (nopObserver) Retried(string, string)          {}
+func (nopObserver) Routed(context.Context, func() Choice) {}
+func (nopObserver) CompletionDone(string, Measures)       {}
+func (nopObserver) Retried(string, string)                {}
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -52,6 +52,8 @@
 	limit    queue.Limit
 	// prefillWaiters counts requests that wait for another one's prefill.
 	prefillWaiters int
+	// ejections counts how often the target was ejected.
+	ejections uint64
 }
 
 func newLane(targetID string, k *preset.Knobs) *lane {
@@ -138,7 +140,7 @@
 }
 
 func (d *Dispatcher) enqueue(ctx context.Context, r *run, avoid map[string]bool, mayWait bool) (queued, error) {
-	_, end := d.observer.StartSpan(ctx, "route")
+	spanContext, end := d.observer.StartSpan(ctx, "route")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.follow()
@@ -163,6 +165,7 @@
 		end(err)
 		return queued{}, err
 	}
+	d.observer.Routed(spanContext, func() Choice { return d.choice(&decision) })
 	end(nil)
 	predicted := time.Duration(decision.Predicted * float64(time.Second))
 	if !decision.Learned {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -114,6 +116,7 @@
 		}
 	}
 	if d.router.Failed(l.targetID, now) {
+		l.ejections++
 		d.logger.Warn("target ejected", "target", l.targetID, "error", err)
 	}
 }
@@ -142,11 +145,7 @@
 	d.mu.Lock()
 	d.totals.Retries++
 	d.mu.Unlock()
-	text := ""
-	if reason != nil {
-		text = reason.Error()
-	}
-	d.observer.Retried(targetID, text)
+	d.observer.Retried(targetID, FailureKind(reason))
 }
 
 // count adds the measures of a completion.
@@ -189,18 +188,37 @@
 	if e.Chosen == "" {
 		e.Reason = "no target can take the request"
 	}
-	const msPerSecond = 1000
-	for _, c := range all {
-		e.Candidates = append(e.Candidates, Candidate{
-			Target: c.TargetID, CachedTokens: int(c.Cached), UncachedTokens: int(c.Uncached),
-			NetworkMs: c.Network * msPerSecond, QueueMs: c.Queue * msPerSecond,
-			PrefillMs: c.Prefill * msPerSecond, LoadMs: c.Load * msPerSecond,
-			TotalMs: c.Total() * msPerSecond, Excluded: c.Excluded.String(),
-		})
+	for i := range all {
+		e.Candidates = append(e.Candidates, candidate(&all[i]))
 	}
 	return e
 }
 
+func candidate(c *routing.Explained) Candidate {
+	const msPerSecond = 1000
+	return Candidate{
+		Target: c.TargetID, CachedTokens: int(c.Cached), UncachedTokens: int(c.Uncached),
+		NetworkMs: c.Network * msPerSecond, QueueMs: c.Queue * msPerSecond,
+		PrefillMs: c.Prefill * msPerSecond, LoadMs: c.Load * msPerSecond,
+		TotalMs: c.Total() * msPerSecond, Excluded: c.Excluded.String(),
+	}
+}
+
+// choice describes the router's last choice. The caller holds the lock.
+func (d *Dispatcher) choice(decision *routing.Decision) Choice {
+	c := Choice{
+		TargetID: decision.TargetID, Reason: decision.Reason, Cached: decision.Cached, Uncached: decision.Uncached,
+	}
+	all := d.router.Candidates()
+	slices.SortStableFunc(all, func(a, b routing.Explained) int {
+		return cmp.Or(cmp.Compare(a.Excluded, b.Excluded), cmp.Compare(a.Total(), b.Total()))
+	})
+	for i := range min(len(all), maxTracedCandidates) {
+		c.Candidates = append(c.Candidates, candidate(&all[i]))
+	}
+	return c
+}
+
 // ChooseService implements ServiceChooser.
 func (d *Dispatcher) ChooseService(service string, tried []string) (*config.Target, func(err error), error) {
 	d.mu.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -176,6 +176,19 @@
 		attribute.String("request.id", c.id), attribute.String("account.id", c.accountID())))
 }
 
+// traced makes all spans of the call one trace.
+func (c *call) traced(handle func() error) error {
+	ctx, span := c.g.options.Tracer.Start(c.r.Context(), "request", trace.WithAttributes(attribute.String("request.id", c.id)))
+	defer span.End()
+	c.r = c.r.WithContext(ctx)
+	err := handle()
+	span.SetAttributes(attribute.String("account.id", c.accountID()))
+	if err != nil {
+		span.SetAttributes(attribute.String("refusal.code", string(refusal.From(err).Code)))
+	}
+	return err
+}
+
 // errorBody is the body of a refusal.
 type errorBody struct {
 	Error errorDetail `json:"error"`
@@ -208,7 +221,9 @@
 	c.writeJSON(r.Status(), c.errorBody(r))
 }
 
+// logRefusal logs and counts a refusal.
 func (c *call) logRefusal(r *refusal.Refusal) {
+	c.g.options.Refused(r.Code, r.Run)
 	cause := ""
 	if r.Cause != nil {
 		cause = c.credentials.Redact(r.Cause.Error())
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -106,7 +106,7 @@
 	defer cancel()
 	ctx, unwatch := r.g.watchKey(ctx, r.call)
 	defer unwatch()
-	ctx, span := r.span(ctx, "stream")
+	ctx, span := r.span(ctx, "completion")
 	defer span.End()
 
 	var whole strings.Builder
@@ -273,6 +273,7 @@
 	h.Set("Cache-Control", "no-store")
 	r.w.WriteHeader(http.StatusOK)
 	r.ring, r.written = newEventRing(), make(chan struct{})
+	r.g.openStreams.Add(1)
 	go func() {
 		defer close(r.written)
 		r.ring.drainTo(r.w, r.g.options.WriteTimeout)
@@ -314,6 +315,7 @@
 		}
 		r.startStream() // a resumed stream that had all its tokens
 	}
+	defer r.g.openStreams.Add(-1)
 	if err == nil {
 		r.ring.close(r.lastEvents(result), false)
 		<-r.written
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,8 +70,11 @@
 	// DrainGrace has passed. A host that counts running requests for its stop sets it, so
 	// that no request is taken after the count.
 	Refusing func() bool
-	Logger   hclog.Logger
-	Tracer   trace.Tracer
+	// Refused is told the code and the run state of each refusal; nil is allowed. It
+	// must not block.
+	Refused func(code refusal.Code, run refusal.Run)
+	Logger  hclog.Logger
+	Tracer  trace.Tracer
 }
 
 func (o Options) withDefaults() Options {
@@ -97,6 +100,9 @@
 	if o.Draining == nil {
 		o.Draining = func() bool { return false }
 	}
+	if o.Refused == nil {
+		o.Refused = func(refusal.Code, refusal.Run) {}
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -113,6 +119,7 @@
 	// process clock; zero while not draining.
 	drainingSince atomic.Int64
 	started       time.Time
+	openStreams   atomic.Int64
 
 	mu      sync.Mutex
 	streams map[*call]context.CancelCauseFunc
@@ -125,6 +132,9 @@
 	return g
 }
 
+// OpenStreams returns the number of streams to callers that have begun and not ended.
+func (g *Gateway) OpenStreams() int64 { return g.openStreams.Load() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, id: target.RequestIDPrefix + uuid.NewString(), index: g.options.View.Index()}
@@ -140,15 +150,15 @@
 	path := c.r.URL.Path
 	switch {
 	case path == "/v1/chat/completions":
-		return c.only(http.MethodPost, func() error { return c.complete(true) })
+		return c.only(http.MethodPost, func() error { return c.traced(func() error { return c.complete(true) }) })
 	case path == "/v1/completions":
-		return c.only(http.MethodPost, func() error { return c.complete(false) })
+		return c.only(http.MethodPost, func() error { return c.traced(func() error { return c.complete(false) }) })
 	case path == "/v1/models":
 		return c.only(http.MethodGet, c.models)
 	case path == "/v1/addresses":
 		return c.only(http.MethodGet, c.addresses)
 	case strings.HasPrefix(path, servicesPath):
-		return c.service()
+		return c.traced(c.service)
 	case path == "/healthz":
 		return c.only(http.MethodGet, c.health)
 	case path == "/readyz":
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -72,6 +72,8 @@
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
+	gateway    *gateway.Gateway
+	observer   *observer
 	callerAPI  http.Handler
 	admin      http.Handler
 
@@ -83,8 +85,10 @@
 
 // New binds the listeners and connects the parts. Nothing runs before Run.
 func New(o Options) (*Host, error) {
-	h := &Host{options: o, logger: o.Telemetry.Logger, drain: make(chan struct{})}
-	for _, step := range []func() error{h.listen, h.connectPeers, h.connectTargets, h.buildClaims, h.buildAPIs} {
+	h := &Host{
+		options: o, logger: o.Telemetry.Logger, drain: make(chan struct{}), observer: newObserver(o.Telemetry),
+	}
+	for _, step := range []func() error{h.listen, h.connectPeers, h.connectTargets, h.buildClaims, h.buildAPIs, h.exportState} {
 		if err := step(); err != nil {
 			h.closeListeners()
 			return nil, err
@@ -176,6 +180,7 @@
 	h.limiter = quota.New(quota.Options{
 		View: h.fleet, Caller: h.wireClient, Registry: h.wireServer,
 		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"), MaxWait: maxWait,
+		RefusedWithinRate: h.observer.RefusedWithinRate,
 	})
 	return nil
 }
@@ -184,7 +189,7 @@
 	engines := target.NewWrappedEngineClient(h.options.WrapTransport)
 	h.dispatcher, err = dispatch.New(dispatch.Options{
 		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
-		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
+		Logger: h.logger.Named("dispatch"), Observer: h.observer,
 	})
 	if err != nil {
 		return err
@@ -239,15 +244,16 @@
 
 func (h *Host) buildAPIs() error {
 	s := &h.options.Settings
-	api := gateway.New(gateway.Options{
+	h.gateway = gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
 		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		Refused: h.observer.Refused,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(api))
+	mux.Handle("/", h.stop.count(h.gateway))
 	h.callerAPI = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
@@ -256,6 +262,8 @@
 	return nil
 }
 
+func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
+
 // Member returns the identity and addresses of this host.
 func (h *Host) Member() config.Member { return h.self }
 
--- a/internal/host/observer.go
+++ b/internal/host/observer.go
@@ -8,10 +8,11 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 )
 
-// observer records the dispatcher's spans and measures.
+// observer records spans and measures of the host's parts.
 type observer struct {
 	tracer   trace.Tracer
 	measures *telemetry.Measures
@@ -21,17 +22,37 @@
 	return &observer{tracer: t.Tracer, measures: t.Measures}
 }
 
-// StartSpan implements dispatch.Observer.
+// StartSpan implements dispatch.Observer. A span gets the kind of an error and not its
+// text, which may quote what a caller sent.
 func (o *observer) StartSpan(ctx context.Context, step string) (context.Context, func(error)) {
 	ctx, span := o.tracer.Start(ctx, step)
 	return ctx, func(err error) {
 		if err != nil {
-			span.SetStatus(codes.Error, err.Error())
+			span.SetStatus(codes.Error, dispatch.FailureKind(err))
 		}
 		span.End()
 	}
 }
 
+// Routed implements dispatch.Observer.
+func (o *observer) Routed(ctx context.Context, choice func() dispatch.Choice) {
+	span := trace.SpanFromContext(ctx)
+	if !span.IsRecording() {
+		return
+	}
+	c := choice()
+	targets := make([]string, len(c.Candidates))
+	scores := make([]float64, len(c.Candidates))
+	for i, candidate := range c.Candidates {
+		targets[i], scores[i] = candidate.Target, candidate.TotalMs
+	}
+	span.SetAttributes(
+		attribute.String("target.id", c.TargetID), attribute.String("route.reason", c.Reason),
+		attribute.Int("route.cached_tokens", c.Cached), attribute.Int("route.uncached_tokens", c.Uncached),
+		attribute.StringSlice("route.candidates", targets), attribute.Float64Slice("route.predicted_ms", scores),
+	)
+}
+
 // CompletionDone implements dispatch.Observer.
 func (o *observer) CompletionDone(accountID string, m dispatch.Measures) {
 	o.measures.Completion(context.Background(), telemetry.CompletionMeasure{
@@ -42,5 +63,15 @@
 
 // Retried implements dispatch.Observer.
 func (o *observer) Retried(targetID, reason string) {
-	o.measures.Retried(context.Background(), attribute.String("target", targetID), attribute.String("reason", reason))
+	o.measures.Retried(context.Background(), targetID, reason)
+}
+
+// Refused counts a refusal to a caller.
+func (o *observer) Refused(code refusal.Code, run refusal.Run) {
+	o.measures.Refused(context.Background(), string(code), string(run))
+}
+
+// RefusedWithinRate counts a refusal of an account that may be within its rate.
+func (o *observer) RefusedWithinRate(accountID string) {
+	o.measures.RefusedWithinRate(context.Background(), accountID)
 }
--- a/internal/idempotency/claim.go
+++ b/internal/idempotency/claim.go
@@ -67,7 +67,7 @@
 			c.service.enqueue(r)
 			return
 		}
-		c.service.open.Release(1)
+		c.service.release()
 	}
 }
 
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -74,13 +74,13 @@
 func (s *Service) retry(ctx context.Context, r *record) {
 	err := s.try(ctx, r)
 	if err == nil {
-		s.open.Release(1)
+		s.release()
 		return
 	}
 	if s.options.Clock().Sub(r.since) > s.options.RecordLifetime {
 		s.options.Logger.Error("record is dropped; the request stays claimed",
 			"key", r.key, "attempt", r.row.AttemptID, "state", r.to, "error", err)
-		s.open.Release(1)
+		s.release()
 		return
 	}
 	timer := time.NewTimer(s.pause(r.tries))
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -92,6 +93,8 @@
 type Service struct {
 	options Options
 	open    *semaphore.Weighted
+	// opened counts the units of open that are held.
+	opened  atomic.Int64
 	pending chan *record
 }
 
@@ -114,6 +117,22 @@
 	}, nil
 }
 
+// Stats describe the records that are open at this host.
+type Stats struct {
+	// Open counts claims whose record is not written yet.
+	Open int64
+	// Waiting counts those of them that wait for the store to take the record.
+	Waiting int
+}
+
+// Stats returns a snapshot.
+func (s *Service) Stats() Stats { return Stats{Open: s.opened.Load(), Waiting: len(s.pending)} }
+
+func (s *Service) release() {
+	s.opened.Add(-1)
+	s.open.Release(1)
+}
+
 // holderLive treats this process as live without asking.
 func (s *Service) holderLive(h policy.Holder) bool {
 	if h == s.self() {
@@ -131,6 +150,7 @@
 	if !s.open.TryAcquire(1) {
 		return nil, nil, refusal.New(refusal.Overloaded, "too many non-idempotent requests are open at this host")
 	}
+	s.opened.Add(1)
 	a := &attempt{
 		service: s,
 		key:     policy.RowKey(k.AccountID, k.Service, k.IdempotencyKey),
@@ -148,7 +168,7 @@
 	case err != nil && a.uncertain:
 		s.enqueue(&record{key: a.key, row: a.row, to: policy.NotRun, release: true, version: a.expected, since: a.began})
 	case err != nil || result != nil:
-		s.open.Release(1)
+		s.release()
 	default:
 		return &claim{service: s, attempt: a, gate: policy.NewGate(a.began, s.options.MaxClaimAge)}, nil, nil
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -75,11 +75,17 @@
 	options Options
 	base    *url.URL
 	http    *http.Client
-	reads   *rate.Limiter
-	writes  *rate.Limiter
+	reads   budget
+	writes  budget
 	breaker breaker
 }
 
+// budget bounds the rate of one kind of call and counts its attempts.
+type budget struct {
+	limiter  *rate.Limiter
+	counters callCounters
+}
+
 var (
 	_ Store    = (*Client)(nil)
 	_ Objects  = (*Client)(nil)
@@ -114,8 +120,8 @@
 		options: o,
 		base:    base,
 		http:    &http.Client{Transport: transport},
-		reads:   rate.NewLimiter(rate.Limit(o.ReadsPerSecond), o.ReadBurst),
-		writes:  rate.NewLimiter(rate.Limit(o.WritesPerSecond), o.WriteBurst),
+		reads:   budget{limiter: rate.NewLimiter(rate.Limit(o.ReadsPerSecond), o.ReadBurst)},
+		writes:  budget{limiter: rate.NewLimiter(rate.Limit(o.WritesPerSecond), o.WriteBurst)},
 		breaker: breaker{limit: o.BreakerFailures, cooldown: o.BreakerCooldown},
 	}, nil
 }
@@ -140,7 +146,7 @@
 func (c *Client) read(ctx context.Context, k call) ([]byte, error) {
 	k.method = http.MethodGet
 	for attempt := 1; ; attempt++ {
-		body, err := c.attempt(ctx, k, c.reads, ErrUnavailable)
+		body, err := c.attempt(ctx, k, &c.reads, ErrUnavailable)
 		if err == nil || !errors.Is(err, ErrUnavailable) || attempt >= c.options.ReadAttempts {
 			return body, err
 		}
@@ -152,7 +158,7 @@
 
 // write makes a call with an effect, once.
 func (c *Client) write(ctx context.Context, k call) ([]byte, error) {
-	return c.attempt(ctx, k, c.writes, ErrUnknownOutcome)
+	return c.attempt(ctx, k, &c.writes, ErrUnknownOutcome)
 }
 
 // backoff is exponential with full jitter.
@@ -177,21 +183,25 @@
 
 // attempt makes one request. A failure after the request may have been sent is of
 // the kind unanswered; before that it is ErrUnavailable.
-func (c *Client) attempt(caller context.Context, k call, budget *rate.Limiter, unanswered error) ([]byte, error) {
+func (c *Client) attempt(caller context.Context, k call, b *budget, unanswered error) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(caller, c.options.Timeout)
 	defer cancel()
 	ok, probe := c.breaker.allow(time.Now())
 	if !ok {
+		b.counters.refused.Add(1)
 		return nil, c.fail(k, ErrUnavailable, errors.New("circuit breaker is open"))
 	}
 	health := neutral
 	defer func() { c.breaker.report(health, probe, time.Now()) }()
-	if err := budget.Wait(ctx); err != nil {
+	if err := b.limiter.Wait(ctx); err != nil {
+		b.counters.refused.Add(1)
 		return nil, c.fail(k, ErrUnavailable, errors.WithMessage(err, "request budget"))
 	}
+	b.counters.attempts.Add(1)
 	status, body, sent, err := c.roundTrip(ctx, k)
 	if err != nil {
 		if caller.Err() == nil {
+			b.counters.failures.Add(1)
 			health = unhealthy
 		}
 		if sent {
@@ -199,7 +209,9 @@
 		}
 		return nil, c.fail(k, ErrUnavailable, err)
 	}
-	health = healthOf(status)
+	if health = healthOf(status); health == unhealthy {
+		b.counters.failures.Add(1)
+	}
 	return body, c.statusError(k, status, unanswered)
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -162,7 +162,7 @@
 	a.refused.Add(1)
 	pool := a.state.Pool()
 	if l.homesUnable(a, now) {
-		l.refusedWithinRate.Add(1)
+		l.countWithinRate(a.id)
 	}
 	r := refusal.New(refusal.RateLimited, "client account %q has too few tokens left for %d", a.id, tokens)
 	retry := time.Duration(0)
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -41,6 +41,10 @@
 	// MaxWait bounds the wait of a reservation; zero means DefaultMaxWait and a
 	// negative value no wait. See SetMaxWait.
 	MaxWait time.Duration
+	// RefusedWithinRate is told of each refusal that does not show that the account
+	// exceeds its rate: no home could be asked, or the homes had just taken over. It
+	// must not block; nil is allowed.
+	RefusedWithinRate func(accountID string)
 }
 
 // FleetLimiter is the Limiter of a host. It has an account state for each account
@@ -59,6 +63,7 @@
 	accounts map[string]*account
 
 	refusedWithinRate atomic.Int64
+	onRefusedInRate   func(accountID string)
 	sending           sync.Map // inner address to struct{}: a prefetch is under way
 }
 
@@ -82,7 +87,7 @@
 	l := &FleetLimiter{
 		view: o.View, caller: o.Caller, clock: o.Clock, log: o.Logger,
 		terms:    limit.NewTerms(o.FreshnessDeadline),
-		accounts: map[string]*account{},
+		accounts: map[string]*account{}, onRefusedInRate: o.RefusedWithinRate,
 	}
 	l.SetMaxWait(o.MaxWait)
 	o.Registry.Handle(wire.TypeGrantRequest, l.handleGrantRequest)
@@ -99,6 +104,13 @@
 // its rate: no home could be asked, or the homes had just taken over.
 func (l *FleetLimiter) RefusedWithinRate() int64 { return l.refusedWithinRate.Load() }
 
+func (l *FleetLimiter) countWithinRate(accountID string) {
+	l.refusedWithinRate.Add(1)
+	if l.onRefusedInRate != nil {
+		l.onRefusedInRate(accountID)
+	}
+}
+
 // Reserve implements Limiter.
 func (l *FleetLimiter) Reserve(ctx context.Context, accountID string, tokens int64) (Reservation, error) {
 	tokens = max(1, tokens)
@@ -113,7 +125,7 @@
 	role := a.state.Role()
 	if role.Homes == 0 {
 		a.mu.Unlock()
-		l.refusedWithinRate.Add(1)
+		l.countWithinRate(accountID)
 		return nil, refusal.New(refusal.Overloaded, "no host holds the tokens of client account %q yet", accountID).
 			WithRetryAfter(noHomeRetry)
 	}
--- a/internal/telemetry/measures.go
+++ b/internal/telemetry/measures.go
@@ -38,7 +38,6 @@
 // CompletionMeasure is what one completion adds to the measures.
 type CompletionMeasure struct {
 	AccountID        string
-	Model            string
 	PromptTokens     int
 	CachedTokens     int
 	WastedTokens     int
@@ -77,7 +76,7 @@
 
 // Completion records a completed request.
 func (m *Measures) Completion(ctx context.Context, c CompletionMeasure) {
-	attributes := metric.WithAttributes(attribute.String("account", c.AccountID), attribute.String("model", c.Model))
+	attributes := metric.WithAttributes(attribute.String("account", c.AccountID))
 	m.promptTokens.Add(ctx, int64(c.PromptTokens), attributes)
 	m.cachedTokens.Add(ctx, int64(c.CachedTokens), attributes)
 	m.wastedTokens.Add(ctx, int64(c.WastedTokens), attributes)
@@ -90,9 +89,9 @@
 	m.refused.Add(ctx, 1, metric.WithAttributes(attribute.String("code", code), attribute.String("run", run)))
 }
 
-// Retried records a further attempt.
-func (m *Measures) Retried(ctx context.Context, attributes ...attribute.KeyValue) {
-	m.retries.Add(ctx, 1, metric.WithAttributes(attributes...))
+// Retried records a further attempt. The reason must be one of a few names.
+func (m *Measures) Retried(ctx context.Context, targetID, reason string) {
+	m.retries.Add(ctx, 1, metric.WithAttributes(attribute.String("target", targetID), attribute.String("reason", reason)))
 }
 
 // RefusedWithinRate records a refusal of an account that was within its rate.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -33,6 +33,9 @@
 	OTLPEndpoint  string
 	// TraceOutput takes traces of the stdout exporter.
 	TraceOutput io.Writer
+	// SpanProcessor takes all spans besides the exporter, for example to keep them in
+	// memory; nil means none.
+	SpanProcessor sdktrace.SpanProcessor
 }
 
 // Telemetry holds the log, the meter and the tracer of a process.
@@ -75,6 +78,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up traces")
 	}
+	if o.SpanProcessor != nil {
+		// The option that comes last decides about sampling.
+		options = append(options, sdktrace.WithSampler(sdktrace.AlwaysSample()), sdktrace.WithSpanProcessor(o.SpanProcessor))
+	}
 	t.traces = sdktrace.NewTracerProvider(options...)
 	t.Tracer = t.traces.Tracer(instrumentationName)
 	return t, nil
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -17,8 +17,8 @@
 	tel, err := New(context.Background(), Options{LogLevel: "info", LogOutput: &log})
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx := context.Background()
-	tel.Measures.Completion(ctx, CompletionMeasure{AccountID: "club", Model: "m", PromptTokens: 10, CachedTokens: 4, WastedTokens: 1, TimeToFirstToken: 80 * time.Millisecond})
-	tel.Measures.Completion(ctx, CompletionMeasure{AccountID: "school", Model: "m", TimeToFirstToken: 900 * time.Millisecond})
+	tel.Measures.Completion(ctx, CompletionMeasure{AccountID: "club", PromptTokens: 10, CachedTokens: 4, WastedTokens: 1, TimeToFirstToken: 80 * time.Millisecond})
+	tel.Measures.Completion(ctx, CompletionMeasure{AccountID: "school", TimeToFirstToken: 900 * time.Millisecond})
 	tel.Measures.RefusedWithinRate(ctx, "club")
 	tel.Measures.Refused(ctx, "rate_limited", "not_run")
 
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -46,6 +47,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	drops   atomic.Uint64
 
 	mu     sync.Mutex
 	closed bool
@@ -61,6 +63,9 @@
 	return &Client{options: options, ctx: ctx, cancel: cancel, links: map[string]*link{}}
 }
 
+// RingDrops counts messages that full send rings dropped or refused.
+func (c *Client) RingDrops() uint64 { return c.drops.Load() }
+
 // Close ends all connections and fails their calls.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -174,7 +179,7 @@
 		return nil, errors.Wrap(l.lastErr, "waiting to reconnect")
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	conn := &clientConn{queue: newRing(sendRingEntries), drop: cancel,
+	conn := &clientConn{queue: newRing(sendRingEntries, &c.drops), drop: cancel,
 		waiting: map[uint64]chan answer{}}
 	l.conn = conn
 	c.running.Go(func() {
--- a/internal/wire/ring.go
+++ b/internal/wire/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,8 @@
 	closed  bool
 	// ready holds a token while the ring may have entries.
 	ready chan struct{}
+	// drops counts digests dropped and entries refused because the ring was full.
+	drops *atomic.Uint64
 }
 
 // outgoing is a message that waits for the writer of a connection.
@@ -33,8 +36,8 @@
 	dropped func(error)
 }
 
-func newRing(size int) *ring {
-	return &ring{entries: make([]outgoing, size), ready: make(chan struct{}, 1)}
+func newRing(size int, drops *atomic.Uint64) *ring {
+	return &ring{entries: make([]outgoing, size), ready: make(chan struct{}, 1), drops: drops}
 }
 
 func (r *ring) at(i int) *outgoing { return &r.entries[(r.first+i)%len(r.entries)] }
@@ -48,6 +51,7 @@
 	}
 	var victim outgoing
 	if r.count == len(r.entries) {
+		r.drops.Add(1)
 		var found bool
 		if victim, found = r.removeOldestDigest(); !found {
 			r.mu.Unlock()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -32,6 +33,7 @@
 	options  ServerOptions
 	handlers map[Type]Handler
 	listener net.Listener
+	drops    atomic.Uint64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -45,6 +47,9 @@
 	return &Server{options: options, handlers: map[Type]Handler{}, conns: map[net.Conn]struct{}{}}
 }
 
+// RingDrops counts replies that full send rings refused.
+func (s *Server) RingDrops() uint64 { return s.drops.Load() }
+
 // Handle implements Registry. A second handler for a type replaces the first.
 func (s *Server) Handle(t Type, h Handler) { s.handlers[t] = h }
 
@@ -135,7 +140,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	replies := newRing(sendRingEntries)
+	replies := newRing(sendRingEntries, &s.drops)
 	var running sync.WaitGroup
 	running.Go(func() { writeLoop(ctx, ses, replies) })
 	defer running.Wait()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,7 +173,7 @@
 // displaces anything but an older digest.
 func TestFullRingDropsOldestDigestOnly(t *testing.T) {
 	g := NewWithT(t)
-	r := newRing(3)
+	r := newRing(3, new(atomic.Uint64))
 	var dropped []uint64
 	put := func(kind Type, id uint64) error {
 		return r.push(outgoing{frame: frame{messageType: kind, callID: id},
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -76,7 +76,9 @@
 	weights   string
 	sequence  uint64
 	uncertain bool
-	past      []string
+	// gaps counts the losses of events that were noticed.
+	gaps uint64
+	past []string
 }
 
 // Index knows which target holds which blocks. A look-up names only blocks of a
@@ -244,6 +246,7 @@
 		return // already applied
 	}
 	if e.Sequence != t.sequence+1 {
+		t.gaps++
 		t.uncertain = true
 	}
 	t.sequence = e.Sequence
@@ -273,6 +276,14 @@
 	}
 }
 
+// Gaps returns how many losses of a target's events were noticed.
+func (x *Index) Gaps(targetID string) uint64 {
+	if t := x.targets[targetID]; t != nil {
+		return t.gaps
+	}
+	return 0
+}
+
 // Sequence returns the last event that the index has seen of a target.
 func (x *Index) Sequence(targetID string) uint64 {
 	if t := x.targets[targetID]; t != nil {
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -101,10 +101,16 @@
 		chosen = r.replicas[r.candidates[i].Handle].id
 	}
 	r.clearWaits()
+	return chosen, reason, r.Candidates()
+}
+
+// Candidates returns the candidates of the last choice.
+func (r *Router) Candidates() []Explained {
+	all := make([]Explained, 0, len(r.candidates))
 	for _, c := range r.candidates {
 		all = append(all, Explained{c, r.replicas[c.Handle].id})
 	}
-	return chosen, reason, all
+	return all
 }
 
 // fill computes the candidates of a query. Work is proportional to the replicas of
