Apply a preset to the token wait and the default deadline

Cause: a preset changed the dispatcher only; the wait of the limiter came from the setting alone and the default deadline was a constant.

Change: two knobs. DefaultDeadline is 2, 3 and 4 min. The host sets the wait after each revision; the gateway reads the deadline with each request. Evidence that was never had is exported as +Inf instead of 292 years, and the label values of each metric are bounded at 4,096.

Ruled out: a shorter deadline at peak, since it cuts off answers that are half delivered; a wait in the preset instead of a factor, since it would overrule an operator's setting of zero.

--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -52,6 +52,7 @@
 // no place: it is unbounded and may quote what a caller or a target sent.
 const (
 	kindStalled    = "stalled"
+	kindGap        = "gap"
 	kindDraining   = "target_draining"
 	kindNotRun     = "target_refused"
 	kindStatus     = "target_status"
@@ -73,6 +74,8 @@
 		return kindCallerGone
 	case errors.Is(err, errStalled):
 		return kindStalled
+	case errors.Is(err, errGap):
+		return kindGap
 	case !errors.As(err, &call):
 		return kindOther
 	case call.Draining:
--- /dev/null
+++ b/internal/dispatch/stats_test.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
+	"github.com/sequoiaroad/sequoiaroad/internal/target"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+// Guards against a preset that takes effect only on hosts that start later: two
+// failures in a row eject a target under maintenance and not under ordinary.
+func TestPresetAppliesToRunningDispatcher(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(2)
+	f.d.maintain()
+	failTwice := func(id string) uint64 {
+		f.d.failed(f.d.lanes[id], errFake)
+		f.d.failed(f.d.lanes[id], errFake)
+		for _, s := range f.d.Stats().Targets {
+			if s.TargetID == id {
+				return s.Ejections
+			}
+		}
+		return 0
+	}
+	g.Expect(failTwice("t0")).To(BeZero())
+	f.change(func(d *config.Document) { d.Preset = config.PresetMaintenance })
+	f.d.maintain()
+	g.Expect(failTwice("t1")).To(Equal(uint64(1)))
+}
+
+// Guards against a label that holds the text of an error, which is unbounded and may
+// quote what a caller sent.
+func TestFailureKindsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	secret := errors.New("sr-client-secret")
+	for kind, err := range map[string]error{
+		kindOther:      secret,
+		kindStalled:    errors.Wrap(errStalled, secret.Error()),
+		kindGap:        errors.Wrap(errGap, secret.Error()),
+		kindCallerGone: &callerGoneError{context.Canceled},
+		kindDraining:   &target.CallError{NotRun: true, Draining: true, Status: 503, Err: secret},
+		kindNotRun:     &target.CallError{NotRun: true, Status: 429, Err: secret},
+		kindStatus:     &target.CallError{Status: 500, Err: secret},
+		kindConnection: &target.CallError{NotRun: true, Err: secret},
+		"rate_limited": refusal.New(refusal.RateLimited, "%v", secret).WithCause(secret),
+	} {
+		g.Expect(FailureKind(err)).To(Equal(kind))
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -173,15 +173,13 @@
 	if err != nil {
 		return err
 	}
-	maxWait := s.LimitWait
-	if maxWait == 0 {
-		maxWait = -1 // zero means the default to quota
-	}
 	h.limiter = quota.New(quota.Options{
 		View: h.fleet, Caller: h.wireClient, Registry: h.wireServer,
-		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"), MaxWait: maxWait,
+		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"),
 		RefusedWithinRate: h.observer.RefusedWithinRate,
 	})
+	h.applyPreset()
+	h.fleet.Subscribe(h.applyPreset)
 	return nil
 }
 
@@ -249,7 +247,7 @@
 		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
-		Refused: h.observer.Refused,
+		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
--- /dev/null
+++ b/internal/host/preset.go
@@ -0,0 +1,19 @@
+package host
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/preset"
+)
+
+// knobs returns the parameters of the preset in force.
+func (h *Host) knobs() preset.Knobs { return preset.For(h.index().Document().Preset) }
+
+// applyPreset passes the preset's wait on to the limiter. The dispatcher and the gateway
+// read the preset themselves.
+func (h *Host) applyPreset() {
+	wait := time.Duration(h.knobs().LimitWaitFactor * float64(h.options.Settings.LimitWait))
+	h.limiter.SetMaxWait(wait)
+}
+
+func (h *Host) defaultDeadline() time.Duration { return h.knobs().DefaultDeadline }
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"math"
+
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 )
@@ -14,6 +16,7 @@
 		ConfigurationRevision: h.index().Document().Revision,
 		Fresh:                 h.fleet.Fresh(),
 		HostsListed:           len(h.index().Document().Members),
+		EvidenceAge:           math.MaxInt64,
 		StreamsOpen:           h.gateway.OpenStreams(),
 		RingDrops:             h.wireClient.RingDrops() + h.wireServer.RingDrops(),
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -100,6 +100,9 @@
 // preset. Zero or less means no wait.
 func (l *FleetLimiter) SetMaxWait(d time.Duration) { l.maxWait.Store(int64(max(0, d))) }
 
+// MaxWait returns how long a reservation waits for tokens at most.
+func (l *FleetLimiter) MaxWait() time.Duration { return time.Duration(l.maxWait.Load()) }
+
 // RefusedWithinRate counts the refusals that do not show that an account exceeds
 // its rate: no home could be asked, or the homes had just taken over.
 func (l *FleetLimiter) RefusedWithinRate() int64 { return l.refusedWithinRate.Load() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,7 +86,7 @@
 	flags.DurationVar(&s.LocatorTTL, "locator-ttl", 5*time.Second, "time that callers may keep an answer of the locator")
 	flags.DurationVar(&s.DrainGrace, "drain-grace", 10*time.Second, "time after the start of a planned stop in which new requests are still served; at least twice locator-ttl")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 15*time.Minute, "longest wait for running requests at a planned stop")
-	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account; zero refuses at once")
+	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account under the preset ordinary; zero refuses at once under each preset")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in bytes")
 	flags.StringVar(&s.RoutingPolicy, "routing-policy", "predicted-ttft", "predicted-ttft, round-robin, least-loaded or prefix-hash")
 
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +14,8 @@
 // count since the start of the process.
 type State struct {
 	ConfigurationRevision uint64
-	// EvidenceAge is the age of the newest evidence that the revision is the newest.
+	// EvidenceAge is the age of the newest evidence that the revision is the newest;
+	// math.MaxInt64 means that there is none.
 	EvidenceAge      time.Duration
 	Fresh            bool
 	HostsLive        int
@@ -140,11 +142,18 @@
 	return 0
 }
 
+func evidenceSeconds(age time.Duration) float64 {
+	if age == math.MaxInt64 {
+		return math.Inf(1)
+	}
+	return age.Seconds()
+}
+
 func (i *stateInstruments) host() {
 	i.gauge("configuration_revision", "{revision}", "configuration revision applied at this host",
 		func(s *State) []point[int64] { return one(int64(s.ConfigurationRevision)) })
 	i.floatGauge("configuration_evidence_age", "s", "age of the newest evidence that the applied revision is the newest",
-		func(s *State) []point[float64] { return one(s.EvidenceAge.Seconds()) })
+		func(s *State) []point[float64] { return one(evidenceSeconds(s.EvidenceAge)) })
 	i.gauge("fresh", "{host}", "1 while this host may serve keyed requests",
 		func(s *State) []point[int64] { return one(flag(s.Fresh)) })
 	i.gauge("hosts_live", "{host}", "hosts that answered a probe lately, this one included",
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,6 +21,11 @@
 
 const instrumentationName = "github.com/sequoiaroad/sequoiaroad"
 
+// maxSeries bounds the label values of a metric, since counters keep the values of
+// accounts and targets that were deleted. Further values share one series. The largest
+// design has 830 targets and 520 client accounts.
+const maxSeries = 4096
+
 // Options says where telemetry goes. The zero value logs nothing and exports no
 // traces.
 type Options struct {
@@ -69,7 +74,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up metrics")
 	}
-	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader))
+	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader), sdkmetric.WithCardinalityLimit(maxSeries))
 	t.Meter = t.metrics.Meter(instrumentationName)
 	if t.Measures, err = NewMeasures(t.Meter); err != nil {
 		return nil, err
--- a/policy/preset/preset.go
+++ b/policy/preset/preset.go
@@ -8,7 +8,7 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
-// Knobs are the parameters of routing and queues.
+// Knobs are the parameters of routing, queues and waits.
 type Knobs struct {
 	// RecomputeWeight is added to the cost of computing tokens that are not cached, as
 	// a multiple of the time it takes. It stands for the work of others that the
@@ -62,6 +62,18 @@
 	DelayTarget time.Duration
 	// MinInFlight and MaxInFlight bound the limit of requests in flight per target.
 	MinInFlight, MaxInFlight int
+	// LimitWaitFactor multiplies the setting --limit-wait, the longest wait of a request
+	// for tokens of its client account. Zero refuses at once. Peak raises it, because a
+	// caller that is refused at full load sends again, which adds load; maintenance
+	// raises it further, because a home that has just taken over lends nothing for some
+	// seconds and the other homes lend in small parts, so that a short wait refuses
+	// requests of accounts within their rate.
+	LimitWaitFactor float64
+	// DefaultDeadline is the time for a request that sets none. Peak and maintenance
+	// lengthen it: queues are longer, tokens come slower and streams are continued on
+	// other targets, and a deadline that passes cuts off an answer that is half
+	// delivered. Callers that need an answer sooner set a deadline of their own.
+	DefaultDeadline time.Duration
 }
 
 // For returns the knobs of a preset; the zero preset means ordinary.
@@ -75,6 +87,8 @@
 		k.ReinstateOver = 20 * time.Second
 		k.QueueItems = 2048
 		k.OverRateShare = 0.25
+		k.LimitWaitFactor = 2
+		k.DefaultDeadline = 3 * time.Minute
 	case config.PresetMaintenance:
 		k.RecomputeWeight = 1
 		k.TieShare = 0.35
@@ -83,6 +97,8 @@
 		k.EjectAfter = 2
 		k.OverRateShare = 0.25
 		k.DelayTarget = 400 * time.Millisecond
+		k.LimitWaitFactor = 4
+		k.DefaultDeadline = 4 * time.Minute
 	}
 	return k
 }
@@ -104,5 +120,7 @@
 		DelayTarget:     200 * time.Millisecond,
 		MinInFlight:     2,
 		MaxInFlight:     256,
+		LimitWaitFactor: 1,
+		DefaultDeadline: 2 * time.Minute,
 	}
 }
