Add limits status and make the operators' tool usable by a newcomer

Cause: the tokens of an account could not be seen by operators; a change whose answer was lost ended with the code for an unreachable host, which says that nothing was changed; empty lists were null in JSON.

Change: GET /admin/v1/limits and sequoiaroadctl limits status for one host or all; a lost answer to a change ends with code 6 unless the connection was never made; an internal error of a host ends with 1; missing flags, addresses that are not IP:port and mistyped subcommands are usage errors that say what to do; shell completion of presets, output formats and ids; durations as text in a comparison of presets; dev names its own flag for a bad address.

Ruled out: hosts that answer for the limits of others, since each host knows only its own part.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -88,12 +89,12 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return &UnreachableError{Address: c.Address, Err: err}
+		return c.noAnswer(method, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	if err != nil {
-		return &UnreachableError{Address: c.Address, Err: err}
+		return c.noAnswer(method, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return decodeError(response.StatusCode, data)
@@ -101,6 +102,16 @@
 	return errors.Wrapf(json.Unmarshal(data, into), "decode the answer of host %s", c.Address)
 }
 
+// noAnswer classifies a call without an answer. A change that may have been sent may
+// have taken effect.
+func (c *Client) noAnswer(method string, err error) error {
+	var network *net.OpError
+	if method == http.MethodGet || errors.As(err, &network) && network.Op == "dial" {
+		return &UnreachableError{Address: c.Address, Err: err}
+	}
+	return &Error{Code: CodeUnknown, Message: "host " + c.Address + " did not answer; the change may or may not have taken effect: " + err.Error()}
+}
+
 func decodeError(status int, data []byte) error {
 	var body ErrorBody
 	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
@@ -157,6 +168,11 @@
 	return send[Change](ctx, c, http.MethodDelete, "/admin/v1/accounts/"+url.PathEscape(id), o.query(), nil)
 }
 
+// Limits lists the tokens of client accounts at the asked host.
+func (c *Client) Limits(ctx context.Context) ([]LimitStatus, error) {
+	return get[[]LimitStatus](ctx, c, "/admin/v1/limits", nil)
+}
+
 // Keys lists client keys; an empty account lists all.
 func (c *Client) Keys(ctx context.Context, account string) ([]KeyInfo, error) {
 	return get[[]KeyInfo](ctx, c, "/admin/v1/keys", url.Values{"account": {account}})
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/base64"
+	"math"
 	"net/http"
 	"reflect"
 	"slices"
@@ -248,9 +249,17 @@
 	})
 }
 
-func (s *Server) listRoutes(*call) (any, error)  { return s.document().Routes, nil }
-func (s *Server) listModels(*call) (any, error)  { return s.document().Models, nil }
-func (s *Server) listTargets(*call) (any, error) { return s.document().Targets, nil }
+func (s *Server) listRoutes(*call) (any, error)  { return nonNil(s.document().Routes), nil }
+func (s *Server) listModels(*call) (any, error)  { return nonNil(s.document().Models), nil }
+func (s *Server) listTargets(*call) (any, error) { return nonNil(s.document().Targets), nil }
+
+func (s *Server) listLimits(*call) (any, error) {
+	list := []LimitStatus{}
+	for _, status := range s.o.Limits.Status() {
+		list = append(list, LimitStatus{HostID: s.o.View.Self().HostID, AccountStatus: status})
+	}
+	return list, nil
+}
 
 func sameRoute(a, b config.Route) bool {
 	return a.Service == b.Service && a.PathPrefix == b.PathPrefix && a.Method == b.Method
@@ -334,12 +343,20 @@
 	for i := range a.NumField() {
 		x, y := a.Field(i).Interface(), b.Field(i).Interface()
 		if !reflect.DeepEqual(x, y) {
-			d.Differences = append(d.Differences, KnobDifference{Knob: a.Type().Field(i).Name, From: x, To: y})
+			d.Differences = append(d.Differences, KnobDifference{Knob: a.Type().Field(i).Name, From: readable(x), To: readable(y)})
 		}
 	}
 	return d, nil
 }
 
+// readable returns a duration as text such as 2m0s and other values as they are.
+func readable(v any) any {
+	if d, ok := v.(time.Duration); ok {
+		return d.String()
+	}
+	return v
+}
+
 func knownPreset(p config.Preset) bool {
 	return p == config.PresetOrdinary || p == config.PresetPeak || p == config.PresetMaintenance
 }
@@ -366,12 +383,20 @@
 			HostID: h.Member.HostID, Incarnation: h.Member.Incarnation, Zone: h.Member.Zone, Region: h.Member.Region,
 			CallerAddress: h.Member.CallerAddress, AdminAddress: h.Member.AdminAddress,
 			Listed: h.Listed, Live: h.Live, Fresh: h.Fresh, Draining: h.Draining, Revision: h.Revision,
-			EvidenceAgeMs: h.EvidenceAge.Milliseconds(), Self: h.Member.HostID == self.HostID,
+			EvidenceAgeMs: evidenceAgeMs(h.EvidenceAge), Self: h.Member.HostID == self.HostID,
 		})
 	}
 	return list, nil
 }
 
+// evidenceAgeMs returns -1 for the largest duration, which stands for no evidence.
+func evidenceAgeMs(age time.Duration) int64 {
+	if age == math.MaxInt64 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 func (s *Server) drain(*call) (any, error) {
 	s.o.Drain()
 	return struct {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/idempotency"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/internal/quota"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
@@ -31,6 +32,9 @@
 	Execute(ctx context.Context, r OrderRequest) (OrderResult, error)
 }
 
+// Limits reports the tokens of client accounts at this host.
+type Limits interface{ Status() []quota.AccountStatus }
+
 // Options are the parts of a host that operators reach.
 type Options struct {
 	View       fleet.View
@@ -38,6 +42,7 @@
 	Explainer  dispatch.Explainer
 	Unresolved idempotency.Registry
 	Orders     Orders
+	Limits     Limits
 	// Drain starts the planned stop of this host.
 	Drain  func()
 	Logger hclog.Logger
@@ -61,6 +66,7 @@
 	s.route("GET /admin/v1/accounts", read, s.listAccounts)
 	s.route("PUT /admin/v1/accounts/{id}", change, s.putAccount)
 	s.route("DELETE /admin/v1/accounts/{id}", change, s.deleteAccount)
+	s.route("GET /admin/v1/limits", read, s.listLimits)
 	s.route("GET /admin/v1/keys", read, s.listKeys)
 	s.route("POST /admin/v1/keys", change, s.issueKey)
 	s.route("DELETE /admin/v1/keys/{id}", change, s.withdrawKey)
@@ -237,9 +243,10 @@
 	}, nil
 }
 
-func nonNil(list []string) []string {
+// nonNil makes an empty list appear as [] and not as null.
+func nonNil[T any](list []T) []T {
 	if list == nil {
-		return []string{}
+		return []T{}
 	}
 	return list
 }
--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/quota"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/preset"
 )
@@ -44,12 +45,18 @@
 	Pending []string `json:"pending"`
 }
 
-// AccountStatus is a client account with its use of the limit at this host.
+// AccountStatus is a client account with the number of its keys.
 type AccountStatus struct {
 	config.Account
 	Keys int `json:"keys"`
 }
 
+// LimitStatus is the state of a client account's tokens at one host.
+type LimitStatus struct {
+	HostID string `json:"host_id"`
+	quota.AccountStatus
+}
+
 // KeyInfo describes a client key without its hash.
 type KeyInfo struct {
 	ID        string    `json:"id"`
@@ -123,8 +130,9 @@
 	Fresh         bool   `json:"fresh"`
 	Draining      bool   `json:"draining"`
 	Revision      uint64 `json:"revision"`
-	EvidenceAgeMs int64  `json:"evidence_age_ms"`
-	Self          bool   `json:"self"`
+	// EvidenceAgeMs is -1 if the host has no evidence.
+	EvidenceAgeMs int64 `json:"evidence_age_ms"`
+	Self          bool  `json:"self"`
 }
 
 // HistoryEntry is one revision in the history.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
 	"os/signal"
 	"syscall"
 	"time"
@@ -147,6 +148,9 @@
 		if output != "text" && output != "json" {
 			return errors.Errorf("--output %q is not text or json", output)
 		}
+		if _, err := netip.ParseAddrPort(o.Listen); err != nil {
+			return errors.Errorf("--listen %q is not IP:port", o.Listen)
+		}
 		tel, err := telemetry.New(cmd.Context(), telemetry.Options{LogLevel: logLevel, LogOutput: stderr})
 		if err != nil {
 			return err
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -36,15 +37,16 @@
 	}
 	set.Flags().Int64Var(&account.RateTokensPerSecond, "rate", 0, "tokens per second over the whole fleet")
 	set.Flags().Int64Var(&account.BurstTokens, "burst", 0, "tokens that may be used at once over the whole fleet")
-	remove := t.removeCommand("delete ACCOUNT", "Delete a client account and its keys",
+	remove := t.namedChange("delete ACCOUNT", "Delete a client account and its keys",
 		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
 			return c.DeleteAccount(ctx, id, t.change)
 		})
+	remove.ValidArgsFunction = t.suggest(accountIDs)
 	return group("accounts", "Manage client accounts", list, t.addChangeFlags(set), remove)
 }
 
-// removeCommand returns a changing command that takes one id.
-func (t *tool) removeCommand(use, short string, f func(context.Context, *admin.Client, string) (admin.Change, error)) *cobra.Command {
+// namedChange returns a changing command that takes one name.
+func (t *tool) namedChange(use, short string, f func(context.Context, *admin.Client, string) (admin.Change, error)) *cobra.Command {
 	cmd := &cobra.Command{Use: use, Short: short, Args: exactArgs(1)}
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		return call(t, func(ctx context.Context, c *admin.Client) (admin.Change, error) {
@@ -76,11 +78,14 @@
 			changeTable(w, k.Change)
 		})}
 	issue.Flags().StringVar(&request.AccountID, "account", "", "client account")
+	required(issue, "account")
+	_ = issue.RegisterFlagCompletionFunc("account", t.suggest(accountIDs)) // fails only for an unknown flag
 	issue.Flags().StringVar(&request.ID, "id", "", "id of the key; empty lets the host choose")
-	withdraw := t.removeCommand("withdraw KEY-ID", "Withdraw a client key",
+	withdraw := t.namedChange("withdraw KEY-ID", "Withdraw a client key",
 		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
 			return c.WithdrawKey(ctx, id, t.change)
 		})
+	withdraw.ValidArgsFunction = t.suggest(keyIDs)
 	return group("keys", "Issue and withdraw client keys", list, t.addChangeFlags(issue), withdraw)
 }
 
@@ -99,7 +104,8 @@
 		})(cmd, args)
 	}
 	issue.Flags().StringVar(&role, "role", string(config.RoleReader), "reader or admin")
-	withdraw := t.removeCommand("withdraw ID", "Withdraw an operator key",
+	_ = issue.RegisterFlagCompletionFunc("role", choices(string(config.RoleReader), string(config.RoleAdmin))) // fails only for an unknown flag
+	withdraw := t.namedChange("withdraw ID", "Withdraw an operator key",
 		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
 			return c.WithdrawOperatorKey(ctx, id, t.change)
 		})
@@ -131,7 +137,7 @@
 	routeFlags(set, &route)
 	set.Flags().BoolVar(&route.Open, "open", false, "open to all, without a key")
 	set.Flags().BoolVar(&route.Idempotent, "idempotent", false, "calls may be repeated")
-	remove := t.removeCommand("delete SERVICE", "Delete a route",
+	remove := t.namedChange("delete SERVICE", "Delete a route",
 		func(ctx context.Context, c *admin.Client, service string) (admin.Change, error) {
 			gone.Service = service
 			return c.DeleteRoute(ctx, gone, t.change)
@@ -192,10 +198,11 @@
 	f.StringVar(&target.Service, "service", "", "name of a plain service")
 	f.BoolVar(&target.ChecksFencing, "checks-fencing", false, "the target refuses orders with an old fencing number")
 	f.BoolVar(&target.Leaving, "leaving", false, "the target gets no new work")
-	remove := t.removeCommand("delete TARGET", "Delete a target",
+	remove := t.namedChange("delete TARGET", "Delete a target",
 		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
 			return c.DeleteTarget(ctx, id, t.change)
 		})
+	remove.ValidArgsFunction = t.suggest(targetIDs)
 	return group("targets", "Manage targets", list, t.addChangeFlags(set), remove)
 }
 
@@ -214,10 +221,13 @@
 			}
 		})(cmd, args)
 	}
-	set := t.removeCommand("set PRESET", "Choose a preset; it holds until the next choice",
+	set := t.namedChange("set PRESET", "Choose a preset; it holds until the next choice",
 		func(ctx context.Context, c *admin.Client, name string) (admin.Change, error) {
 			return c.SetPreset(ctx, config.Preset(name), t.change)
 		})
+	for _, cmd := range []*cobra.Command{diff, set} {
+		cmd.ValidArgs = []string{string(config.PresetOrdinary), string(config.PresetPeak), string(config.PresetMaintenance)}
+	}
 	return group("preset", "Show and choose the preset", show, diff, set)
 }
 
@@ -289,7 +299,7 @@
 			func(w *tabwriter.Writer, list []admin.HostInfo) {
 				row(w, "HOST", "ZONE", "CALLERS", "OPERATORS", "LISTED", "LIVE", "FRESH", "DRAINING", "REVISION", "EVIDENCE AGE (ms)")
 				for _, h := range list {
-					row(w, h.HostID, h.Zone, h.CallerAddress, h.AdminAddress, h.Listed, h.Live, h.Fresh, h.Draining, h.Revision, h.EvidenceAgeMs)
+					row(w, h.HostID, h.Zone, h.CallerAddress, h.AdminAddress, h.Listed, h.Live, h.Fresh, h.Draining, h.Revision, evidenceAge(h.EvidenceAgeMs))
 				}
 			})}
 	drain := &cobra.Command{Use: "drain [HOST]", Short: "Start the planned stop of a host; without a name, of the asked one"}
@@ -311,9 +321,17 @@
 			return c.Address, c.Drain(ctx)
 		}, func(w *tabwriter.Writer, address string) { row(w, "draining", address) })(cmd, args)
 	}
+	drain.ValidArgsFunction = t.suggest(hostIDs)
 	return group("hosts", "Show and drain hosts", list, drain)
 }
 
+func evidenceAge(ms int64) string {
+	if ms < 0 {
+		return "none"
+	}
+	return strconv.FormatInt(ms, 10)
+}
+
 func adminAddress(ctx context.Context, c *admin.Client, hostID string) (string, error) {
 	hosts, err := c.Hosts(ctx)
 	if err != nil {
@@ -345,6 +363,9 @@
 	f.StringVar(&order.Adapter, "adapter", "", "adapter")
 	f.StringVar(&order.Version, "version", "", "weights version")
 	f.StringVar(&order.Role, "role", "", "role")
+	required(sendOrder, "kind")
+	_ = sendOrder.RegisterFlagCompletionFunc("kind", choices("load_model", "load_adapter", "load_version", "change_role")) // fails only for an unknown flag
+	sendOrder.ValidArgsFunction = t.suggest(targetIDs)
 	return group("orders", "Send orders to engines", sendOrder)
 }
 
@@ -367,6 +388,7 @@
 	resolve.Flags().IntVar(&request.Status, "status", 0, "HTTP status that repeats of the request get; zero gives them an error")
 	resolve.Flags().StringVar(&request.Body, "body", "", "body that repeats of the request get")
 	resolve.Flags().StringVar(&request.Note, "note", "", "what was found out")
+	resolve.ValidArgsFunction = t.suggest(unresolvedIDs)
 	return group("unresolved", "Resolve non-idempotent requests without a known outcome", list, resolve)
 }
 
@@ -379,11 +401,15 @@
 			row(w, "chosen", e.Chosen, e.Reason)
 			row(w, "TARGET", "CACHED", "UNCACHED", "NETWORK (ms)", "QUEUE (ms)", "PREFILL (ms)", "LOAD (ms)", "TOTAL (ms)", "EXCLUDED")
 			for _, c := range e.Candidates {
-				row(w, c.Target, c.CachedTokens, c.UncachedTokens, c.NetworkMs, c.QueueMs, c.PrefillMs, c.LoadMs, c.TotalMs, c.Excluded)
+				row(w, c.Target, c.CachedTokens, c.UncachedTokens, fixed(c.NetworkMs, 1), fixed(c.QueueMs, 1),
+					fixed(c.PrefillMs, 1), fixed(c.LoadMs, 1), fixed(c.TotalMs, 1), c.Excluded)
 			}
 		})}
 	explain.Flags().StringVar(&account, "account", "", "client account")
 	explain.Flags().StringVar(&model, "model", "", "model")
 	explain.Flags().StringVar(&prompt, "prompt", "", "prompt")
+	required(explain, "account", "model")
+	_ = explain.RegisterFlagCompletionFunc("account", t.suggest(accountIDs)) // fails only for an unknown flag
+	_ = explain.RegisterFlagCompletionFunc("model", t.suggest(modelIDs))
 	return explain
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -82,6 +83,8 @@
 		return ExitConflict
 	case errors.As(err, &refused) && refused.Code == admin.CodeUnknown:
 		return ExitUnknown
+	case errors.As(err, &refused) && refused.Code == admin.CodeInternal:
+		return ExitFailed
 	case errors.As(err, &refused):
 		return ExitRefused
 	case strings.HasPrefix(err.Error(), "unknown command"):
@@ -106,6 +109,7 @@
 	flags.StringVar(&t.key, "key", "", "operator key (better given as "+EnvKey+")")
 	flags.StringVarP(&t.output, "output", "o", outputTable, "table or json")
 	flags.DurationVar(&t.timeout, "timeout", 30*time.Second, "longest wait for an answer")
+	_ = root.RegisterFlagCompletionFunc("output", choices(outputTable, outputJSON)) // fails only for an unknown flag
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
 		if t.output != outputTable && t.output != outputJSON {
@@ -114,7 +118,7 @@
 		return nil
 	}
 	root.AddCommand(
-		t.accountsCommand(), t.keysCommand(), t.operatorKeysCommand(), t.routesCommand(), t.modelsCommand(),
+		t.accountsCommand(), t.limitsCommand(), t.keysCommand(), t.operatorKeysCommand(), t.routesCommand(), t.modelsCommand(),
 		t.targetsCommand(), t.presetCommand(), t.configCommand(), t.hostsCommand(), t.ordersCommand(),
 		t.unresolvedCommand(), t.explainCommand(), t.initCommand(), t.loadCommand(),
 	)
@@ -129,6 +133,9 @@
 	if t.address == "" || t.key == "" {
 		return nil, &usageError{errors.Errorf("--address and --key (or %s and %s) are required", EnvAddress, EnvKey)}
 	}
+	if _, err := netip.ParseAddrPort(t.address); err != nil {
+		return nil, &usageError{errors.Errorf("--address %q is not IP:port of a host's operator listener", t.address)}
+	}
 	return &admin.Client{Address: t.address, Key: t.key, HTTP: &http.Client{Timeout: t.timeout}}, nil
 }
 
@@ -196,9 +203,14 @@
 
 // group returns a command that only holds subcommands.
 func group(use, short string, subcommands ...*cobra.Command) *cobra.Command {
-	cmd := &cobra.Command{Use: use, Short: short, RunE: func(cmd *cobra.Command, args []string) error {
+	const typos = 2
+	cmd := &cobra.Command{Use: use, Short: short, SuggestionsMinimumDistance: typos, RunE: func(cmd *cobra.Command, args []string) error {
 		if len(args) > 0 {
-			return &usageError{errors.Errorf("unknown command %q for %q", args[0], cmd.CommandPath())}
+			hint := "see " + cmd.CommandPath() + " --help"
+			if near := cmd.SuggestionsFor(args[0]); len(near) > 0 {
+				hint = "did you mean " + strings.Join(near, " or ") + "?"
+			}
+			return &usageError{errors.Errorf("unknown command %q for %q; %s", args[0], cmd.CommandPath(), hint)}
 		}
 		return cmd.Help()
 	}}
@@ -210,7 +222,7 @@
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
 		if len(args) != n {
-			return &usageError{errors.Errorf("%s takes %d arguments, not %d", cmd.CommandPath(), n, len(args))}
+			return &usageError{errors.Errorf("%s takes %d arguments, not %d; usage: %s", cmd.CommandPath(), n, len(args), cmd.UseLine())}
 		}
 		return nil
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -255,7 +255,7 @@
 	h.callerAPI = mux
 	h.admin = admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
-		Orders: &orderAdapter{service: h.orders}, Drain: h.Drain, Logger: h.logger,
+		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
 	})
 	return nil
 }
