Check each client error of docs/api.md over HTTP

Cause: no test compared the codes on the page with what callers get.

Change: a test sends to dev a request for each 4xx of the table, checks status, code, run state and request id, and fails for a code that it did not see.

Ruled out: key_withdrawn for new requests with a key withdrawn long ago, since the configuration keeps no hash of withdrawn keys.

--- /dev/null
+++ b/internal/dev/refusals_test.go
@@ -0,0 +1,155 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/admin"
+	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+// seen is the part of a response that docs/api.md describes for refusals.
+type seen struct {
+	status int
+	header http.Header
+	Error  struct {
+		Code         string `json:"code"`
+		Message      string `json:"message"`
+		Run          string `json:"run"`
+		RetryAfterMs int64  `json:"retry_after_ms"`
+		RequestID    string `json:"request_id"`
+	} `json:"error"`
+}
+
+// prober sends requests that a host refuses and collects the codes.
+type prober struct {
+	g      *WithT
+	system *System
+	codes  []string
+}
+
+func (p *prober) send(method, path, body string, header ...string) seen {
+	headers := map[string]string{}
+	for i := 0; i < len(header); i += 2 {
+		headers[header[i]] = header[i+1]
+	}
+	response, err := p.system.request(context.Background(), method, path, body, headers)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	s := seen{status: response.StatusCode, header: response.Header}
+	_ = json.Unmarshal(text, &s) // services answer in formats of their own
+	return s
+}
+
+// expect checks one refusal as callers see it.
+func (p *prober) expect(status int, code, run string, s seen) {
+	p.g.THelper()
+	p.g.Expect(s.Error.Code).To(Equal(code), s.Error.Message)
+	p.g.Expect(s.status).To(Equal(status), code)
+	p.g.Expect(s.Error.Run).To(Equal(run), code)
+	p.g.Expect(s.Error.Message).NotTo(BeEmpty())
+	p.g.Expect(s.Error.RequestID).To(And(Not(BeEmpty()), Equal(s.header.Get("X-Request-Id"))))
+	p.codes = append(p.codes, fmt.Sprint(code, " ", status))
+}
+
+func startDev(t *testing.T, o Options) *System {
+	t.Helper()
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var err error
+	o.Listen = "127.0.0.1:0"
+	o.Telemetry, err = telemetry.New(ctx, telemetry.Options{})
+	g.Expect(err).NotTo(HaveOccurred())
+	s, err := New(ctx, o)
+	g.Expect(err).NotTo(HaveOccurred())
+	ready, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- s.Run(ctx, func() { close(ready) }) }()
+	t.Cleanup(func() {
+		cancel()
+		g.Expect(<-ended).To(Succeed())
+	})
+	g.Eventually(ready, "15s").Should(BeClosed())
+	return s
+}
+
+func completionBody(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%v}`, Model, prompt, tokens, stream)
+}
+
+// Guards against a 4xx of docs/api.md that callers never get, or get with another status
+// or a false run state. Each code of the page must be tried.
+func TestEachClientErrorOfTheAPIPage(t *testing.T) {
+	g := NewWithT(t)
+	system := startDev(t, Options{ServiceDelay: 300 * time.Millisecond, TokenDelay: 10 * time.Millisecond})
+	p := &prober{g: g, system: system}
+	const completions, bookings = "/v1/completions", "/services/booking/bookings"
+
+	p.expect(401, "unauthorized", "not_run", p.send("POST", completions, completionBody("x", 1, false), "Authorization", "Bearer wrong"))
+	p.expect(400, "invalid_request", "not_run", p.send("POST", completions, "{"))
+	p.expect(400, "invalid_request", "not_run", p.send("POST", completions, completionBody("x", 1, false), "Request-Timeout-Ms", "soon"))
+	p.expect(413, "body_too_large", "not_run", p.send("POST", completions, completionBody(strings.Repeat("x", 9<<20), 1, false)))
+	p.expect(404, "not_found", "not_run", p.send("GET", "/v2", ""))
+	p.expect(404, "not_found", "not_run", p.send("GET", "/services/printing/runs", ""))
+	p.expect(404, "not_found", "not_run", p.send("POST", completions, `{"model":"none","prompt":"x","max_tokens":1}`))
+	p.expect(405, "method_not_allowed", "not_run", p.send("GET", completions, ""))
+	p.expect(400, "request_exceeds_burst", "not_run", p.send("POST", completions, completionBody("x", burstTokens+1, false)))
+	p.expect(400, "idempotency_key_required", "not_run", p.send("POST", bookings, "{}"))
+	p.expect(409, "stream_not_resumable", "not_run", p.send("POST", completions, completionBody("x", 1, true), "Last-Event-ID", "none:3"))
+
+	first := make(chan seen, 1)
+	go func() { first <- p.send("POST", bookings, "{}", "Idempotency-Key", "one") }()
+	g.Eventually(func() int { return len(system.Service.Received()) }, "3s").Should(Equal(1))
+	p.expect(409, "still_running", "unknown", p.send("POST", bookings, "{}", "Idempotency-Key", "one"))
+	g.Expect((<-first).status).To(BeNumerically("<", 300))
+	p.expect(422, "idempotency_key_reused", "not_run", p.send("POST", bookings, `{"other":1}`, "Idempotency-Key", "one"))
+
+	// The deadline passes after the call was sent.
+	g.Expect(p.send("POST", bookings, "{}", "Idempotency-Key", "two", "Request-Timeout-Ms", "150").Error.Run).To(Equal("unknown"))
+	p.expect(409, "outcome_unknown", "unknown", p.send("POST", bookings, "{}", "Idempotency-Key", "two"))
+
+	operator := &admin.Client{Address: system.Info.AdminAddress, Key: system.Info.OperatorKey, HTTP: http.DefaultClient}
+	// The answer in progress when the key is withdrawn is not delivered.
+	withdrawn := make(chan seen, 1)
+	go func() { withdrawn <- p.send("POST", completions, completionBody("long", 2000, false)) }()
+	g.Eventually(func() int { return system.Engines[0].Counters().Runs + system.Engines[1].Counters().Runs }, "3s").Should(Equal(1))
+	_, err := operator.WithdrawKey(context.Background(), clientKeyID, admin.ChangeOptions{})
+	g.Expect(err).NotTo(HaveOccurred())
+	p.expect(401, "key_withdrawn", "unknown", <-withdrawn)
+	p.expect(401, "unauthorized", "not_run", p.send("POST", completions, completionBody("x", 1, false)))
+
+	_, err = operator.PutAccount(context.Background(), config.Account{ID: "slow", RateTokensPerSecond: 1, BurstTokens: 100}, admin.ChangeOptions{})
+	g.Expect(err).NotTo(HaveOccurred())
+	issued, err := operator.IssueKey(context.Background(), admin.IssueKeyRequest{AccountID: "slow"}, admin.ChangeOptions{})
+	g.Expect(err).NotTo(HaveOccurred())
+	system.Info.ClientKey = issued.Key
+	var limited seen
+	g.Eventually(func() int {
+		limited = p.send("POST", completions, completionBody("x", 50, false))
+		return limited.status
+	}, "5s").Should(Equal(429))
+	p.expect(429, "rate_limited", "not_run", limited)
+	g.Expect(limited.Error.RetryAfterMs).To(BeNumerically(">", 0))
+	g.Expect(limited.header.Get("Retry-After")).NotTo(BeEmpty())
+
+	page, err := os.ReadFile("../../docs/api.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	documented := regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (4\\d\\d) \\|").FindAllStringSubmatch(string(page), -1)
+	g.Expect(documented).NotTo(BeEmpty())
+	for _, row := range documented {
+		g.Expect(slices.Contains(p.codes, row[1]+" "+row[2])).To(BeTrue(), "%s %s was not seen", row[1], row[2])
+	}
+}
