Pass over an engine for a second after it refused

Cause: an engine that answers 'not run' because it is full stayed the first choice of its prefixes. Each of their requests needed a retry, until the retry budget was empty and a request was refused while another engine was idle.

Change: a refusal of a working target excludes it for one second, as long as another target is left; ejection would treat it as failed.

Ruled out: counting such refusals as failures, which ejects an engine that works at its limit; a larger retry budget, which multiplies load.

Before: TestRefusingEnginesArePassedOver was known red, request 6 of 30 got target_unavailable.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -110,6 +110,7 @@
 		if call.Status != 0 {
 			// The target is alive and refuses work: send less, but don't eject it.
 			l.limit.Measured(&d.knobs, overloadRetryAfter, now)
+			d.router.Refused(l.targetID, now.Add(overloadRetryAfter))
 			return
 		}
 	}
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -196,6 +196,9 @@
 	if p.unreachable && now.Before(p.unreachableUntil) {
 		return Ejected
 	}
+	if now.Before(p.refusingUntil) {
+		return Refusing
+	}
 	if count {
 		return p.health.State(r.knobs, now)
 	}
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -27,17 +27,18 @@
 // Exclusion says why a target may not be chosen.
 type Exclusion uint8
 
-// The exclusions. Reinstating and Ejected targets are used if no other is left.
+// The exclusions. Reinstating, Refusing and Ejected targets are used if no other is left.
 const (
 	Usable Exclusion = iota
 	Reinstating
+	Refusing
 	Ejected
 	Tried
 	Leaving
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"", "reinstating", "ejected", "tried", "leaving"}[e]
+	return [...]string{"", "reinstating", "refusing", "ejected", "tried", "leaving"}[e]
 }
 
 // Candidate is one target that serves the model. Times are in seconds.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -45,6 +45,8 @@
 	drainingSince    time.Time
 	unreachable      bool
 	unreachableUntil time.Time
+	// refusingUntil follows a refusal by a target that works and takes no more.
+	refusingUntil time.Time
 	weights          string
 	estimator        Estimator
 	health           Health
@@ -231,7 +233,7 @@
 		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
 		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
 		weights:    r.versions[p.weights], busy: int32(p.inFlight),
-		special: p.leaving() || p.unreachable || p.far || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
 	}
 	if e.report.PendingPrefillTokens > 0 {
 		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
@@ -321,10 +323,23 @@
 	return ejected
 }
 
+// Refused records that a target works, but takes no more requests for now. Without
+// it, the target would stay the first choice of its prefixes, and each of their requests
+// would need a retry.
+func (r *Router) Refused(id string, until time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.refusingUntil = until
+		r.refresh(p)
+	}
+}
+
 // Succeeded records a success of a target.
 func (r *Router) Succeeded(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
 		p.health.Succeeded(now)
+		if !now.Before(p.refusingUntil) {
+			p.refusingUntil = time.Time{}
+		}
 		r.refresh(p)
 	}
 }
