--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -47,9 +47,9 @@
 	unreachableUntil time.Time
 	// refusingUntil follows a refusal by a target that works and takes no more.
 	refusingUntil time.Time
-	weights          string
-	estimator        Estimator
-	health           Health
+	weights       string
+	estimator     Estimator
+	health        Health
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
