--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -79,6 +79,8 @@
 	return listed.Incarnation == f.self.Incarnation || f.isOlder(listed.Incarnation)
 }
 
+// handleCommitted applies an accepted attempt. Without its document it asks the
+// sender, whose inner address is the one that it gave in the handshake.
 func (f *Fleet) handleCommitted(ctx context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
 	message := &committed{}
 	if err := request.Decode(message); err != nil {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -132,6 +132,18 @@
 	return kept, nil
 }
 
+// dropOldSnapshots frees the snapshots that no peer may read any more.
+func (f *Fleet) dropOldSnapshots() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	for name, kept := range f.snapshots.kept {
+		if now.Sub(kept.madeAt) > snapshotKeep {
+			delete(f.snapshots.kept, name)
+		}
+	}
+}
+
 // runSnapshotFetch gets each registered snapshot once from a live peer.
 func (f *Fleet) runSnapshotFetch(ctx context.Context) {
 	f.mu.Lock()
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -26,6 +26,7 @@
 	backoff := minUpkeepBackoff
 	for ctx.Err() == nil {
 		f.sleepJittered(ctx, upkeepInterval, f.polled)
+		f.dropOldSnapshots()
 		if len(f.dueRepairs()) == 0 {
 			backoff = minUpkeepBackoff
 			continue
