Identify withdrawals by key id and hash

Cause: an open withdrawal of a key hid the withdrawal of a later key with the same id, while the push that carried it counted as enforced. A host could then count itself fresh without enforcing a revision.

Change: open withdrawals are kept by id and hash, and a push counts as enforced only if it carries each withdrawal of its document.

Ruled out: refusing a key id that was used before; the document holds no record of former ids.

Conclusion: a withdrawal concerns one key, whatever its id.

--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -59,7 +59,8 @@
 		return reply
 	}
 	// Withdrawals take effect even if the push is refused.
-	enforced := f.hearLocked(message.Withdrawals) && d.Change.OnlyWithdrawals
+	heard := f.hearLocked(message.Withdrawals) && len(message.Withdrawals) == len(d.Change.WithdrawnKeyIDs)
+	enforced := heard && d.Change.OnlyWithdrawals
 	reply.Acked = f.state.Push(message.Attempt, enforced, f.now())
 	if reply.Acked {
 		f.pendingDocs = append(f.pendingDocs, d)
--- a/internal/fleet/withdrawals.go
+++ b/internal/fleet/withdrawals.go
@@ -28,10 +28,18 @@
 	heardAt time.Time
 }
 
+// keyIdentity tells a key from a later one with the same id.
+type keyIdentity struct {
+	id   string
+	hash config.KeyHash
+}
+
+func (k withdrawnKey) identity() keyIdentity { return keyIdentity{k.KeyID, k.Hash} }
+
 // withdrawalLog keeps the withdrawals that were heard and the keys that have left
 // the configuration.
 type withdrawalLog struct {
-	open    map[string]openWithdrawal
+	open    map[keyIdentity]openWithdrawal
 	removed *lru.Cache[string, struct{}]
 }
 
@@ -40,7 +48,7 @@
 	if err != nil {
 		panic(err) // only a size below 1 is an error
 	}
-	return withdrawalLog{open: map[string]openWithdrawal{}, removed: removed}
+	return withdrawalLog{open: map[keyIdentity]openWithdrawal{}, removed: removed}
 }
 
 // hear records withdrawals. It returns the number of new ones, and false if there
@@ -49,13 +57,13 @@
 func (l *withdrawalLog) hear(keys []withdrawnKey, current *config.Document, now time.Time) (int, bool) {
 	heard := 0
 	for _, k := range keys {
-		if _, known := l.open[k.KeyID]; known || settles(current, k) {
+		if _, known := l.open[k.identity()]; known || settles(current, k) {
 			continue
 		}
 		if len(l.open) >= maxOpenWithdrawals {
 			return heard, false
 		}
-		l.open[k.KeyID] = openWithdrawal{key: k, heardAt: now}
+		l.open[k.identity()] = openWithdrawal{key: k, heardAt: now}
 		heard++
 	}
 	return heard, true
@@ -80,7 +88,7 @@
 	for id, o := range l.open {
 		if settles(current, o.key) {
 			delete(l.open, id)
-			l.removed.Add(id, struct{}{})
+			l.removed.Add(id.id, struct{}{})
 		}
 	}
 	present := map[string]bool{}
@@ -101,7 +109,7 @@
 func (l *withdrawalLog) set() *withdrawnSet {
 	set := make(withdrawnSet, len(l.open)+l.removed.Len())
 	for id := range l.open {
-		set[id] = struct{}{}
+		set[id.id] = struct{}{}
 	}
 	for _, id := range l.removed.Keys() {
 		set[id] = struct{}{}
