Report a conflict when members have applied another revision

Cause: a proposer whose push arrived after the members had applied another revision with its number got "no majority" instead of a conflict, so that the operator could not tell a race from a partition.

Change: a refusal by a member that has already applied the revision number makes the proposal end with ErrRevisionConflict.

Ruled out: reading the store again after a failed push, which costs a read and fails in a partition.

--- a/internal/fleet/propose.go
+++ b/internal/fleet/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,6 +38,9 @@
 	withdrawn  []withdrawnKey
 	forced     bool
 	acceptedAt time.Time
+	// overtaken says that a member has already applied another revision with the
+	// attempt's number.
+	overtaken atomic.Bool
 }
 
 // Propose implements Proposer. If ctx ends after the acceptance, the report lists
@@ -63,6 +67,9 @@
 	}
 	if !f.collectAcks(ctx, p) && !opts.Force {
 		f.spreadAbort(ctx, p)
+		if p.overtaken.Load() {
+			return nil, errors.Wrapf(ErrRevisionConflict, "push revision %d", p.attempt.Revision)
+		}
 		return nil, errors.Wrapf(ErrNoMajority, "push revision %d", p.attempt.Revision)
 	}
 	// The caller's deadline must not leave the outcome of the write unknown.
@@ -231,14 +238,16 @@
 // pushTo reports whether the member acknowledged the attempt.
 func (f *Fleet) pushTo(ctx context.Context, p *proposal, m config.Member) bool {
 	message := &push{Attempt: p.attempt, Document: p.encoded, Listed: memberOf(m), Withdrawals: p.withdrawn}
-	if m.HostID == f.self.HostID {
-		return f.acknowledge(message, p.next).Acked
-	}
 	reply := &pushReply{}
-	if err := f.options.Caller.Call(ctx, m.InnerAddress, message, reply); err != nil {
+	if m.HostID == f.self.HostID {
+		reply = f.acknowledge(message, p.next)
+	} else if err := f.options.Caller.Call(ctx, m.InnerAddress, message, reply); err != nil {
 		f.log.Debug("push failed", "host", m.HostID, "revision", p.attempt.Revision, "error", err)
 		return false
 	}
+	if reply.Applied >= p.attempt.Revision {
+		p.overtaken.Store(true)
+	}
 	return reply.Acked
 }
 
