Report a conflict when members have applied another attempt

Cause: the loser of a race between two operators pushes revision k+1. If the winner's revision is applied at the members before the push arrives, they refuse it, and the loser counted too few acknowledgements and answered no_quorum. TestScripts/configuration failed now and then for this reason.

Change: a push reply already carries the member's applied revision. If it is not below the pushed one, another attempt was accepted, since this one was not written yet; the proposer gives up with ErrRevisionConflict.

Ruled out: a longer wait for acknowledgements; the members do not acknowledge a superseded push later either.

Failed first: the new test, against the old code, got 'push revision 6: no majority of the members acknowledged the change' in each run.

Conclusion: the loser gets a conflict whenever one member has told it of the other change; a proposer that reaches no member still gets no_quorum.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,6 +154,36 @@
 	c.awaitAgreement(hosts)
 }
 
+// Guards against a loser of a race that is told that no majority answered: the members
+// have applied the winner's revision and refuse the push of another attempt for it.
+func TestPushOfASupersededRevisionIsAConflict(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	loser := hosts[0].fleet
+	p, err := loser.prepare(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	_, err = hosts[1].fleet.Propose(testContext(t), setPreset(config.PresetMaintenance), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	acked, superseded := loser.collectAcks(testContext(t), p)
+	c.g.Expect(acked).To(BeFalse())
+	c.g.Expect(superseded).To(BeTrue())
+
+	// The same through Propose: the other change is accepted between the loser's read
+	// of the store and its push.
+	mutate := func(d *config.Document) error {
+		if d.Preset != config.PresetOrdinary {
+			_, err := hosts[1].fleet.Propose(testContext(t), setPreset(config.PresetOrdinary), ProposeOptions{})
+			c.g.Expect(err).NotTo(HaveOccurred())
+		}
+		d.Preset = config.PresetPeak
+		return nil
+	}
+	_, err = loser.Propose(testContext(t), mutate, ProposeOptions{})
+	c.g.Expect(errors.Is(err, ErrRevisionConflict)).To(BeTrue(), "%v", err)
+	c.awaitAgreement(hosts)
+	c.g.Expect(loser.Index().Document().Preset).To(Equal(config.PresetOrdinary))
+}
+
 // Guards against two operators whose changes both succeed although the second never
 // saw the first.
 func TestRacingOperatorsGetOneConflict(t *testing.T) {
--- a/internal/fleet/propose.go
+++ b/internal/fleet/propose.go
@@ -61,7 +61,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if !f.collectAcks(ctx, p) && !opts.Force {
+	acked, superseded := f.collectAcks(ctx, p)
+	if superseded {
+		f.spreadAbort(ctx, p)
+		return nil, errors.Wrapf(ErrRevisionConflict, "push revision %d", p.attempt.Revision)
+	}
+	if !acked && !opts.Force {
 		f.spreadAbort(ctx, p)
 		return nil, errors.Wrapf(ErrNoMajority, "push revision %d", p.attempt.Revision)
 	}
@@ -190,20 +195,28 @@
 	f.spread(ctx, addresses, &abort{AttemptID: p.attempt.ID}, nil)
 }
 
+// memberReply is the answer of a listed member to a push.
+type memberReply struct {
+	from freshness.Member
+	pushReply
+}
+
 // collectAcks pushes the attempt to the members of the replaced revision and reports
-// whether a majority acknowledged it.
-func (f *Fleet) collectAcks(ctx context.Context, p *proposal) bool {
+// whether a majority acknowledged it. A member refuses a push of a revision that it
+// has applied. The attempt was not written yet, so that the applied revision is
+// another attempt: superseded is then true, and the attempt can't be accepted.
+func (f *Fleet) collectAcks(ctx context.Context, p *proposal) (acked, superseded bool) {
 	quorum := freshness.NewQuorum(membersOf(p.base))
 	if quorum.Reached() {
-		return true
+		return true, false
 	}
 	pushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
-	replies := make(chan freshness.Member, len(p.base.Members))
+	replies := make(chan memberReply, len(p.base.Members))
 	var group errgroup.Group
 	for _, m := range p.base.Members {
 		group.Go(func() error {
-			if f.pushTo(pushCtx, p, m) {
-				replies <- memberOf(m)
+			if reply := f.pushTo(pushCtx, p, m); reply != nil {
+				replies <- memberReply{memberOf(m), *reply}
 			}
 			return nil
 		})
@@ -216,30 +229,36 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return false
-		case m, open := <-replies:
+			return false, false
+		case r, open := <-replies:
 			if !open {
-				return false
+				return false, false
+			}
+			if r.Applied >= p.attempt.Revision {
+				return false, true
+			}
+			if !r.Acked {
+				continue
 			}
-			if quorum.Ack(m); quorum.Reached() {
-				return true
+			if quorum.Ack(r.from); quorum.Reached() {
+				return true, false
 			}
 		}
 	}
 }
 
-// pushTo reports whether the member acknowledged the attempt.
-func (f *Fleet) pushTo(ctx context.Context, p *proposal, m config.Member) bool {
+// pushTo returns the member's answer, nil if there was none.
+func (f *Fleet) pushTo(ctx context.Context, p *proposal, m config.Member) *pushReply {
 	message := &push{Attempt: p.attempt, Document: p.encoded, Listed: memberOf(m), Withdrawals: p.withdrawn}
 	if m.HostID == f.self.HostID {
-		return f.acknowledge(message, p.next).Acked
+		return f.acknowledge(message, p.next)
 	}
 	reply := &pushReply{}
 	if err := f.options.Caller.Call(ctx, m.InnerAddress, message, reply); err != nil {
 		f.log.Debug("push failed", "host", m.HostID, "revision", p.attempt.Revision, "error", err)
-		return false
+		return nil
 	}
-	return reply.Acked
+	return reply
 }
 
 func historyKey(revision uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, revision) }
