Read a revision back after a lost answer of the store

Cause: after a lost answer a proposer repeated its conditional write and read the revision back only when the repeat met a conflict. While the store loses the answers of all writes, the conflict is lost as well, and the proposer gave up after 6 s with 'outcome unknown' although its change was in force.

Change: the revision is read back after each lost answer; the write is repeated only if there is no such revision yet. The fake store of the tests now loses the answers of conflicts too, as the platform may.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -225,6 +225,20 @@
 	c.g.Expect(report.Confirmed).To(HaveLen(3))
 }
 
+// Guards against a proposer that does not learn the outcome of its write while the store
+// loses the answer of each write, that of a conflict included.
+func TestOutcomeIsKnownWhileAllAnswersAreLost(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	before := hosts[0].fleet.Index().Document().Revision
+	c.store.loseNextCommits(1 << 20)
+	report, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{ExpectedRevision: before})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(report.Revision).To(Equal(before + 1))
+	c.store.loseNextCommits(0)
+	c.awaitAgreement(hosts)
+}
+
 // Guards against hosts that stay stale because a proposer was killed after its push,
 // and against a withdrawn attempt that a later change revives.
 func TestProposerKilledBetweenPushAndCommit(t *testing.T) {
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -26,7 +26,8 @@
 	rows    map[string]platform.Row
 	version uint64
 	down    bool
-	// loseCommits is the number of coming commits that take effect without answer.
+	// loseCommits is the number of coming commits that take effect, or meet a conflict,
+	// without answer.
 	loseCommits int
 	// beforeCommit runs before a commit, without the lock.
 	beforeCommit func()
@@ -79,6 +80,10 @@
 	}
 	for _, c := range conditions {
 		if s.rows[c.Table+"/"+c.Key].Version != c.Version {
+			if s.loseCommits > 0 {
+				s.loseCommits--
+				return 0, platform.ErrUnknownOutcome
+			}
 			return 0, platform.ErrConflict
 		}
 	}
--- a/internal/fleet/propose.go
+++ b/internal/fleet/propose.go
@@ -263,9 +263,11 @@
 
 func historyKey(revision uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, revision) }
 
-// writeRevision writes the revision to the store. After a lost answer it repeats
-// the same conditional write until the outcome is known; the condition lets at most
-// one of the writes take effect. ErrUnknownOutcome means that it stayed unknown.
+// writeRevision writes the revision to the store. After a lost answer it reads the
+// revision back, and repeats the same conditional write if there is none yet; the
+// condition lets at most one of the writes take effect. Repeating the write alone
+// would not do, since its answers may go on being lost. ErrUnknownOutcome means that
+// the outcome stayed unknown.
 func (f *Fleet) writeRevision(ctx context.Context, p *proposal) error {
 	conditions := []platform.Condition{
 		{Table: tableConfig, Key: rowCurrent, Version: p.baseRow.Version},
@@ -287,7 +289,13 @@
 			return errors.Wrapf(err, "write revision %d", p.next.Revision)
 		}
 		lost = true
-		f.log.Warn("the outcome of a write is unknown, repeating it", "revision", p.next.Revision, "error", err)
+		f.log.Warn("the outcome of a write is unknown, reading it back", "revision", p.next.Revision, "error", err)
+		if accepted, readErr := f.acceptedAttempt(ctx, p.next.Revision); readErr == nil {
+			if accepted == p.attempt.ID {
+				return nil
+			}
+			return errors.Wrapf(ErrRevisionConflict, "write revision %d", p.next.Revision)
+		}
 		f.sleepJittered(ctx, commitRetryInterval, nil)
 		if ctx.Err() != nil {
 			return errors.Wrapf(platform.ErrUnknownOutcome, "write revision %d: %v", p.next.Revision, err)
@@ -303,10 +311,9 @@
 func (f *Fleet) resolveConflict(ctx context.Context, p *proposal, lost bool) error {
 	conflict := errors.Wrapf(ErrRevisionConflict, "write revision %d", p.next.Revision)
 	for {
-		row, err := f.options.Store.Get(ctx, tableConfig, historyKey(p.next.Revision))
+		accepted, err := f.acceptedAttempt(ctx, p.next.Revision)
 		if err == nil {
-			d, decodeErr := config.Decode(row.Value)
-			if decodeErr == nil && d.Change.AttemptID == p.attempt.ID {
+			if accepted == p.attempt.ID {
 				return nil
 			}
 			return conflict
@@ -320,3 +327,16 @@
 		}
 	}
 }
+
+// acceptedAttempt reads which attempt was accepted as a revision.
+func (f *Fleet) acceptedAttempt(ctx context.Context, revision uint64) (string, error) {
+	row, err := f.options.Store.Get(ctx, tableConfig, historyKey(revision))
+	if err != nil {
+		return "", err
+	}
+	d, err := config.Decode(row.Value)
+	if err != nil {
+		return "", errors.Wrapf(err, "revision %d", revision)
+	}
+	return d.Change.AttemptID, nil
+}
--- a/test/scenario/caller_test.go
+++ b/test/scenario/caller_test.go
@@ -56,10 +56,14 @@
 	key, model, prompt, body, weights string
 	tokens, workers                   int
 	status                            int
-	timeout                           time.Duration
-	headers                           headerFlags
-	args                              []string
-	client                            *http.Client
+	// resume makes a caller under load go on at other hosts after broken connections.
+	resume  bool
+	timeout time.Duration
+	// pause is the wait of a slow caller after each event.
+	pause   time.Duration
+	headers headerFlags
+	args    []string
+	client  *http.Client
 }
 
 func parseCaller(args []string) *caller {
@@ -74,6 +78,8 @@
 	set.IntVar(&c.workers, "workers", 4, "callers at once")
 	set.IntVar(&c.status, "status", 0, "expected HTTP status; zero means any 2xx")
 	set.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait")
+	set.BoolVar(&c.resume, "resume", false, "load: resume broken streams at other hosts")
+	set.DurationVar(&c.pause, "pause", 0, "wait after each event of a stream")
 	set.Var(&c.headers, "header", "Name: value")
 	if err := set.Parse(args); err != nil {
 		os.Exit(2)
@@ -147,7 +153,7 @@
 // addresses it goes on at the next one, by Last-Event-ID, when the connection breaks.
 func (c *caller) stream(addresses, prompt string) error {
 	list := strings.Split(addresses, ",")
-	r := &streamReader{}
+	r := &streamReader{pause: c.pause}
 	for i := 0; ; i++ {
 		err := c.streamOnce(list[i%len(list)], prompt, r)
 		if err == nil {
@@ -155,6 +161,7 @@
 		}
 		var broken *brokenError
 		if !errors.As(err, &broken) || i+1 >= maxReconnects*len(list) || len(list) == 1 {
+			c.checkPartial(prompt, r.text.String())
 			return err
 		}
 		fmt.Fprintf(os.Stderr, "reconnect after %q: %v\n", r.lastID, err)
@@ -167,6 +174,40 @@
 	return nil
 }
 
+// checkPartial says whether the text of a failed stream is a part of the expected one.
+func (c *caller) checkPartial(prompt, text string) {
+	if strings.HasPrefix(engine.Text([]byte(prompt), c.tokens, c.weights), text) {
+		fmt.Fprintf(os.Stderr, "the %d bytes so far are right\n", len(text))
+		return
+	}
+	fmt.Fprintf(os.Stderr, "the text so far is wrong: %q\n", text)
+}
+
+// resumeAnywhere reads one stream to its end. It goes on at the next host after a
+// broken connection, by Last-Event-ID, and after a refusal that says not_run.
+func (c *caller) resumeAnywhere(addresses []string, first int, prompt string, ended chan struct{}) (int, error) {
+	deadline := time.Now().Add(c.timeout)
+	r := &streamReader{pause: c.pause}
+	for retries := 0; ; retries++ {
+		err := c.streamOnce(addresses[(first+retries)%len(addresses)], prompt, r)
+		if err == nil {
+			if want := engine.Text([]byte(prompt), c.tokens, c.weights); r.text.String() != want {
+				return retries, fmt.Errorf("the text is %q, not %q", r.text.String(), want)
+			}
+			return retries, nil
+		}
+		var broken *brokenError
+		if !errors.As(err, &broken) && !safeToRepeat(err) || time.Now().After(deadline) {
+			return retries, err
+		}
+		select {
+		case <-ended:
+			return retries, nil
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
 const maxReconnects = 20
 
 // brokenError says that a connection could not be made or broke in the middle.
@@ -179,6 +220,7 @@
 type streamReader struct {
 	text   strings.Builder
 	lastID string
+	pause  time.Duration
 }
 
 func (c *caller) streamOnce(address, prompt string, r *streamReader) error {
@@ -216,6 +258,7 @@
 		if err := r.event(data); err != nil {
 			return err
 		}
+		time.Sleep(r.pause)
 	}
 	if err := lines.Err(); err != nil {
 		return &brokenError{err}
@@ -306,7 +349,11 @@
 					return
 				default:
 				}
-				retries, err := c.streamAnywhere(addresses, w+i, fmt.Sprintf("worker %d request %d", w, i), ended)
+				send := c.streamAnywhere
+				if c.resume {
+					send = c.resumeAnywhere
+				}
+				retries, err := send(addresses, w+i, fmt.Sprintf("worker %d request %d", w, i), ended)
 				mu.Lock()
 				done++
 				refused += retries
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/admin"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 )
 
 const fleetTimeout = 30 * time.Second
@@ -209,3 +210,50 @@
 	}
 	return json.NewDecoder(response.Body).Decode(&load) == nil && load.Running > 0
 }
+
+// cmdOwnerOf runs "ownerof ACCOUNT" with three hosts: it sets OWNER to the process name
+// of the account's owner, CUT to the number of another
+// host, CUTCALLER to its address for callers, and LEFTCALLER to that of the third one.
+func cmdOwnerOf(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := operator(ts, 1).Configuration(background)
+	ts.Check(err)
+	nodes := make([]placement.Node, len(d.Members))
+	for i, m := range d.Members {
+		nodes[i] = placement.Node{ID: m.HostID, Zone: m.Zone, Region: m.Region, Weight: m.Weight}
+	}
+	owner := placement.Homes(args[0], nodes)[0].ID
+	ts.Setenv("OWNER", owner)
+	var others []string
+	for _, n := range []string{"1", "2", "3"} {
+		if "h"+n != owner {
+			others = append(others, n)
+		}
+	}
+	ts.Setenv("CUT", others[0])
+	ts.Setenv("CUTCALLER", ts.Getenv("H"+others[0]))
+	ts.Setenv("LEFTCALLER", ts.Getenv("H"+others[1]))
+}
+
+// cmdWaitClaim runs "waitclaim TIMEOUT": it waits until the store holds a claim. It
+// polls faster than waitfor, so that a script can act before the holder has the answer.
+func cmdWaitClaim(ts *testscript.TestScript, _ bool, args []string) {
+	timeout, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	const interval = 5 * time.Millisecond
+	for deadline := time.Now().Add(timeout); ; time.Sleep(interval) {
+		response, err := http.Get(ts.Getenv("STORE") + "/v1/tables/idempotency/rows?prefix=")
+		ts.Check(err)
+		var found struct {
+			Rows []json.RawMessage `json:"rows"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&found)
+		_ = response.Body.Close()
+		ts.Check(err)
+		if len(found.Rows) > 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("no claim within %v", timeout)
+		}
+	}
+}
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -72,6 +72,8 @@
 		"waitfor":    cmdWaitFor,
 		"capture":    cmdCapture,
 		"inlog":      cmdInLog,
+		"ownerof":    cmdOwnerOf,
+		"waitclaim":  cmdWaitClaim,
 		"ended":      cmdEnded, "onewins": cmdOneWins, "growing": cmdGrowing,
 		"tokens": cmdTokens, "withinlimit": cmdWithinLimit, "longprompt": cmdLongPrompt,
 	}
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
@@ -49,6 +50,7 @@
 	mux.HandleFunc("GET /standin/counters", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, "%+v\n", e.Counters())
 	})
+	mux.HandleFunc("PUT /standin/faults", faultsHandler(e.SetFaults))
 	listenAndServe(*listen, mux)
 }
 
@@ -68,9 +70,25 @@
 	mux.HandleFunc("GET /standin/received", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintf(w, "%+v\n", s.Received())
 	})
+	mux.HandleFunc("GET /standin/bookings/{id}", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "{\"runs\":%d}\n", s.Ledger().BookingRuns(r.PathValue("id")))
+	})
+	mux.HandleFunc("PUT /standin/faults", faultsHandler(s.SetFaults))
 	listenAndServe(*listen, mux)
 }
 
+// faultsHandler sets the faults of a stand-in from a JSON body.
+func faultsHandler[F any](set func(F)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var faults F
+		if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(faults)
+	}
+}
+
 // networkMain stands between hosts, and between hosts and the platform, so that a
 // script can cut links. Host i is reached at NET.1i:8091 and reaches the platform at
 // NET.1:910i.
@@ -78,6 +96,7 @@
 //	POST /isolate?host=i         cuts host i from all other hosts and the platform
 //	POST /isolate?host=i&store=  cuts it from the other hosts only
 //	POST /cut-store?host=i       cuts it from the platform only
+//	POST /slow-store?host=i&by=D delays each way between host i and the platform by D
 //	POST /heal                   restores all links
 func networkMain() {
 	set := flag.NewFlagSet("network-standin", flag.ContinueOnError)
@@ -128,10 +147,18 @@
 		}
 	case "/cut-store":
 		n.store[host-1].Cut(relay.Reset)
+	case "/slow-store":
+		by, err := time.ParseDuration(r.URL.Query().Get("by"))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		n.store[host-1].SetDelay(by)
 	case "/heal":
 		n.isolated = nil
 		n.applyIsolation()
 		for _, s := range n.store {
+			s.SetDelay(0)
 			s.Restore()
 		}
 	default:
