--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,6 +154,36 @@
 	c.awaitAgreement(hosts)
 }
 
+// Guards against a loser of a race that is told that no majority answered: the members
+// have applied the winner's revision and refuse the push of another attempt for it.
+func TestPushOfASupersededRevisionIsAConflict(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	loser := hosts[0].fleet
+	p, err := loser.prepare(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	_, err = hosts[1].fleet.Propose(testContext(t), setPreset(config.PresetMaintenance), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	acked, superseded := loser.collectAcks(testContext(t), p)
+	c.g.Expect(acked).To(BeFalse())
+	c.g.Expect(superseded).To(BeTrue())
+
+	// The same through Propose: the other change is accepted between the loser's read
+	// of the store and its push.
+	mutate := func(d *config.Document) error {
+		if d.Preset != config.PresetOrdinary {
+			_, err := hosts[1].fleet.Propose(testContext(t), setPreset(config.PresetOrdinary), ProposeOptions{})
+			c.g.Expect(err).NotTo(HaveOccurred())
+		}
+		d.Preset = config.PresetPeak
+		return nil
+	}
+	_, err = loser.Propose(testContext(t), mutate, ProposeOptions{})
+	c.g.Expect(errors.Is(err, ErrRevisionConflict)).To(BeTrue(), "%v", err)
+	c.awaitAgreement(hosts)
+	c.g.Expect(loser.Index().Document().Preset).To(Equal(config.PresetOrdinary))
+}
+
 // Guards against two operators whose changes both succeed although the second never
 // saw the first.
 func TestRacingOperatorsGetOneConflict(t *testing.T) {
@@ -195,6 +225,20 @@
 	c.g.Expect(report.Confirmed).To(HaveLen(3))
 }
 
+// Guards against a proposer that does not learn the outcome of its write while the store
+// loses the answer of each write, that of a conflict included.
+func TestOutcomeIsKnownWhileAllAnswersAreLost(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startMany(3)
+	before := hosts[0].fleet.Index().Document().Revision
+	c.store.loseNextCommits(1 << 20)
+	report, err := hosts[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{ExpectedRevision: before})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(report.Revision).To(Equal(before + 1))
+	c.store.loseNextCommits(0)
+	c.awaitAgreement(hosts)
+}
+
 // Guards against hosts that stay stale because a proposer was killed after its push,
 // and against a withdrawn attempt that a later change revives.
 func TestProposerKilledBetweenPushAndCommit(t *testing.T) {
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -45,9 +45,13 @@
 	drainingSince    time.Time
 	unreachable      bool
 	unreachableUntil time.Time
-	weights          string
-	estimator        Estimator
-	health           Health
+	// refusingUntil follows a refusal by a target that works and takes no more.
+	refusingUntil time.Time
+	weights       string
+	// weightsEpoch is the engine epoch of the last report of weights.
+	weightsEpoch string
+	estimator    Estimator
+	health       Health
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
@@ -231,7 +235,7 @@
 		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
 		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
 		weights:    r.versions[p.weights], busy: int32(p.inFlight),
-		special: p.leaving() || p.unreachable || p.far || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
 	}
 	if e.report.PendingPrefillTokens > 0 {
 		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
@@ -288,12 +292,22 @@
 	}
 	p.unreachable = false
 	if weights != "" {
-		p.weights = weights
+		p.weights, p.weightsEpoch = weights, epoch
 	}
 	p.estimator.Observe(report, now)
 	r.refresh(p)
 }
 
+// Weights returns the weights version that a target reported last in the given engine
+// epoch. It is empty if the target reported none in that epoch, since an engine may
+// come back from a restart with other weights.
+func (r *Router) Weights(id, epoch string) string {
+	if p := r.byID[id]; p != nil && p.weightsEpoch == epoch {
+		return p.weights
+	}
+	return ""
+}
+
 // ObserveUnreachable records that a target did not answer a poll.
 func (r *Router) ObserveUnreachable(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
@@ -321,10 +335,23 @@
 	return ejected
 }
 
+// Refused records that a target works, but takes no more requests for now. Without
+// it, the target would stay the first choice of its prefixes, and each of their requests
+// would need a retry.
+func (r *Router) Refused(id string, until time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.refusingUntil = until
+		r.refresh(p)
+	}
+}
+
 // Succeeded records a success of a target.
 func (r *Router) Succeeded(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
 		p.health.Succeeded(now)
+		if !now.Before(p.refusingUntil) {
+			p.refusingUntil = time.Time{}
+		}
 		r.refresh(p)
 	}
 }
