Add the operations page and drain targets by name

Cause: operators had no page on presets, failures, metrics, alerts, restarts and capacity; taking a target out of service needed all of its fields again.

Change: docs/operations.md; a test compares the metrics on the page, with their types, to those that a host exports. Hosts export CPU time, memory and descriptors of the process. sequoiaroadctl targets drain and targets admit change one field under the revision that was read.

Ruled out: metrics of the Go runtime, about 30 series that no alert uses.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -203,7 +203,36 @@
 			return c.DeleteTarget(ctx, id, t.change)
 		})
 	remove.ValidArgsFunction = t.suggest(targetIDs)
-	return group("targets", "Manage targets", list, t.addChangeFlags(set), remove)
+	drain := t.namedChange("drain TARGET", "Give a target no new work; running requests finish",
+		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
+			return setLeaving(ctx, c, id, true, t.change)
+		})
+	admit := t.namedChange("admit TARGET", "Give a drained target work again",
+		func(ctx context.Context, c *admin.Client, id string) (admin.Change, error) {
+			return setLeaving(ctx, c, id, false, t.change)
+		})
+	drain.ValidArgsFunction, admit.ValidArgsFunction = t.suggest(targetIDs), t.suggest(targetIDs)
+	return group("targets", "Manage targets", list, t.addChangeFlags(set), remove, drain, admit)
+}
+
+// setLeaving changes one field of a target. The change must follow the revision that the
+// target was read at, so that it undoes no other change.
+func setLeaving(ctx context.Context, c *admin.Client, id string, leaving bool, o admin.ChangeOptions) (admin.Change, error) {
+	d, err := c.Configuration(ctx)
+	if err != nil {
+		return admin.Change{}, err
+	}
+	for _, target := range d.Targets {
+		if target.ID != id {
+			continue
+		}
+		if o.ExpectedRevision == 0 {
+			o.ExpectedRevision = d.Revision
+		}
+		target.Leaving = leaving
+		return c.PutTarget(ctx, target, o)
+	}
+	return admin.Change{}, &admin.Error{Code: admin.CodeNotFound, Message: "there is no target " + id}
 }
 
 func (t *tool) presetCommand() *cobra.Command {
--- /dev/null
+++ b/internal/host/operations_page_test.go
@@ -0,0 +1,38 @@
+package host_test
+
+import (
+	"context"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against docs/operations.md missing a metric, naming one that a host does not
+// export, or showing another type.
+func TestOperationsPageListsEachMetric(t *testing.T) {
+	g := NewWithT(t)
+	o := startObserved(t)
+	o.complete(g, "hello")
+	ctx := context.Background()
+	// These are exported from their first event on.
+	o.telemetry.Measures.Refused(ctx, "rate_limited", "not_run")
+	o.telemetry.Measures.RefusedWithinRate(ctx, "dev")
+	o.telemetry.Measures.Retried(ctx, "engine-a", "stalled")
+	page, err := os.ReadFile("../../docs/operations.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	var documented []string
+	for _, match := range regexp.MustCompile("(?m)^\\| `(\\w+_\\w+)` \\| (\\w+) \\|").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, match[1]+" "+match[2])
+	}
+	var exported []string
+	for _, match := range regexp.MustCompile(`(?m)^# TYPE (\w+) (\w+)`).FindAllStringSubmatch(o.metrics(), -1) {
+		exported = append(exported, match[1]+" "+match[2])
+	}
+	slices.Sort(documented)
+	slices.Sort(exported)
+	g.Expect(exported).NotTo(BeEmpty())
+	g.Expect(documented).To(Equal(exported))
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
@@ -70,7 +71,9 @@
 		}),
 		registry: prometheus.NewRegistry(),
 	}
-	reader, err := otelprom.New(otelprom.WithRegisterer(t.registry), otelprom.WithoutScopeInfo())
+	// CPU time and memory show the control overhead of a host.
+	t.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := otelprom.New(otelprom.WithRegisterer(t.registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "set up metrics")
 	}
