--- a/internal/fleet/propose.go
+++ b/internal/fleet/propose.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,9 +37,6 @@
 	withdrawn  []withdrawnKey
 	forced     bool
 	acceptedAt time.Time
-	// overtaken says that a member has already applied another revision with the
-	// attempt's number.
-	overtaken atomic.Bool
 }
 
 // Propose implements Proposer. If ctx ends after the acceptance, the report lists
@@ -65,11 +61,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if !f.collectAcks(ctx, p) && !opts.Force {
+	acked, superseded := f.collectAcks(ctx, p)
+	if superseded {
+		f.spreadAbort(ctx, p)
+		return nil, errors.Wrapf(ErrRevisionConflict, "push revision %d", p.attempt.Revision)
+	}
+	if !acked && !opts.Force {
 		f.spreadAbort(ctx, p)
-		if p.overtaken.Load() {
-			return nil, errors.Wrapf(ErrRevisionConflict, "push revision %d", p.attempt.Revision)
-		}
 		return nil, errors.Wrapf(ErrNoMajority, "push revision %d", p.attempt.Revision)
 	}
 	// The caller's deadline must not leave the outcome of the write unknown.
@@ -197,20 +195,28 @@
 	f.spread(ctx, addresses, &abort{AttemptID: p.attempt.ID}, nil)
 }
 
+// memberReply is the answer of a listed member to a push.
+type memberReply struct {
+	from freshness.Member
+	pushReply
+}
+
 // collectAcks pushes the attempt to the members of the replaced revision and reports
-// whether a majority acknowledged it.
-func (f *Fleet) collectAcks(ctx context.Context, p *proposal) bool {
+// whether a majority acknowledged it. A member refuses a push of a revision that it
+// has applied. The attempt was not written yet, so that the applied revision is
+// another attempt: superseded is then true, and the attempt can't be accepted.
+func (f *Fleet) collectAcks(ctx context.Context, p *proposal) (acked, superseded bool) {
 	quorum := freshness.NewQuorum(membersOf(p.base))
 	if quorum.Reached() {
-		return true
+		return true, false
 	}
 	pushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
-	replies := make(chan freshness.Member, len(p.base.Members))
+	replies := make(chan memberReply, len(p.base.Members))
 	var group errgroup.Group
 	for _, m := range p.base.Members {
 		group.Go(func() error {
-			if f.pushTo(pushCtx, p, m) {
-				replies <- memberOf(m)
+			if reply := f.pushTo(pushCtx, p, m); reply != nil {
+				replies <- memberReply{memberOf(m), *reply}
 			}
 			return nil
 		})
@@ -223,39 +229,45 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return false
-		case m, open := <-replies:
+			return false, false
+		case r, open := <-replies:
 			if !open {
-				return false
+				return false, false
 			}
-			if quorum.Ack(m); quorum.Reached() {
-				return true
+			if r.Applied >= p.attempt.Revision {
+				return false, true
+			}
+			if !r.Acked {
+				continue
+			}
+			if quorum.Ack(r.from); quorum.Reached() {
+				return true, false
 			}
 		}
 	}
 }
 
-// pushTo reports whether the member acknowledged the attempt.
-func (f *Fleet) pushTo(ctx context.Context, p *proposal, m config.Member) bool {
+// pushTo returns the member's answer, nil if there was none.
+func (f *Fleet) pushTo(ctx context.Context, p *proposal, m config.Member) *pushReply {
 	message := &push{Attempt: p.attempt, Document: p.encoded, Listed: memberOf(m), Withdrawals: p.withdrawn}
-	reply := &pushReply{}
 	if m.HostID == f.self.HostID {
-		reply = f.acknowledge(message, p.next)
-	} else if err := f.options.Caller.Call(ctx, m.InnerAddress, message, reply); err != nil {
-		f.log.Debug("push failed", "host", m.HostID, "revision", p.attempt.Revision, "error", err)
-		return false
+		return f.acknowledge(message, p.next)
 	}
-	if reply.Applied >= p.attempt.Revision {
-		p.overtaken.Store(true)
+	reply := &pushReply{}
+	if err := f.options.Caller.Call(ctx, m.InnerAddress, message, reply); err != nil {
+		f.log.Debug("push failed", "host", m.HostID, "revision", p.attempt.Revision, "error", err)
+		return nil
 	}
-	return reply.Acked
+	return reply
 }
 
 func historyKey(revision uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, revision) }
 
-// writeRevision writes the revision to the store. After a lost answer it repeats
-// the same conditional write until the outcome is known; the condition lets at most
-// one of the writes take effect. ErrUnknownOutcome means that it stayed unknown.
+// writeRevision writes the revision to the store. After a lost answer it reads the
+// revision back, and repeats the same conditional write if there is none yet; the
+// condition lets at most one of the writes take effect. Repeating the write alone
+// would not do, since its answers may go on being lost. ErrUnknownOutcome means that
+// the outcome stayed unknown.
 func (f *Fleet) writeRevision(ctx context.Context, p *proposal) error {
 	conditions := []platform.Condition{
 		{Table: tableConfig, Key: rowCurrent, Version: p.baseRow.Version},
@@ -277,7 +289,13 @@
 			return errors.Wrapf(err, "write revision %d", p.next.Revision)
 		}
 		lost = true
-		f.log.Warn("the outcome of a write is unknown, repeating it", "revision", p.next.Revision, "error", err)
+		f.log.Warn("the outcome of a write is unknown, reading it back", "revision", p.next.Revision, "error", err)
+		if accepted, readErr := f.acceptedAttempt(ctx, p.next.Revision); readErr == nil {
+			if accepted == p.attempt.ID {
+				return nil
+			}
+			return errors.Wrapf(ErrRevisionConflict, "write revision %d", p.next.Revision)
+		}
 		f.sleepJittered(ctx, commitRetryInterval, nil)
 		if ctx.Err() != nil {
 			return errors.Wrapf(platform.ErrUnknownOutcome, "write revision %d: %v", p.next.Revision, err)
@@ -293,10 +311,9 @@
 func (f *Fleet) resolveConflict(ctx context.Context, p *proposal, lost bool) error {
 	conflict := errors.Wrapf(ErrRevisionConflict, "write revision %d", p.next.Revision)
 	for {
-		row, err := f.options.Store.Get(ctx, tableConfig, historyKey(p.next.Revision))
+		accepted, err := f.acceptedAttempt(ctx, p.next.Revision)
 		if err == nil {
-			d, decodeErr := config.Decode(row.Value)
-			if decodeErr == nil && d.Change.AttemptID == p.attempt.ID {
+			if accepted == p.attempt.ID {
 				return nil
 			}
 			return conflict
@@ -310,3 +327,16 @@
 		}
 	}
 }
+
+// acceptedAttempt reads which attempt was accepted as a revision.
+func (f *Fleet) acceptedAttempt(ctx context.Context, revision uint64) (string, error) {
+	row, err := f.options.Store.Get(ctx, tableConfig, historyKey(revision))
+	if err != nil {
+		return "", err
+	}
+	d, err := config.Decode(row.Value)
+	if err != nil {
+		return "", errors.Wrapf(err, "revision %d", revision)
+	}
+	return d.Change.AttemptID, nil
+}
