Delete expired idempotency records; list unresolved ones incrementally

Cause: rows of table idempotency and answer objects were never removed, and each listing of unresolved records scanned the whole table, in pages of 500 rows that could exceed the 16 MiB that the platform client accepts.

The age counts from the end of the request, because an operator may resolve a record long after its claim. The scan goes on from the version up to which rows are deleted or kept. Listings remember open rows and scan only later versions. Pages hold 100 rows, at most 11.4 MB.

Ruled out: deleting the row before its object, which would leave objects that nothing names; a lease for the clean-up, since conditional deletions are safe when two hosts clean at once.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 )
 
 const (
@@ -200,6 +201,7 @@
 		Store: h.options.Platform.Store, Objects: h.options.Platform.Objects,
 		HostID: h.self.HostID, Incarnation: h.self.Incarnation,
 		HolderLive: h.holderLive, Fresh: h.fleet.Fresh, Logger: h.logger.Named("idempotency"),
+		Retention: h.options.Settings.IdempotencyRetention, MayClean: h.cleansRecords,
 	})
 	if err != nil {
 		return err
@@ -227,6 +229,21 @@
 
 func (h *Host) targetByID(id string) *config.Target { return h.index().Target(id) }
 
+// retentionKey is hashed over the members to choose the host that deletes expired
+// idempotency records.
+const retentionKey = "idempotency-retention"
+
+// cleansRecords reports whether this host deletes expired idempotency records.
+func (h *Host) cleansRecords() bool {
+	members := h.index().Document().Members
+	nodes := make([]placement.Node, len(members))
+	for i, m := range members {
+		nodes[i] = placement.Node{ID: m.HostID, Weight: m.Weight}
+	}
+	ranked := placement.Rank(retentionKey, nodes)
+	return len(ranked) > 0 && ranked[0].ID == h.self.HostID && h.fleet.Fresh()
+}
+
 // holderLive reports whether the holder of a claim may still be running it.
 func (h *Host) holderLive(hostID, incarnation string) bool {
 	for _, status := range h.fleet.Hosts() {
--- a/internal/idempotency/operate.go
+++ b/internal/idempotency/operate.go
@@ -1,8 +1,11 @@
 package idempotency
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -11,10 +14,14 @@
 )
 
 const (
-	// scanPage is the number of rows read at once.
-	scanPage = 500
+	// scanPage is the number of rows read at once. A row with the largest inline answer
+	// takes 114 KiB in the JSON of a scan, and the platform client takes answers of up
+	// to 16 MiB.
+	scanPage = 100
 	// maxUnresolved bounds a listing.
 	maxUnresolved = 1000
+	// maxCandidates bounds the rows that a listing remembers.
+	maxCandidates = 10_000
 	// maxResolveRounds bounds the tries of Resolve after lost answers and conflicts.
 	maxResolveRounds = 4
 )
@@ -25,29 +32,73 @@
 	ErrNotResolvable = policy.ErrNotResolvable
 )
 
-// Unresolved implements Registry. It lists at most 1,000 records, oldest first.
+// listing is the state of an incremental scan for unresolved records.
+type listing struct {
+	mu sync.Mutex
+	// after is the version up to which the table was scanned, and open the claimed and
+	// unknown rows up to there. A row that leaves these states is written again, so
+	// that the next scan sees it.
+	after uint64
+	open  map[string]candidate
+}
+
+type candidate struct {
+	row     policy.Row
+	version uint64
+}
+
+// Unresolved implements Registry. It lists at most 1,000 records, oldest first. The
+// first listing of a process scans the whole table, a later one what was written since.
 func (s *Service) Unresolved(ctx context.Context) ([]Record, error) {
-	records := []Record{}
-	after := uint64(0)
-	for {
-		rows, err := s.options.Store.Scan(ctx, Table, "", after, scanPage)
+	l := &s.listing
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		l.open = map[string]candidate{}
+	}
+	if err := s.updateListing(ctx, l); err != nil {
+		return nil, err
+	}
+	keys := make([]string, 0, len(l.open))
+	for key, c := range l.open {
+		if policy.Unresolved(&c.row, s.holderLive) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int { return cmp.Compare(l.open[a].version, l.open[b].version) })
+	records := make([]Record, 0, min(len(keys), maxUnresolved))
+	for _, key := range keys[:min(len(keys), maxUnresolved)] {
+		c := l.open[key]
+		records = append(records, recordOf(key, &c.row))
+	}
+	if len(l.open) >= maxCandidates {
+		l.after, l.open = 0, nil // the scan stopped here; the next one starts anew
+	}
+	return records, nil
+}
+
+// updateListing scans the rows written since the last scan. An error keeps what was
+// scanned before it.
+func (s *Service) updateListing(ctx context.Context, l *listing) error {
+	for len(l.open) < maxCandidates {
+		rows, err := s.options.Store.Scan(ctx, Table, "", l.after, scanPage)
 		if err != nil || len(rows) == 0 {
-			return records, err
+			return err
 		}
 		for _, stored := range rows {
-			after = stored.Version
 			var row policy.Row
 			if err := json.Unmarshal(stored.Value, &row); err != nil {
-				return nil, errors.WithMessagef(err, "decode row %s/%s", Table, stored.Key)
+				return errors.WithMessagef(err, "decode row %s/%s", Table, stored.Key)
 			}
-			if policy.Unresolved(&row, s.holderLive) {
-				records = append(records, recordOf(stored.Key, &row))
+			if row.State == policy.Claimed || row.State == policy.Unknown {
+				l.open[stored.Key] = candidate{row, stored.Version}
+			} else {
+				delete(l.open, stored.Key)
 			}
 		}
-		if len(records) >= maxUnresolved {
-			return records[:maxUnresolved], nil
-		}
+		l.after = rows[len(rows)-1].Version
 	}
+	return nil
 }
 
 // recordOf shows a claim whose holder is gone as unknown.
@@ -77,6 +128,7 @@
 		if err != nil {
 			return err
 		}
+		resolved.EndedAt = s.options.WallClock().UTC()
 		if answer != nil {
 			if err := s.storeAnswer(ctx, id, &resolved, answer); err != nil {
 				return err
--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -39,12 +39,16 @@
 // open that its claim took, so there is always room.
 func (s *Service) enqueue(r *record) { s.pending <- r }
 
-// Run writes records in the background until ctx ends.
+// Run writes records in the background and deletes expired ones until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for range s.options.Workers {
 		group.Go(func() error { return s.work(ctx) })
 	}
+	if s.options.Retention > 0 {
+		c := &cleaner{service: s}
+		group.Go(func() error { return c.run(ctx) })
+	}
 	return group.Wait()
 }
 
@@ -156,7 +160,7 @@
 	if r.stored {
 		return nil
 	}
-	r.row.State = r.to
+	r.row.State, r.row.EndedAt = r.to, s.options.WallClock().UTC()
 	if r.answer != nil {
 		if err := s.storeAnswer(ctx, r.key, &r.row, r.answer); err != nil {
 			return err
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -40,6 +40,17 @@
 	Logger hclog.Logger
 	// Clock returns monotonic time; nil means time.Now.
 	Clock func() time.Time
+	// WallClock returns the time that records are stamped with; nil means time.Now.
+	WallClock func() time.Time
+	// Retention is how long after its end a record is kept; zero means for ever.
+	Retention time.Duration
+	// MayClean says whether this host deletes expired records now; nil means never.
+	MayClean func() bool
+	// CleanInterval is the time between two clean-ups; zero means 1 min.
+	CleanInterval time.Duration
+	// CleanPause is the pause before each write of a clean-up; zero means 500 ms, a
+	// fifteenth of the default write budget.
+	CleanPause time.Duration
 	// MaxClaimAge is the time after the first write of a claim during which the
 	// request may be sent; zero means 5 s.
 	MaxClaimAge time.Duration
@@ -66,9 +77,17 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
+	if o.WallClock == nil {
+		o.WallClock = time.Now
+	}
+	if o.MayClean == nil {
+		o.MayClean = func() bool { return false }
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
+	setDefault(&o.CleanInterval, time.Minute)
+	setDefault(&o.CleanPause, 500*time.Millisecond)
 	setDefault(&o.MaxClaimAge, 5*time.Second)
 	setDefault(&o.ConfirmTimeout, 2*time.Second)
 	setDefault(&o.RecordTimeout, time.Second)
@@ -93,6 +112,7 @@
 	options Options
 	open    *semaphore.Weighted
 	pending chan *record
+	listing listing
 }
 
 var _ Registry = (*Service)(nil)
@@ -138,7 +158,7 @@
 		row: policy.Row{
 			AccountID: k.AccountID, Service: k.Service, IdempotencyKey: k.IdempotencyKey,
 			Fingerprint: k.Fingerprint, Holder: s.self(), AttemptID: uuid.NewString(),
-			State: policy.Claimed, ClaimedAt: time.Now().UTC(),
+			State: policy.Claimed, ClaimedAt: s.options.WallClock().UTC(),
 		},
 	}
 	storeCtx, cancel := context.WithTimeout(ctx, s.options.ConfirmTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,13 +45,14 @@
 	TLSKey      string `flag:"tls-key" validate:"omitempty,file"`
 	TLSCA       string `flag:"tls-ca" validate:"omitempty,file"`
 
-	FreshnessDeadline time.Duration `flag:"freshness-deadline" validate:"min=500ms"`
-	LocatorTTL        time.Duration `flag:"locator-ttl" validate:"min=100ms,max=1h"`
-	DrainGrace        time.Duration `flag:"drain-grace" validate:"min=100ms,max=2h"`
-	DrainTimeout      time.Duration `flag:"drain-timeout" validate:"min=1s"`
-	LimitWait         time.Duration `flag:"limit-wait" validate:"min=0,max=1m"`
-	MaxBodyBytes      int64         `flag:"max-body-bytes" validate:"min=1024,max=1073741824"`
-	RoutingPolicy     string        `flag:"routing-policy" validate:"oneof=predicted-ttft round-robin least-loaded prefix-hash"`
+	FreshnessDeadline    time.Duration `flag:"freshness-deadline" validate:"min=500ms"`
+	LocatorTTL           time.Duration `flag:"locator-ttl" validate:"min=100ms,max=1h"`
+	DrainGrace           time.Duration `flag:"drain-grace" validate:"min=100ms,max=2h"`
+	DrainTimeout         time.Duration `flag:"drain-timeout" validate:"min=1s"`
+	LimitWait            time.Duration `flag:"limit-wait" validate:"min=0,max=1m"`
+	MaxBodyBytes         int64         `flag:"max-body-bytes" validate:"min=1024,max=1073741824"`
+	IdempotencyRetention time.Duration `flag:"idempotency-retention" validate:"min=1h"`
+	RoutingPolicy        string        `flag:"routing-policy" validate:"oneof=predicted-ttft round-robin least-loaded prefix-hash"`
 
 	TraceExporter string `flag:"trace-exporter" validate:"oneof=none stdout otlp"`
 	OTLPEndpoint  string `flag:"otlp-endpoint" validate:"required_if=TraceExporter otlp,omitempty,http_url"`
@@ -88,6 +89,7 @@
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 15*time.Minute, "longest wait for running requests at a planned stop")
 	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account; zero refuses at once")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in bytes")
+	flags.DurationVar(&s.IdempotencyRetention, "idempotency-retention", 720*time.Hour, "time after its end for which the outcome of a non-idempotent request is kept")
 	flags.StringVar(&s.RoutingPolicy, "routing-policy", "predicted-ttft", "predicted-ttft, round-robin, least-loaded or prefix-hash")
 
 	flags.StringVar(&s.TraceExporter, "trace-exporter", "none", "none, stdout or otlp")
--- /dev/null
+++ b/policy/idempotency/retention_test.go
@@ -0,0 +1,28 @@
+package idempotency
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against deleting a record that still prevents a second run, and against a
+// record from a wrong clock that ends the clean-up of all later ones.
+func TestOnlyRecordsThatEndedLongAgoExpire(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1e9, 0)
+	old, young := now.Add(-2*time.Hour), now.Add(-time.Minute)
+	retain := func(s State, claimed, ended time.Time) Retention {
+		return Retain(&Row{State: s, ClaimedAt: claimed, EndedAt: ended}, now, time.Hour)
+	}
+	for _, s := range []State{Done, NotRun, Resolved} {
+		g.Expect(retain(s, old, old)).To(Equal(Expired))
+		g.Expect(retain(s, old, time.Time{})).To(Equal(Expired))
+		g.Expect(retain(s, old, young)).To(Equal(Young))
+		g.Expect(retain(s, old, now.Add(48*time.Hour))).To(Equal(Kept))
+	}
+	for _, s := range []State{Claimed, Unknown, ""} {
+		g.Expect(retain(s, old, old)).To(Equal(Kept))
+	}
+}
--- a/policy/idempotency/row.go
+++ b/policy/idempotency/row.go
@@ -43,6 +43,8 @@
 	AttemptID      string    `json:"attempt_id"`
 	State          State     `json:"state"`
 	ClaimedAt      time.Time `json:"claimed_at"`
+	// EndedAt is when the state became done, not_run, unknown or resolved.
+	EndedAt time.Time `json:"ended_at,omitzero"`
 	// Answer is the encoded answer of a done or resolved row, if it is small.
 	Answer []byte `json:"answer,omitempty"`
 	// AnswerObject names the object that holds a large answer.
