Add policy/kvcopy, which decides on copies of KV caches

Cause: a request that is sent past its warm target computes the whole prefix.

Copy.Valid is the check right before an import. prefix.Index.State returns what the index knows of a target.

--- /dev/null
+++ b/policy/kvcopy/kvcopy.go
@@ -0,0 +1,303 @@
+// Package kvcopy decides when the KV cache of a prefix is copied from one target to
+// another instead of being computed again. It does no I/O; the time is an argument.
+//
+// Invariant (P1): a copy names one seed, one weights version and one epoch at each
+// end; Valid is asked again right before each import, and a copy of which any of
+// them has changed is dropped.
+package kvcopy
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
+)
+
+const blockTokens = prefix.BlockBytes / prefix.BytesPerToken
+
+const (
+	// maxPredictedShare is the largest share of the saved computation that a copy may
+	// take. Predictions of both are rough, and a copy also occupies the source.
+	maxPredictedShare = 0.5
+	// minSaved in seconds is below what is worth the calls of a copy.
+	minSaved = 0.02
+	// overhead in seconds is assumed for the calls of a copy besides the transfer.
+	overhead = 0.004
+	// farOverhead in seconds is added for each end in another region.
+	farOverhead = 0.032
+	// defaultRate in bytes per second is assumed for an engine until one is measured.
+	defaultRate = 50e6
+	// defaultBytesPerToken is assumed until it is measured. It is no ground to use the
+	// link between regions.
+	defaultBytesPerToken = 1024
+	// learningRate weighs a new sample.
+	learningRate = 0.2
+	// retryAfter is the pause after a failed copy of a prefix to a target.
+	retryAfter = 5 * time.Second
+)
+
+// End is one end of a copy as the router knows it.
+type End struct {
+	TargetID string
+	Epoch    string
+	Weights  string
+	Region   string
+}
+
+// Offer is a request that is about to compute blocks that another target holds.
+type Offer struct {
+	Seed    prefix.BlockHash
+	Weights string
+	Chain   []prefix.BlockHash
+	// From is the number of blocks that the destination holds, To that of the source.
+	From, To            int
+	Source, Destination End
+	// SourceLeaving says that the source gets no new work: its blocks are soon lost.
+	SourceLeaving bool
+	// HostRegion is that of the router, through which the bytes go.
+	HostRegion string
+	// TokenCost is the prefill cost at the destination in seconds per token.
+	TokenCost float64
+}
+
+// Copy is a copy that was decided on.
+type Copy struct {
+	Seed    prefix.BlockHash
+	Weights string
+	// Blocks follow each other in the chain.
+	Blocks              []prefix.BlockHash
+	Source, Destination End
+	// Predicted is the expected duration.
+	Predicted time.Duration
+}
+
+// Tokens returns the number of tokens whose computation the copy saves.
+func (c *Copy) Tokens() int { return len(c.Blocks) * blockTokens }
+
+// Key names the first block that the copy brings to its destination.
+func (c *Copy) Key() Key { return Key{c.Destination.TargetID, c.Blocks[0]} }
+
+// ErrChanged means that an end of a copy has a new epoch or other weights.
+var ErrChanged = errors.New("the epoch or the weights of an end of the copy have changed")
+
+// Valid returns ErrChanged unless both ends are still as the copy names them.
+func (c *Copy) Valid(source, destination End) error {
+	if source.Epoch != c.Source.Epoch || source.Weights != c.Weights ||
+		destination.Epoch != c.Destination.Epoch || destination.Weights != c.Weights {
+		return ErrChanged
+	}
+	return nil
+}
+
+// Limits bound the copies of one host.
+type Limits struct {
+	// InFlight bounds the copies that wait or run; zero allows none.
+	InFlight int
+	// BlockBytes is the largest size of a block that is copied; zero allows none.
+	BlockBytes float64
+	// MinHeat is the number of recent requests for a block, this one included, from
+	// which on reuse is expected.
+	MinHeat float64
+}
+
+// Key names the first block that a copy brings to a target. Of the copies that share
+// it, which would bring the same blocks, only one runs at a time.
+type Key struct {
+	Destination string
+	First       prefix.BlockHash
+}
+
+// Planner decides on copies and learns their costs. It is not safe for concurrent use.
+type Planner struct {
+	limits  Limits
+	running map[Key]bool
+	failed  map[Key]time.Time
+	heat    heat
+	exports map[string]float64
+	imports map[string]float64
+	// bytesPerToken is zero until it is measured.
+	bytesPerToken float64
+}
+
+// NewPlanner returns a planner that has measured nothing.
+func NewPlanner(l Limits) *Planner {
+	return &Planner{
+		limits: l, running: map[Key]bool{}, failed: map[Key]time.Time{}, heat: newHeat(),
+		exports: map[string]float64{}, imports: map[string]float64{},
+	}
+}
+
+// Verdict is the answer to an offer.
+type Verdict string
+
+// The verdicts.
+const (
+	Start Verdict = "copy"
+	// Running: a copy that brings the next block is under way.
+	Running      Verdict = "a copy is running"
+	Invalid      Verdict = "an end has other weights or an unknown epoch"
+	Busy         Verdict = "too many copies in flight"
+	Cold         Verdict = "no reuse expected"
+	Slow         Verdict = "the copy takes too long"
+	Large        Verdict = "the blocks are too large"
+	FailedLately Verdict = "a copy failed lately"
+	LinkShort    Verdict = "the link between regions has no room"
+)
+
+// Plan decides on an offer. If the verdict is Start the copy counts as in flight until
+// End, and its bytes are charged to the link. If it is Running, only the Key of the
+// returned copy is that of the one under way.
+func (p *Planner) Plan(o *Offer, link *routing.LinkBudget, now time.Time) (*Copy, Verdict) {
+	to := min(o.To, len(o.Chain))
+	if o.From < 0 || o.From >= to {
+		return nil, Invalid
+	}
+	hot := o.From
+	for i := o.From; i < to; i++ {
+		if p.heat.touch(o.Chain[i], now) >= p.limits.MinHeat {
+			hot = i + 1
+		}
+	}
+	c := &Copy{Seed: o.Seed, Weights: o.Weights, Source: o.Source, Destination: o.Destination, Blocks: o.Chain[o.From:to]}
+	if p.running[c.Key()] {
+		return c, Running
+	}
+	if o.Source.Epoch == "" || o.Destination.Epoch == "" || o.Source.TargetID == o.Destination.TargetID ||
+		c.Valid(o.Source, o.Destination) != nil {
+		return nil, Invalid
+	}
+	if !o.SourceLeaving {
+		if hot == o.From {
+			return nil, Cold
+		}
+		c.Blocks = o.Chain[o.From:hot]
+	}
+	if v := p.worth(o, c, link, now); v != Start {
+		return nil, v
+	}
+	p.running[c.Key()] = true
+	return c, Start
+}
+
+// worth compares the copy with the computation that it saves, and charges the link as
+// its last step.
+func (p *Planner) worth(o *Offer, c *Copy, link *routing.LinkBudget, now time.Time) Verdict {
+	if until, ok := p.failed[c.Key()]; ok && now.Before(until) {
+		return FailedLately
+	}
+	if len(p.running) >= p.limits.InFlight {
+		return Busy
+	}
+	perToken := p.bytesPerToken
+	if perToken == 0 {
+		perToken = defaultBytesPerToken
+	}
+	if perToken*blockTokens > p.limits.BlockBytes {
+		return Large
+	}
+	bytes := perToken * float64(c.Tokens())
+	saved := float64(c.Tokens()) * o.TokenCost
+	predicted := overhead + bytes/p.rate(p.exports, o.Source.TargetID) + bytes/p.rate(p.imports, o.Destination.TargetID)
+	// Bytes go through the router: each end in another region sends them over the link.
+	legs := 0
+	for _, end := range []End{o.Source, o.Destination} {
+		if end.Region != o.HostRegion {
+			legs++
+		}
+	}
+	onLink := legs * int(bytes)
+	if legs > 0 {
+		if p.bytesPerToken == 0 || link == nil || !link.Worthwhile(onLink, saved*maxPredictedShare) {
+			return LinkShort
+		}
+		predicted += float64(legs)*farOverhead + float64(onLink)/link.Rate + link.Delay(routing.LinkKVCopy, onLink, now)
+	}
+	if saved < minSaved || predicted > maxPredictedShare*saved {
+		return Slow
+	}
+	if legs > 0 && !link.Allow(routing.LinkKVCopy, onLink, now) {
+		return LinkShort
+	}
+	c.Predicted = time.Duration(predicted * float64(time.Second))
+	return Start
+}
+
+// rate returns the measured bytes per second of a target, or of the slowest other one.
+func (p *Planner) rate(rates map[string]float64, targetID string) float64 {
+	if r := rates[targetID]; r > 0 {
+		return r
+	}
+	slowest := 0.0
+	for _, r := range rates {
+		if slowest == 0 || r < slowest {
+			slowest = r
+		}
+	}
+	if slowest > 0 {
+		return slowest
+	}
+	return defaultRate
+}
+
+// Exported takes the measured size and time of an export.
+func (p *Planner) Exported(targetID string, tokens, bytes int, elapsed time.Duration) {
+	if tokens <= 0 || bytes <= 0 {
+		return
+	}
+	learn(&p.bytesPerToken, float64(bytes)/float64(tokens))
+	p.measured(p.exports, targetID, bytes, elapsed)
+}
+
+// Imported takes the measured size and time of an import.
+func (p *Planner) Imported(targetID string, bytes int, elapsed time.Duration) {
+	p.measured(p.imports, targetID, bytes, elapsed)
+}
+
+// TooLarge records that a block has more than the largest size.
+func (p *Planner) TooLarge() {
+	p.bytesPerToken = max(p.bytesPerToken, 2*p.limits.BlockBytes/blockTokens)
+}
+
+func (p *Planner) measured(rates map[string]float64, targetID string, bytes int, elapsed time.Duration) {
+	if bytes <= 0 || elapsed <= 0 {
+		return
+	}
+	r := rates[targetID]
+	learn(&r, float64(bytes)/elapsed.Seconds())
+	rates[targetID] = r
+}
+
+func learn(value *float64, sample float64) {
+	if *value == 0 {
+		*value = sample
+		return
+	}
+	*value += learningRate * (sample - *value)
+}
+
+// End ends a copy that Plan started. After a failure the blocks are not copied to the
+// target again for a while, so that requests don't wait for copies in vain.
+func (p *Planner) End(c *Copy, failed bool, now time.Time) {
+	delete(p.running, c.Key())
+	for k, until := range p.failed {
+		if !now.Before(until) {
+			delete(p.failed, k)
+		}
+	}
+	if failed {
+		p.failed[c.Key()] = now.Add(retryAfter)
+	}
+}
+
+// Forget drops what was measured of targets that are no longer configured.
+func (p *Planner) Forget(configured func(targetID string) bool) {
+	for _, rates := range []map[string]float64{p.exports, p.imports} {
+		for id := range rates {
+			if !configured(id) {
+				delete(rates, id)
+			}
+		}
+	}
+}
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -273,6 +273,15 @@
 	}
 }
 
+// State returns the epoch and weights version last reported by a target; empty values
+// are unknown.
+func (x *Index) State(targetID string) (epoch, weights string) {
+	if t := x.targets[targetID]; t != nil {
+		return t.epoch, t.weights
+	}
+	return "", ""
+}
+
 // Sequence returns the last event that the index has seen of a target.
 func (x *Index) Sequence(targetID string) uint64 {
 	if t := x.targets[targetID]; t != nil {
