--- a/policy/prefix/index_test.go
+++ b/policy/prefix/index_test.go
@@ -311,3 +311,23 @@
 		}
 	}
 }
+
+// BenchmarkBytesPerEntry measures the memory of the index by number of blocks.
+func BenchmarkBytesPerEntry(b *testing.B) {
+	for _, blocks := range []int{1 << 16, 1 << 18, 1 << 20} {
+		b.Run(fmt.Sprint("blocks=", blocks), func(b *testing.B) {
+			var before, after runtime.MemStats
+			var perEntry float64
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				x := filledIndex(blocks, 1)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				perEntry = float64(after.HeapAlloc-before.HeapAlloc) / float64(blocks)
+				runtime.KeepAlive(x)
+			}
+			b.ReportMetric(perEntry, "bytes/entry")
+		})
+	}
+}
