--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+)
+
+// frameBytes is the length of a frame without its body.
+const frameBytes = 31
+
+type noNetwork struct{}
+
+func (noNetwork) Call(context.Context, string, wire.Message, wire.Message) error { return nil }
+func (noNetwork) Handle(wire.Type, wire.Handler)                                 {}
+
+func benchmarkMember(i int) config.Member {
+	return config.Member{
+		HostID: fmt.Sprintf("host-%03d", i), Incarnation: fmt.Sprintf("0197a1b2-c3d4-7e5f-8a9b-%012d", i),
+		Zone: fmt.Sprint("zone-", i%4), Region: fmt.Sprint("region-", i%2),
+		InnerAddress:  fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+		AdminAddress:  fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250),
+	}
+}
+
+// benchmarkReply is the steady answer of a host: fresh and with nothing pending.
+func benchmarkReply(i int) *probeReply {
+	m := benchmarkMember(i)
+	evidence := freshness.Evidence{Known: true, Age: 400 * time.Millisecond}
+	return &probeReply{Member: m, Fresh: true, HasEvidence: true, EvidenceAge: 400 * time.Millisecond,
+		Report: freshness.Report{From: memberOf(m), Applied: 12345, Full: evidence, Conditional: evidence}}
+}
+
+// benchmarkFleet returns a host that knows the given number of hosts, itself included,
+// of which at most nine are members.
+func benchmarkFleet(b *testing.B, hosts int) *Fleet {
+	f, err := New(Options{Self: benchmarkMember(0), Store: newFakeStore(), Caller: noNetwork{}, Registry: noNetwork{}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := initialDocument()
+	d.Revision = 12345
+	for i := range min(hosts, MaxMembers) {
+		d.Members = append(d.Members, benchmarkMember(i))
+	}
+	f.apply(d, "benchmark")
+	for i := 1; i < hosts; i++ {
+		f.observe(benchmarkReply(i), f.now())
+	}
+	return f
+}
+
+func packed(b *testing.B, m wire.Message) []byte {
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return body
+}
+
+func unpack(b *testing.B, body []byte, m wire.Message) {
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkProbeRound is the work of one host for one probe interval by known hosts:
+// it probes each of them and answers a probe of each. Frames, MACs and the network are
+// left out. The bytes a second are those sent at the mean interval, with frames.
+func BenchmarkProbeRound(b *testing.B) {
+	for _, hosts := range []int{9, 35, 118, 350} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			f := benchmarkFleet(b, hosts)
+			probes, replies := make([][]byte, hosts), make([][]byte, hosts)
+			for i := range hosts {
+				probes[i] = packed(b, &probe{Sender: benchmarkMember(i)})
+				replies[i] = packed(b, benchmarkReply(i))
+			}
+			ctx, sent := context.Background(), 0
+			b.ReportAllocs()
+			for b.Loop() {
+				sent = 0
+				for i, target := range f.probeTargets() {
+					sent += len(packed(b, &probe{Sender: f.self})) + frameBytes
+					reply := &probeReply{}
+					unpack(b, replies[i+1], reply)
+					f.observe(reply, f.now())
+					f.endProbe(target)
+					answer, err := f.handleProbe(ctx, wire.Peer{}, wire.Request{Type: wire.TypeProbe, Body: probes[i+1]})
+					if err != nil {
+						b.Fatal(err)
+					}
+					sent += len(packed(b, answer)) + frameBytes
+				}
+			}
+			b.ReportMetric(float64(sent)/probeInterval.Seconds(), "sent-bytes/s")
+		})
+	}
+}
+
+// BenchmarkHosts is the view that the locator and the addresses of a refusal are
+// built from, by known hosts.
+func BenchmarkHosts(b *testing.B) {
+	for _, hosts := range []int{9, 35, 118, 350} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			f := benchmarkFleet(b, hosts)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Hosts()
+			}
+		})
+	}
+}
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
@@ -105,3 +108,36 @@
 		})
 	}
 }
+
+// BenchmarkGrantBytes measures a grant request with a return for each ask, and its
+// reply, by accounts. The bytes a second are those of one home and one holder that
+// exchange them at each refresh, with frames.
+func BenchmarkGrantBytes(b *testing.B) {
+	const frameBytes = 31 // a frame without its body
+	for _, accounts := range []int{1, 5, 52, 520} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			request, reply := &GrantRequest{Revision: 12345}, &GrantReply{Revision: 12345}
+			returned := &GrantReturn{}
+			for i := range accounts {
+				id := fmt.Sprintf("account-%03d", i)
+				request.Asks = append(request.Asks, GrantAsk{Account: id, Want: 30_000})
+				reply.Answers = append(reply.Answers, GrantAnswer{Status: GrantIssued, Epoch: 1 << 60, Number: 1 << 20, Tokens: 30_000})
+				returned.Returned = append(returned.Returned, ReturnedTokens{Account: id, Epoch: 1 << 60, Number: 1 << 20, Total: 10_000})
+			}
+			sent := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				sent = 0
+				for _, m := range []wire.Message{request, reply, returned, &GrantReturnAck{}} {
+					body, err := msgpack.Marshal(m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					sent += len(body) + frameBytes
+				}
+			}
+			b.ReportMetric(float64(sent), "bytes")
+			b.ReportMetric(float64(sent)/refreshInterval.Seconds(), "bytes/s")
+		})
+	}
+}
