Ramp the load up over the first half of the warm-up

Cause: at a cold start at the full rate all prefixes are computed at once, queues grow to seconds, and cached blocks are evicted while requests wait for them; the fleet then stays overloaded. The window measured the cold start and not the load.

The collapse itself remains: see docs/measurements.md.

--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -54,7 +54,7 @@
 	f.StringVar(&policy, "policy", load.Policies[0], "routing policies separated by commas, or all")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of the load")
 	f.DurationVar(&o.Duration, "duration", load.DefaultDuration, "measured time per policy")
-	f.DurationVar(&o.WarmUp, "warm-up", 0, "load before the measured time; zero means 8 s")
+	f.DurationVar(&o.WarmUp, "warm-up", 0, "load before the measured time; zero means 12 s")
 	f.Float64Var(&o.RateFactor, "rate-factor", 1, "scales the request rate")
 	f.StringVar(&preset, "preset", string(config.PresetOrdinary), "ordinary, peak or maintenance")
 	f.StringVar(&scenario, "scenario", string(load.Ordinary), "ordinary, surge, maintenance or restart")
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -36,7 +36,7 @@
 	// locatorTTL and drainGrace are shorter than the defaults, so that a planned stop
 	// fits into a run of 20 s.
 	locatorTTL = 1500 * time.Millisecond
-	drainGrace = 2 * time.Second
+	drainGrace = 3 * time.Second
 
 	readyTimeout = 30 * time.Second
 	readyPoll    = 20 * time.Millisecond
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -39,8 +39,8 @@
 const (
 	// DefaultDuration gives about 3,000 requests and 200 of the smallest account.
 	DefaultDuration = 20 * time.Second
-	// warmUp fills the caches and is not measured.
-	warmUp = 8 * time.Second
+	// warmUp fills the caches and is not measured; the rate grows over its first half.
+	warmUp = 12 * time.Second
 	// drainTime is the wait for answers after the last arrival.
 	drainTime = 20 * time.Second
 	// leavingReplicas leave in the maintenance scenario.
@@ -58,7 +58,7 @@
 	Seed       uint64
 	// Duration of the measured window; zero means 20 s.
 	Duration time.Duration
-	// WarmUp before the measured window; zero means 8 s.
+	// WarmUp before the measured window; zero means 12 s; the rate grows over its first half.
 	WarmUp   time.Duration
 	Scenario Scenario
 	Preset   config.Preset
@@ -132,7 +132,7 @@
 }
 
 func (o *Options) schedule() scheduleOptions {
-	s := scheduleOptions{deployment: o.Deployment, seed: o.Seed, total: o.WarmUp + o.Duration, rateFactor: o.RateFactor}
+	s := scheduleOptions{deployment: o.Deployment, seed: o.Seed, total: o.WarmUp + o.Duration, rateFactor: o.RateFactor, rampUp: o.WarmUp / 2}
 	if o.Scenario == Surge {
 		s.surgeFrom, s.surgeTo = o.WarmUp+o.Duration/phases, o.WarmUp+2*o.Duration/phases
 	}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -72,6 +72,9 @@
 	// surgeFrom and surgeTo bound the surge; equal values mean none.
 	surgeFrom, surgeTo time.Duration
 	rateFactor         float64
+	// rampUp is the time over which the rate grows to its full value, since a fleet
+	// with empty caches can't serve the full rate.
+	rampUp time.Duration
 }
 
 // Streams of random numbers, so that a surge adds requests and changes no others.
@@ -79,15 +82,22 @@
 	streamTexts = iota + 1
 	streamBase
 	streamSurge
+	streamRamp
 )
 
+// rampStart is the share of the rate at the start of the ramp.
+const rampStart = 0.1
+
 func newSchedule(o scheduleOptions) *Schedule {
 	s := &Schedule{}
 	s.writeManuals(o)
 	rate := o.deployment.requestsPerSecond * o.rateFactor
-	base := rand.New(rand.NewPCG(o.seed, streamBase))
+	base, ramp := rand.New(rand.NewPCG(o.seed, streamBase)), rand.New(rand.NewPCG(o.seed, streamRamp))
 	for at := exponential(base, rate); at < o.total; at += exponential(base, rate) {
-		s.Requests = append(s.Requests, s.request(base, o, at, chooseAccount(base)))
+		q := s.request(base, o, at, chooseAccount(base))
+		if at >= o.rampUp || ramp.Float64() < rampStart+(1-rampStart)*at.Seconds()/o.rampUp.Seconds() {
+			s.Requests = append(s.Requests, q)
+		}
 	}
 	if o.surgeTo > o.surgeFrom {
 		surge := rand.New(rand.NewPCG(o.seed, streamSurge))
