Keep hosts fresh with a store that takes 1 s for a call

Cause: the platform client gave up each call after 1 s. A store that takes 1 s for a call was thus the same as an outage: after a restart of all hosts none got a configuration (pair_herd_slow: host_not_fresh for 15 s), no change was accepted (pair_slow_withdrawal: exit code 6), and the record of a booking could not be written until the store was fast again.

Change: a call has 2 s, and a background write of a record 3 s, enough for a read and a write; the first try, for which the caller waits, keeps 1 s. The store poller counts its interval from the start of a read, since the age of evidence does so too.

Ruled out: a longer freshness deadline, which would delay withdrawals.

--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -102,13 +102,16 @@
 	f.apply(d, "peer")
 }
 
-// runStorePoller reads the current row until ctx ends.
+// runStorePoller reads the current row until ctx ends. The interval counts from the
+// start of a read, as the age of the evidence does: with a store that takes 1 s for a
+// read, a full pause after each would bring the age close to the freshness deadline.
 func (f *Fleet) runStorePoller(ctx context.Context) {
 	for ctx.Err() == nil {
+		started := f.now()
 		if err := f.pollStore(ctx); err != nil && ctx.Err() == nil {
 			f.log.Debug("store poll failed", "error", err)
 		}
-		f.sleepJittered(ctx, storeInterval, nil)
+		f.sleepJittered(ctx, max(storeInterval-f.now().Sub(started), minStorePause), nil)
 	}
 }
 
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -19,10 +19,12 @@
 
 // Intervals and limits of the duties.
 const (
-	probeInterval    = 500 * time.Millisecond
-	probeTimeout     = 900 * time.Millisecond
-	storeInterval    = time.Second
-	storeTimeout     = 2 * time.Second
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 900 * time.Millisecond
+	storeInterval = time.Second
+	storeTimeout  = 2 * time.Second
+	// minStorePause is the least pause between two reads of a slow store.
+	minStorePause    = 100 * time.Millisecond
 	hostListInterval = 2 * time.Second
 	upkeepInterval   = 200 * time.Millisecond
 	pushTimeout      = 2 * time.Second
--- a/internal/idempotency/claim.go
+++ b/internal/idempotency/claim.go
@@ -9,6 +9,10 @@
 	policy "github.com/sequoiaroad/sequoiaroad/policy/idempotency"
 )
 
+// firstRecordTimeout bounds the first try to write a record, for which the caller of
+// the request waits.
+const firstRecordTimeout = time.Second
+
 // claim is a confirmed claim. It occupies one of the registry's open claims until
 // its record is written, so its user must end it by Complete, NotRun or Unknown.
 type claim struct {
@@ -61,7 +65,9 @@
 func (c *claim) end(ctx context.Context, to policy.State, answer *Answer) {
 	if r := c.finish(to, answer); r != nil {
 		// A caller that went away must not keep its record from being written.
-		if err := c.service.try(context.WithoutCancel(ctx), r); err != nil {
+		tryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), firstRecordTimeout)
+		defer cancel()
+		if err := c.service.try(tryCtx, r); err != nil {
 			c.service.options.Logger.Warn("record is written in the background",
 				"key", r.key, "attempt", r.row.AttemptID, "state", r.to, "error", err)
 			c.service.enqueue(r)
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -45,7 +45,9 @@
 	MaxClaimAge time.Duration
 	// ConfirmTimeout bounds the time that Begin spends on the store; zero means 2 s.
 	ConfirmTimeout time.Duration
-	// RecordTimeout bounds one try to write a record; zero means 1 s.
+	// RecordTimeout bounds one try to write a record in the background; zero means
+	// 3 s, which leaves a store that takes 1 s for a call the time for a read and a
+	// write.
 	RecordTimeout time.Duration
 	// MaxOpen bounds the claims whose record is not written yet, and with them the
 	// memory held while the store is down; zero means 1,024. Further requests are
@@ -71,7 +73,7 @@
 	}
 	setDefault(&o.MaxClaimAge, 5*time.Second)
 	setDefault(&o.ConfirmTimeout, 2*time.Second)
-	setDefault(&o.RecordTimeout, time.Second)
+	setDefault(&o.RecordTimeout, 3*time.Second)
 	setDefault(&o.MaxOpen, 1024)
 	setDefault(&o.Workers, 4)
 	setDefault(&o.RetryBase, 50*time.Millisecond)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,7 +21,8 @@
 type Options struct {
 	// BaseURL is the platform's address, such as http://127.0.0.1:8500.
 	BaseURL string
-	// Timeout bounds each attempt of a call; zero means 1 s.
+	// Timeout bounds each attempt of a call; zero means 2 s. A slow store takes 1 s for
+	// a call, and a read that takes more than 2 s hardly helps a host to stay fresh.
 	Timeout time.Duration
 	// ReadsPerSecond and WritesPerSecond are this host's share of the platform's
 	// capacity; zero means 50 reads and 20 writes. At the current size of 9 hosts
@@ -47,7 +48,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Timeout = orDefault(o.Timeout, time.Second)
+	o.Timeout = orDefault(o.Timeout, 2*time.Second)
 	o.ReadsPerSecond = orDefault(o.ReadsPerSecond, 50)
 	o.WritesPerSecond = orDefault(o.WritesPerSecond, 20)
 	o.ReadBurst = orDefault(o.ReadBurst, max(1, int(o.ReadsPerSecond)))
