Serve metrics on the administration address

Cause: metrics name client accounts, and every caller could read them on the caller address. Ruled out: an operator key for scrapers, which would have to hold a key that can read the configuration.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -208,6 +208,7 @@
 	s.PlatformURL = platformURL
 	s.FleetSecret = hex.EncodeToString(secret)
 	s.LocatorTTL, s.DrainGrace = locatorTTL, drainGrace
+	s.CallerMetrics = true
 	if o.RoutingPolicy != "" {
 		s.RoutingPolicy = o.RoutingPolicy
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,7 +76,7 @@
 	gateway    *gateway.Gateway
 	observer   *observer
 	callerAPI  http.Handler
-	admin      http.Handler
+	adminAPI   http.Handler
 
 	restored  atomic.Bool
 	stop      stopState
@@ -266,17 +266,25 @@
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
 	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(h.gateway))
-	h.callerAPI = mux
-	h.admin = admin.NewServer(admin.Options{
+	h.callerAPI = h.stop.count(h.gateway)
+	if s.CallerMetrics {
+		h.callerAPI = h.withMetrics(h.callerAPI)
+	}
+	h.adminAPI = h.withMetrics(admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
 		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
-	})
+	}))
 	return nil
 }
 
+// withMetrics serves /metrics beside an API.
+func (h *Host) withMetrics(api http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
+	mux.Handle("/", api)
+	return mux
+}
+
 func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
 
 // Member returns the identity and addresses of this host.
@@ -315,7 +323,7 @@
 	h.addTask(&group, "target list", h.watchLeavingTargets)
 	h.addTask(&group, "snapshots", h.keepSnapshots)
 	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
-	h.addServer(&group, "admin server", h.adminListener, h.admin)
+	h.addServer(&group, "admin server", h.adminListener, h.adminAPI)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return h.plannedStop(ctx, stopCtx) }, func(error) { cancel() })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,7 @@
 	OTLPEndpoint  string `flag:"otlp-endpoint" validate:"required_if=TraceExporter otlp,omitempty,http_url"`
 	LogLevel      string `flag:"log-level" validate:"oneof=trace debug info warn error"`
 	LogJSON       bool   `flag:"log-json"`
+	CallerMetrics bool   `flag:"caller-metrics"`
 }
 
 // Register defines the flags of a host on a flag set.
@@ -96,6 +97,7 @@
 	flags.StringVar(&s.OTLPEndpoint, "otlp-endpoint", "", "URL for traces when trace-exporter is otlp")
 	flags.StringVar(&s.LogLevel, "log-level", "info", "trace, debug, info, warn or error")
 	flags.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
+	flags.BoolVar(&s.CallerMetrics, "caller-metrics", false, "serve /metrics to callers too; they name client accounts, so that the default is the administration address alone")
 }
 
 // Defaults returns the settings that hold without flags and variables.
