--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,6 +27,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 )
 
 const (
@@ -75,7 +76,7 @@
 	gateway    *gateway.Gateway
 	observer   *observer
 	callerAPI  http.Handler
-	admin      http.Handler
+	adminAPI   http.Handler
 
 	restored  atomic.Bool
 	stop      stopState
@@ -203,6 +204,7 @@
 		Store: h.options.Platform.Store, Objects: h.options.Platform.Objects,
 		HostID: h.self.HostID, Incarnation: h.self.Incarnation,
 		HolderLive: h.holderLive, Fresh: h.fleet.Fresh, Logger: h.logger.Named("idempotency"),
+		Retention: h.options.Settings.IdempotencyRetention, MayClean: h.cleansRecords,
 	})
 	if err != nil {
 		return err
@@ -230,6 +232,21 @@
 
 func (h *Host) targetByID(id string) *config.Target { return h.index().Target(id) }
 
+// retentionKey is hashed over the members to choose the host that deletes expired
+// idempotency records.
+const retentionKey = "idempotency-retention"
+
+// cleansRecords reports whether this host deletes expired idempotency records.
+func (h *Host) cleansRecords() bool {
+	members := h.index().Document().Members
+	nodes := make([]placement.Node, len(members))
+	for i, m := range members {
+		nodes[i] = placement.Node{ID: m.HostID, Weight: m.Weight}
+	}
+	ranked := placement.Rank(retentionKey, nodes)
+	return len(ranked) > 0 && ranked[0].ID == h.self.HostID && h.fleet.Fresh()
+}
+
 // holderLive reports whether the holder of a claim may still be running it.
 func (h *Host) holderLive(hostID, incarnation string) bool {
 	for _, status := range h.fleet.Hosts() {
@@ -249,17 +266,25 @@
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
 	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(h.gateway))
-	h.callerAPI = mux
-	h.admin = admin.NewServer(admin.Options{
+	h.callerAPI = h.stop.count(h.gateway)
+	if s.CallerMetrics {
+		h.callerAPI = h.withMetrics(h.callerAPI)
+	}
+	h.adminAPI = h.withMetrics(admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
 		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
-	})
+	}))
 	return nil
 }
 
+// withMetrics serves /metrics beside an API.
+func (h *Host) withMetrics(api http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
+	mux.Handle("/", api)
+	return mux
+}
+
 func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
 
 // Member returns the identity and addresses of this host.
@@ -298,7 +323,7 @@
 	h.addTask(&group, "target list", h.watchLeavingTargets)
 	h.addTask(&group, "snapshots", h.keepSnapshots)
 	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
-	h.addServer(&group, "admin server", h.adminListener, h.admin)
+	h.addServer(&group, "admin server", h.adminListener, h.adminAPI)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return h.plannedStop(ctx, stopCtx) }, func(error) { cancel() })
