Count retries and ejections of plain services

Cause: the metrics of targets showed engines only, and calls of plain services had no admission span.

Change: the router counts ejections of each target; further calls of a plain service count as retries with a reason of their own; the admission of a service call is a span.

Ruled out: the kind of the failure as the reason, since the choice of the next replica does not know it.

Conclusion: tests see an ejected replica, refusals by code and a refusal within the rate in the metrics.

--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -52,8 +52,6 @@
 	limit    queue.Limit
 	// prefillWaiters counts requests that wait for another one's prefill.
 	prefillWaiters int
-	// ejections counts how often the target was ejected.
-	ejections uint64
 }
 
 func newLane(targetID string, k *preset.Knobs) *lane {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -117,7 +117,6 @@
 		}
 	}
 	if d.router.Failed(l.targetID, now) {
-		l.ejections++
 		d.logger.Warn("target ejected", "target", l.targetID, "error", err)
 	}
 }
@@ -230,6 +229,9 @@
 		avoid[id] = true
 	}
 	id, ok := d.router.ChooseService(service, avoid, d.clock())
+	if ok && len(tried) > 0 {
+		d.observer.Retried(id, kindService)
+	}
 	if !ok {
 		return nil, nil, refusal.New(refusal.TargetUnavailable, "no replica of service %q is available", service).
 			WithRetryAfter(overloadRetryAfter)
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -15,18 +15,19 @@
 type Stats struct {
 	// IndexBlocks counts the entries of the index of cached blocks.
 	IndexBlocks int
-	// Targets are the engines of the configuration, by id.
+	// Targets are the targets of the configuration, by id.
 	Targets []TargetStats
 }
 
-// TargetStats describe the traffic of this host to one engine.
+// TargetStats describe the traffic of this host to one target. Plain services have no
+// queue, no limit and no events.
 type TargetStats struct {
 	TargetID string
 	// Queued requests wait at this host, QueuedTokens is their uncached work.
 	Queued, QueuedTokens int
 	// PrefillWaiters wait for another request to compute their shared prefix.
 	PrefillWaiters int
-	// InFlight requests are at the engine, InFlightLimit is how many may be.
+	// InFlight requests are at the target, InFlightLimit is how many may be.
 	InFlight, InFlightLimit int
 	// Ejections and EventGaps count since the target was configured at this host.
 	Ejections, EventGaps uint64
@@ -36,13 +37,18 @@
 func (d *Dispatcher) Stats() Stats {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := Stats{IndexBlocks: d.index.Len(), Targets: make([]TargetStats, 0, len(d.lanes))}
-	for id, l := range d.lanes {
-		s.Targets = append(s.Targets, TargetStats{
-			TargetID: id, Queued: l.queue.Len(), QueuedTokens: l.queue.Tokens(), PrefillWaiters: l.prefillWaiters,
-			InFlight: l.limit.InFlight(), InFlightLimit: l.limit.Value(&d.knobs),
-			Ejections: l.ejections, EventGaps: d.index.Gaps(id),
-		})
+	d.follow()
+	targets := d.applied.Document().Targets
+	s := Stats{IndexBlocks: d.index.Len(), Targets: make([]TargetStats, 0, len(targets))}
+	for i := range targets {
+		id := targets[i].ID
+		traffic := d.router.Traffic(id)
+		t := TargetStats{TargetID: id, InFlight: traffic.InFlight, Ejections: traffic.Ejections, EventGaps: d.index.Gaps(id)}
+		if l := d.lanes[id]; l != nil {
+			t.Queued, t.QueuedTokens, t.PrefillWaiters = l.queue.Len(), l.queue.Tokens(), l.prefillWaiters
+			t.InFlight, t.InFlightLimit = l.limit.InFlight(), l.limit.Value(&d.knobs)
+		}
+		s.Targets = append(s.Targets, t)
 	}
 	slices.SortFunc(s.Targets, func(a, b TargetStats) int { return cmp.Compare(a.TargetID, b.TargetID) })
 	return s
@@ -59,6 +65,8 @@
 	kindConnection = "connection"
 	kindCallerGone = "caller_gone"
 	kindOther      = "other"
+	// kindService is the reason of each further call of a plain service.
+	kindService = "service_call"
 )
 
 // FailureKind returns one of a few names for an error: the code of a refusal, or how a
--- a/internal/dispatch/stats_test.go
+++ b/internal/dispatch/stats_test.go
@@ -53,3 +53,27 @@
 		g.Expect(FailureKind(err)).To(Equal(kind))
 	}
 }
+
+// Guards against failures of plain services that show in no metric.
+func TestServiceFailuresAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(1)
+	for range 3 {
+		var others []string
+		for {
+			replica, done, err := f.d.ChooseService("booking", others)
+			g.Expect(err).NotTo(HaveOccurred())
+			if replica.ID == "s0" {
+				done(errFake)
+				break
+			}
+			done(nil)
+			others = append(others, replica.ID)
+		}
+	}
+	ejections := map[string]uint64{}
+	for _, s := range f.d.Stats().Targets {
+		ejections[s.TargetID] = s.Ejections
+	}
+	g.Expect(ejections).To(Equal(map[string]uint64{"t0": 0, "s0": 1, "s1": 0, "s2": 0}))
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -48,18 +48,10 @@
 }
 
 func (c *call) service() error {
-	if err := c.takesNew(); err != nil {
-		return err
-	}
 	s := &serviceCall{call: c}
-	if err := s.readPath(); err != nil {
+	if err := s.admit(); err != nil {
 		return err
 	}
-	if !s.route.Open {
-		if err := c.authenticate(); err != nil {
-			return err
-		}
-	}
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
@@ -81,6 +73,22 @@
 	return s.reserveAndServe(key)
 }
 
+// admit finds the route and checks the key, unless the route is open.
+func (s *serviceCall) admit() error {
+	_, span := s.span(s.r.Context(), "admission")
+	defer span.End()
+	if err := s.takesNew(); err != nil {
+		return err
+	}
+	if err := s.readPath(); err != nil {
+		return err
+	}
+	if s.route.Open {
+		return nil
+	}
+	return s.authenticate()
+}
+
 func (s *serviceCall) reserveAndServe(idempotencyKey string) error {
 	tokens := int64(serviceCallTokens + prefix.Tokens(len(s.request.Body)))
 	if s.key != nil {
--- a/internal/host/observability_test.go
+++ b/internal/host/observability_test.go
@@ -146,3 +146,31 @@
 		g.Expect(strings.Contains(everything, key)).To(BeFalse(), "a key is in the log, the metrics or the spans")
 	}
 }
+
+// Guards against refusals that are not counted: one by the gateway, and one of an account
+// that was created a moment ago, whose home may not spend yet and which is therefore not
+// known to exceed its rate.
+func TestRefusalsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	o := startObserved(t)
+	o.call(g, o.Info.Address, "unknown", "POST", "/v1/completions", "{}")
+	accounts := 0
+	g.Eventually(func() string { // a pause of more than a second lets the home spend
+		accounts++
+		path := fmt.Sprint("/admin/v1/accounts/new", accounts)
+		status, text := o.call(g, o.Info.AdminAddress, o.Info.OperatorKey, "PUT", path, `{"rate_tokens_per_second":1,"burst_tokens":1000}`)
+		g.Expect(status).To(Equal(http.StatusOK), text)
+		_, issued := o.call(g, o.Info.AdminAddress, o.Info.OperatorKey, "POST", "/admin/v1/keys", fmt.Sprintf(`{"account_id":"new%d"}`, accounts))
+		key := regexp.MustCompile(`sr-client-[\w-]+`).FindString(issued)
+		status, text = o.call(g, o.Info.Address, key, "POST", "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":"x","max_tokens":500}`, dev.Model))
+		g.Expect(status).To(Equal(http.StatusTooManyRequests), text)
+		return o.metrics()
+	}, "20s").Should(MatchRegexp(`sequoiaroad_refused_within_rate_requests_total\{account="new\d"\} 1`))
+	for _, line := range []string{
+		`sequoiaroad_refused_requests_total{code="unauthorized",run="not_run"} 1`,
+		`sequoiaroad_refused_requests_total{code="rate_limited",run="not_run"} `,
+		`sequoiaroad_account_refused_total{account="new1"} 1`,
+	} {
+		g.Expect(o.metrics()).To(ContainSubstring(line))
+	}
+}
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -43,7 +43,8 @@
 	BudgetUsed float64
 }
 
-// TargetState describes the traffic to one engine.
+// TargetState describes the traffic to one target. Plain services have no queue, no
+// limit and no events.
 type TargetState struct {
 	TargetID                string
 	Queued, QueuedTokens    int
@@ -210,9 +211,9 @@
 		perTarget(func(t *TargetState) int64 { return int64(t.QueuedTokens) }))
 	i.gauge("target_prefill_waiters", "{request}", "requests that wait for another one to compute their shared prefix, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.PrefillWaiters) }))
-	i.gauge("target_requests_in_flight", "{request}", "requests of this host at the engine, by target",
+	i.gauge("target_requests_in_flight", "{request}", "requests of this host at the target, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.InFlight) }))
-	i.gauge("target_in_flight_limit", "{request}", "requests that this host may have at the engine, by target",
+	i.gauge("target_in_flight_limit", "{request}", "requests that this host may have at an engine, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.InFlightLimit) }))
 	i.counter("target_ejections", "{ejection}", "ejections after failures in a row, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.Ejections) }))
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -370,7 +370,7 @@
 	}
 	p.inFlight = max(0, p.inFlight-1)
 	if failed {
-		p.health.Failed(r.knobs, now)
+		r.noteFailure(p, now)
 	} else {
 		p.health.Succeeded(now)
 	}
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -55,6 +55,8 @@
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
+	// ejected counts ejections since the target was configured.
+	ejected uint64
 }
 
 func (r *replica) leaving() bool { return r.configLeaving || r.listLeaving || r.draining }
@@ -330,11 +332,34 @@
 	if p == nil {
 		return false
 	}
-	ejected := p.health.Failed(r.knobs, now)
+	ejected := r.noteFailure(p, now)
 	r.refresh(p)
 	return ejected
 }
 
+func (r *Router) noteFailure(p *replica, now time.Time) bool {
+	ejected := p.health.Failed(r.knobs, now)
+	if ejected {
+		p.ejected++
+	}
+	return ejected
+}
+
+// Traffic is what this host sends to a target and how often it ejected it.
+type Traffic struct {
+	InFlight  int
+	Ejections uint64
+}
+
+// Traffic returns the traffic of a target; zero for an unknown one.
+func (r *Router) Traffic(id string) Traffic {
+	p := r.byID[id]
+	if p == nil {
+		return Traffic{}
+	}
+	return Traffic{InFlight: p.inFlight, Ejections: p.ejected}
+}
+
 // Refused records that a target works, but takes no more requests for now. Without
 // it, the target would stay the first choice of its prefixes, and each of their requests
 // would need a retry.
