--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,7 +84,7 @@
 	flags.StringVar(&s.TLSKey, "tls-key", "", "private key file for mutual TLS between hosts")
 	flags.StringVar(&s.TLSCA, "tls-ca", "", "file with the certificate authority of the other hosts")
 
-	flags.DurationVar(&s.FreshnessDeadline, "freshness-deadline", 3*time.Second, "age of the newest configuration evidence at which keyed requests are refused")
+	flags.DurationVar(&s.FreshnessDeadline, "freshness-deadline", 3*time.Second, "age of the newest configuration evidence at which keyed requests are refused; the same on all hosts, since limits rest on it")
 	flags.DurationVar(&s.LocatorTTL, "locator-ttl", 5*time.Second, "time that callers may keep an answer of the locator")
 	flags.DurationVar(&s.DrainGrace, "drain-grace", 10*time.Second, "time after the start of a planned stop in which new requests are still served; at least twice locator-ttl")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 15*time.Minute, "longest wait for running requests at a planned stop")
