Relay a token with fewer allocations

The aim is no allocation per relayed token beyond the library's. Allocation profiles showed the cause: the target client built each line and event anew and decoded into a new chunk, the dispatcher made a timer for each token, and the gateway registered a context callback for each token and built the event in five steps.

Change: the SSE reader, the chunk and the stall timer are reused within a stream; the ring registers the callback only while it waits; a token is encoded into a reused buffer and copied once for the ring. The memory is bounded as before: one line and one event of at most 256 KiB per stream.

Ruled out: copying events into reused slots of the ring saves the last allocation, but the slot being written would need protection from the event that closes a full ring.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -32,6 +32,8 @@
 	items  chan streamItem
 	stop   chan struct{}
 	exited chan struct{}
+	// silence is reused for each event; nil before the first.
+	silence *time.Timer
 }
 
 func newStreamReader(s target.TokenStream) *streamReader {
@@ -57,12 +59,16 @@
 
 // next returns the next event, or errStalled after the given silence.
 func (r *streamReader) next(ctx context.Context, silence time.Duration) (target.TokenEvent, error) {
-	timer := time.NewTimer(silence)
-	defer timer.Stop()
+	if r.silence == nil {
+		r.silence = time.NewTimer(silence)
+	} else {
+		r.silence.Reset(silence)
+	}
+	defer r.silence.Stop()
 	select {
 	case item := <-r.items:
 		return item.event, item.err
-	case <-timer.C:
+	case <-r.silence.C:
 		return target.TokenEvent{}, errStalled
 	case <-ctx.Done():
 		return target.TokenEvent{}, ctx.Err()
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -46,6 +47,8 @@
 func (w discardWriter) Write(p []byte) (int, error) { return len(p), nil }
 func (w discardWriter) Flush()                      {}
 
+func (w discardWriter) SetWriteDeadline(time.Time) error { return nil }
+
 const benchmarkPath = "/v1/completions"
 
 func benchmarkRequest(tokens int) string {
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -78,6 +78,7 @@
 	allowed atomic.Bool
 	ring    *eventRing
 	written chan struct{} // closed when the ring's writer has ended
+	chunk   chunkEncoder
 }
 
 // resumePosition reads Last-Event-ID; nil without one.
@@ -285,20 +286,16 @@
 	if first {
 		r.startStream()
 	}
-	data, err := json.Marshal(r.chunkBody(t, first))
+	event, err := r.encodeToken(t, first)
 	if err != nil {
 		return err
 	}
-	return r.ring.put(ctx, encodeEvent(r.ids.format(t.Position), "", data))
+	return r.ring.put(ctx, event)
 }
 
-// encodeEvent returns a server-sent event; data has no line breaks.
-func encodeEvent(id, name string, data []byte) []byte {
+// encodeEvent returns a server-sent event without id; data has no line breaks.
+func encodeEvent(name string, data []byte) []byte {
 	var event []byte
-	if id != "" {
-		event = append(append(event, "id: "...), id...)
-		event = append(event, '\n')
-	}
 	if name != "" {
 		event = append(append(event, "event: "...), name...)
 		event = append(event, '\n')
@@ -327,7 +324,7 @@
 	if marshalErr != nil {
 		data = []byte(`{"error":{"code":"target_failed","run":"unknown"}}`)
 	}
-	r.ring.close(encodeEvent("", "error", data), answer.Code == refusal.KeyWithdrawn)
+	r.ring.close(encodeEvent("error", data), answer.Code == refusal.KeyWithdrawn)
 	<-r.written
 	return nil
 }
@@ -336,8 +333,8 @@
 	var events []byte
 	if r.request.includeUsage {
 		if data, err := json.Marshal(r.usageChunk(result)); err == nil {
-			events = encodeEvent("", "", data)
+			events = encodeEvent("", data)
 		}
 	}
-	return append(events, encodeEvent("", "", []byte("[DONE]"))...)
+	return append(events, encodeEvent("", []byte("[DONE]"))...)
 }
--- a/internal/gateway/eventid.go
+++ b/internal/gateway/eventid.go
@@ -38,8 +38,8 @@
 	return h.Sum(nil)[:eventIDMACBytes]
 }
 
-// format returns the id of the event after which the caller has position.Offset tokens.
-func (e *eventIDs) format(position dispatch.StreamPosition) string {
+// appendID appends the id of the event after which the caller has position.Offset tokens.
+func (e *eventIDs) appendID(id []byte, position dispatch.StreamPosition) []byte {
 	offset := position.Offset
 	position.Offset = 0
 	if e.token == "" || position != e.last {
@@ -51,7 +51,8 @@
 		e.last = position
 		e.token = base64.RawURLEncoding.EncodeToString(append(e.mac(payload), payload...))
 	}
-	return e.token + ":" + strconv.Itoa(offset)
+	id = append(append(id, e.token...), ':')
+	return strconv.AppendInt(id, int64(offset), 10)
 }
 
 // parse returns the position of an id, and false unless it was made for this account
--- a/internal/gateway/formats.go
+++ b/internal/gateway/formats.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
+
 	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
 )
 
@@ -44,20 +47,49 @@
 	return answerBody{ID: r.id, Object: object, Created: r.created, Model: r.request.model, Choices: choices}
 }
 
-func (r *completionRun) chunkBody(t dispatch.Token, first bool) answerBody {
+// chunkEncoder is the memory that encoding a token reuses, so that a token allocates
+// only its event.
+type chunkEncoder struct {
+	buffer  bytes.Buffer
+	encoder *json.Encoder
+	body    answerBody
+	choices [1]choiceBody
+	delta   messageBody
+	token   dispatch.Token
+}
+
+// encodeToken returns the server-sent event of a token.
+func (r *completionRun) encodeToken(t dispatch.Token, first bool) ([]byte, error) {
+	e := &r.chunk
+	if e.encoder == nil {
+		e.encoder = json.NewEncoder(&e.buffer)
+		e.body = r.answer("text_completion", "chat.completion.chunk", e.choices[:])
+	}
+	e.token = t
 	choice := choiceBody{}
 	if t.FinishReason != "" {
-		choice.FinishReason = &t.FinishReason
+		choice.FinishReason = &e.token.FinishReason
 	}
 	if r.request.chat {
-		choice.Delta = &messageBody{Content: t.Text}
+		e.delta = messageBody{Content: t.Text}
 		if first && r.resume == nil {
-			choice.Delta.Role = "assistant"
+			e.delta.Role = "assistant"
 		}
+		choice.Delta = &e.delta
 	} else {
-		choice.Text = &t.Text
+		choice.Text = &e.token.Text
+	}
+	e.choices[0] = choice
+	e.buffer.Reset()
+	e.buffer.WriteString("id: ")
+	e.buffer.Write(r.ids.appendID(e.buffer.AvailableBuffer(), t.Position))
+	e.buffer.WriteString("\ndata: ")
+	// The encoder ends the data with a line break.
+	if err := e.encoder.Encode(&e.body); err != nil {
+		return nil, err
 	}
-	return r.answer("text_completion", "chat.completion.chunk", []choiceBody{choice})
+	e.buffer.WriteByte('\n')
+	return bytes.Clone(e.buffer.Bytes()), nil
 }
 
 func (r *completionRun) usageChunk(result dispatch.Result) answerBody {
--- a/internal/gateway/ring.go
+++ b/internal/gateway/ring.go
@@ -44,10 +44,12 @@
 
 // put waits for room, so that a full ring stops the reading from the engine.
 func (r *eventRing) put(ctx context.Context, event []byte) error {
-	stop := context.AfterFunc(ctx, r.wake)
-	defer stop()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.fits(event) {
+		stop := context.AfterFunc(ctx, r.wake)
+		defer stop()
+	}
 	for r.err == nil && !r.closed && ctx.Err() == nil && !r.fits(event) {
 		r.moved.Wait()
 	}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -208,8 +208,10 @@
 	stop      context.CancelFunc
 	events    *sseReader
 	epoch     string
-	done      bool
-	closed    bool
+	// chunk is reused for each event.
+	chunk  chunkBody
+	done   bool
+	closed bool
 }
 
 // Epoch implements TokenStream.
@@ -237,6 +239,14 @@
 	} `json:"error"`
 }
 
+// reset clears the chunk and keeps its memory. The decoder does not clear elements of
+// a slice that it reuses.
+func (c *chunkBody) reset() {
+	choices := c.Choices[:cap(c.Choices)]
+	clear(choices)
+	*c = chunkBody{Choices: choices[:0]}
+}
+
 // Next returns the next event. Events of other requests are dropped.
 func (s *httpTokenStream) Next() (TokenEvent, error) {
 	for {
@@ -251,8 +261,9 @@
 			s.done = true
 			return TokenEvent{Done: true}, nil
 		}
-		var chunk chunkBody
-		if err := json.Unmarshal(data, &chunk); err != nil {
+		chunk := &s.chunk
+		chunk.reset()
+		if err := json.Unmarshal(data, chunk); err != nil {
 			return TokenEvent{}, s.failure(errors.Wrap(err, "decode event"))
 		}
 		if chunk.Error != nil {
--- a/internal/target/sse.go
+++ b/internal/target/sse.go
@@ -18,16 +18,19 @@
 // use here and are skipped.
 type sseReader struct {
 	buffer *bufio.Reader
+	// lineBytes and data are reused, so that reading a token allocates nothing.
+	lineBytes []byte
+	data      []byte
 }
 
 func newSSEReader(r io.Reader) *sseReader {
-	return &sseReader{bufio.NewReaderSize(r, 4096)}
+	return &sseReader{buffer: bufio.NewReaderSize(r, 4096)}
 }
 
-// next returns the data of the next event. io.ErrUnexpectedEOF means that the stream
+// next returns the data of the next event, valid until the next call. io.ErrUnexpectedEOF means that the stream
 // ended within an event; its part is not returned.
 func (s *sseReader) next() ([]byte, error) {
-	var data []byte
+	s.data = s.data[:0]
 	hasData, partial := false, false
 	for {
 		line, err := s.line()
@@ -39,7 +42,7 @@
 		}
 		if len(line) == 0 {
 			if hasData {
-				return data, nil
+				return s.data, nil
 			}
 			partial = false
 			continue
@@ -50,11 +53,11 @@
 			continue
 		}
 		if hasData {
-			data = append(data, '\n')
+			s.data = append(s.data, '\n')
 		}
-		data = append(data, value...)
+		s.data = append(s.data, value...)
 		hasData = true
-		if len(data) > maxEventBytes {
+		if len(s.data) > maxEventBytes {
 			return nil, errEventTooLong
 		}
 	}
@@ -68,21 +71,22 @@
 	return bytes.TrimPrefix(value, []byte(" ")), true
 }
 
-// line returns a line without its end, which is LF or CRLF.
+// line returns a line without its end, which is LF or CRLF. It is valid until the
+// next call.
 func (s *sseReader) line() ([]byte, error) {
-	var line []byte
+	s.lineBytes = s.lineBytes[:0]
 	for {
 		part, err := s.buffer.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxEventBytes {
+		s.lineBytes = append(s.lineBytes, part...)
+		if len(s.lineBytes) > maxEventBytes {
 			return nil, errEventTooLong
 		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
-			return line, err
+			return s.lineBytes, err
 		}
-		return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
+		return bytes.TrimSuffix(s.lineBytes[:len(s.lineBytes)-1], []byte("\r")), nil
 	}
 }
