--- a/internal/target/bench_test.go
+++ b/internal/target/bench_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
@@ -68,31 +71,72 @@
 	}
 }
 
+// pollAnswers returns the bodies of a load report and of a list of events.
+func pollAnswers(events int) (load, list []byte) {
+	load = []byte(`{"epoch":"0197a1b2-c3d4","running":12,"waiting":3,"pending_prefill_tokens":45000,"draining":false,"weights_version":"2026-11-30","measured_at_ms":1796000000000}`)
+	list = []byte(`{"epoch":"0197a1b2-c3d4","reset":false,"sequence":123456,"events":[`)
+	for i := range events {
+		if i > 0 {
+			list = append(list, ',')
+		}
+		hash := prefix.BlockHash{byte(i), byte(i >> 8)}
+		list = fmt.Appendf(list, `{"sequence":%d,"hash":%q,"stored":%t}`, 123456+i, hash.String(), i%2 == 0)
+	}
+	return load, append(list, "]}"...)
+}
+
+func benchmarkPoll(b *testing.B, client *HTTPEngineClient, url string) {
+	p := NewPollers(PollerOptions{Client: client, Observer: ignoredReports{}})
+	to := &config.Target{ID: "t", URL: url}
+	before := processorTime(b)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if epoch, _ := p.pollOnce(context.Background(), to, "e", 1); epoch == "" {
+			b.Fatal("the poll failed")
+		}
+	}
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// At the design size a target has 27 events in one poll interval.
+var polledEvents = []int{0, 27, 270, 2700}
+
 // BenchmarkPoll shows one poll of load and cache events by events, without the network.
 // The bytes are those of both answers without headers.
 func BenchmarkPoll(b *testing.B) {
-	for _, events := range []int{0, 27, 270, 2700} {
+	for _, events := range polledEvents {
 		b.Run(fmt.Sprintf("events=%d", events), func(b *testing.B) {
-			load := []byte(`{"epoch":"0197a1b2-c3d4","running":12,"waiting":3,"pending_prefill_tokens":45000,"draining":false,"weights_version":"2026-11-30","measured_at_ms":1796000000000}`)
-			body := []byte(`{"epoch":"0197a1b2-c3d4","reset":false,"sequence":123456,"events":[`)
-			for i := range events {
-				if i > 0 {
-					body = append(body, ',')
-				}
-				hash := prefix.BlockHash{byte(i), byte(i >> 8)}
-				body = fmt.Appendf(body, `{"sequence":%d,"hash":%q,"stored":%t}`, 123456+i, hash.String(), i%2 == 0)
-			}
-			body = append(body, "]}"...)
-			client := cannedClient(cannedTransport{"/load": load, "/events": body})
-			p := NewPollers(PollerOptions{Client: client, Observer: ignoredReports{}})
-			to := &config.Target{ID: "t", URL: "http://10.0.0.1"}
-			b.ReportAllocs()
-			for b.Loop() {
-				if epoch, _ := p.pollOnce(context.Background(), to, "e", 1); epoch == "" {
-					b.Fatal("the poll failed")
+			load, list := pollAnswers(events)
+			benchmarkPoll(b, cannedClient(cannedTransport{"/load": load, "/events": list}), "http://10.0.0.1")
+			b.ReportMetric(float64(len(load)+len(list)), "body-bytes")
+		})
+	}
+}
+
+// BenchmarkPollLoopback is the same over loopback. The processor time is that of both
+// ends, with the kernel's part.
+func BenchmarkPollLoopback(b *testing.B) {
+	for _, events := range polledEvents {
+		b.Run(fmt.Sprintf("events=%d", events), func(b *testing.B) {
+			load, list := pollAnswers(events)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/load") {
+					_, _ = w.Write(load)
+					return
 				}
-			}
-			b.ReportMetric(float64(len(load)+len(body)), "body-bytes")
+				_, _ = w.Write(list)
+			}))
+			b.Cleanup(server.Close)
+			benchmarkPoll(b, NewEngineClient(), server.URL)
 		})
 	}
 }
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 var frameSizes = []int{64, 1 << 10, 16 << 10, 256 << 10, 1 << 20}
@@ -46,3 +50,45 @@
 		})
 	}
 }
+
+// BenchmarkCall is a call and its answer over loopback by body size. The processor time
+// is that of both ends, with the kernel's part.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{64, 512, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			credentials, err := SecretCredentials([]byte("a shared secret of the fleet"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			s := NewServer(ServerOptions{Self: Peer{HostID: "server"}, Credentials: credentials})
+			s.Handle(TypeProbe, echoHandler)
+			address, err := s.Listen("127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			b.Cleanup(cancel)
+			go func() { _ = s.Serve(ctx) }()
+			client := NewClient(ClientOptions{Self: Peer{HostID: "client"}, Credentials: credentials})
+			b.Cleanup(client.Close)
+			request := &echo{Text: strings.Repeat("x", size)}
+			before := processorTime(b)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if err := client.Call(ctx, address.String(), request, &echo{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
