Copy KV caches of hot prefixes between engines

Cause: a request sent past its warm target, or to replace a leaving one, computed the whole prefix, and the link budget gave each host the full rate.

A request for which a copy runs waits for it as for another request's prefill and chooses again. --kv-copies switches it on.

The stand-in engines can give exported blocks the size and rate of real KV caches.

--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -57,6 +57,8 @@
 	lastErr    error
 	// lastDrained says that the last attempt failed because the target is leaving.
 	lastDrained bool
+	// counted says that the use of the chain was counted for KV copies.
+	counted bool
 }
 
 // callerGoneError says that the sink or the caller's context ended the completion.
--- /dev/null
+++ b/internal/dispatch/copy.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/kvcopy"
+	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
+)
+
+// Copier copies cached prefixes between engines. Its methods are called under the
+// dispatcher's lock and must neither block nor call the dispatcher.
+type Copier interface {
+	// Used counts a request for the blocks of a chain.
+	Used(chain []prefix.BlockHash)
+	// Offer returns a channel that is closed when a copy has ended and the longest time
+	// to wait for it, or nil if there is none.
+	Offer(o *kvcopy.Offer, link *routing.LinkBudget) (done <-chan struct{}, patience time.Duration)
+}
+
+// SetCopier switches KV copies on. It must be called before the first completion.
+func (d *Dispatcher) SetCopier(c Copier) { d.copier = c }
+
+// offerCopy offers a copy for a request that was sent past its warm target. While the
+// copy runs the request waits as it does for another request's prefill, and chooses
+// again after it. The caller holds the lock.
+func (d *Dispatcher) offerCopy(r *run, decision *routing.Decision, l *lane, mayWait bool, now time.Time) (queued, bool) {
+	if d.copier == nil {
+		return queued{}, false
+	}
+	if !r.counted {
+		r.counted = true
+		d.copier.Used(r.chain)
+	}
+	// A target that computes the blocks already would only compute and import them.
+	computing := decision.Cached > decision.Claim.Blocks*prefix.BlockBytes/prefix.BytesPerToken
+	if decision.Warm.TargetID == "" || computing || !decision.Learned || !mayWait || l.prefillWaiters >= d.knobs.QueueItems {
+		return queued{}, false
+	}
+	offer := &kvcopy.Offer{
+		Seed: r.seed, Weights: r.model.WeightsVersion, Chain: r.chain,
+		From: decision.Claim.Blocks, To: decision.Warm.Blocks,
+		Source: d.cacheState(decision.Warm.TargetID), Destination: d.cacheState(decision.TargetID),
+		SourceLeaving: decision.Warm.Leaving, HostRegion: d.options.Self.Region, TokenCost: decision.TokenCost(),
+	}
+	done, patience := d.copier.Offer(offer, d.router.Link())
+	predicted := time.Duration(decision.Predicted * float64(time.Second))
+	if done == nil || !r.c.Deadline.IsZero() && now.Add(patience+predicted).After(r.c.Deadline) {
+		return queued{}, false
+	}
+	l.prefillWaiters++
+	return queued{lane: l, prefill: done, patience: patience}, true
+}
+
+func (d *Dispatcher) cacheState(targetID string) kvcopy.End {
+	end := kvcopy.End{TargetID: targetID}
+	end.Epoch, end.Weights = d.index.State(targetID)
+	if t := d.applied.Target(targetID); t != nil {
+		end.Region = t.Region
+	}
+	return end
+}
+
+// CacheState returns the epoch and weights version last reported by a target.
+func (d *Dispatcher) CacheState(targetID string) kvcopy.End {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	return d.cacheState(targetID)
+}
+
+// Copied records that a target holds blocks under an epoch and weights version. It has
+// no effect if either has changed since.
+func (d *Dispatcher) Copied(end kvcopy.End, blocks []prefix.BlockHash) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	if epoch, weights := d.index.State(end.TargetID); epoch == end.Epoch && weights == end.Weights {
+		d.index.Stored(end.TargetID, epoch, blocks)
+	}
+}
+
+// ObserveLiveHosts divides the link between regions among the live hosts of this
+// host's region.
+func (d *Dispatcher) ObserveLiveHosts(hosts int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.SetLinkShare(hosts)
+}
+
+// AllowLink reports whether a message of a class may use the link between regions now,
+// and counts its bytes.
+func (d *Dispatcher) AllowLink(class routing.LinkClass, bytes int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.Link().AllowMessage(class, bytes, d.clock())
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -98,7 +98,9 @@
 	// prefills holds, by flight, who waits for the flight's first token.
 	prefills map[uint64][]chan struct{}
 	nextItem uint64
-	totals   Totals
+	// copier may be nil, which means no KV copies.
+	copier Copier
+	totals Totals
 }
 
 var (
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -132,7 +132,7 @@
 	lane     *lane
 	waiter   *waiter
 	itemID   uint64
-	prefill  chan struct{}
+	prefill  <-chan struct{}
 	computes uint64
 	patience time.Duration
 }
@@ -178,6 +178,9 @@
 		l.prefillWaiters++
 		return queued{lane: l, prefill: waiting, computes: decision.WaitFor, patience: time.Duration(decision.Predicted*float64(time.Second)) + prefillGrace}, nil
 	}
+	if step, ok := d.offerCopy(r, &decision, l, mayWait, now); ok {
+		return step, nil
+	}
 	w := &waiter{flight: d.router.Begin(query, decision, now), over: r.over, answer: make(chan answer, 1)}
 	d.nextItem++
 	item := queue.Item[*waiter]{
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -66,6 +66,9 @@
 	Clock func() time.Time
 	// Logger may be nil.
 	Logger hclog.Logger
+	// AllowFarSnapshot is asked before each piece of a snapshot from a peer in another
+	// region; nil allows all.
+	AllowFarSnapshot func(bytes int) bool
 	// Seed seeds the jitter; zero means a random seed.
 	Seed uint64
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
 const (
@@ -23,6 +24,8 @@
 	snapshotKeep         = 30 * time.Second
 	snapshotRetry        = 200 * time.Millisecond
 	snapshotPieceTimeout = 2 * time.Second
+	// maxLinkWaits bounds the waits for the link between regions before one piece.
+	maxLinkWaits = 10
 	// maxSnapshotTries bounds the attempts of a starting host for one name. The
 	// snapshot saves recomputation and is not needed for correctness.
 	maxSnapshotTries = 10
@@ -147,8 +150,9 @@
 
 func (f *Fleet) restore(ctx context.Context, hook snapshotHook) {
 	for range maxSnapshotTries {
-		for _, address := range f.snapshotSources() {
-			data, err := f.fetchSnapshot(ctx, address, hook.name)
+		for _, source := range f.snapshotSources() {
+			address := source.InnerAddress
+			data, err := f.fetchSnapshot(ctx, source, hook.name)
 			if err == nil {
 				err = hook.consume(data)
 			}
@@ -165,9 +169,9 @@
 	}
 }
 
-// snapshotSources returns the addresses of live peers: those in the same zone first,
+// snapshotSources returns the live peers: those in the same zone first,
 // then those in the same region, since the inter-region link is narrow.
-func (f *Fleet) snapshotSources() []string {
+func (f *Fleet) snapshotSources() []config.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -187,18 +191,40 @@
 		return 2
 	}
 	slices.SortFunc(live, func(a, b *peer) int { return distance(a) - distance(b) })
-	addresses := make([]string, len(live))
+	sources := make([]config.Member, len(live))
 	for i, p := range live {
-		addresses[i] = p.member.InnerAddress
+		sources[i] = p.member
 	}
-	return addresses
+	return sources
 }
 
-func (f *Fleet) fetchSnapshot(ctx context.Context, address, name string) ([]byte, error) {
+// awaitLink waits until a piece from a peer in another region may use the link.
+func (f *Fleet) awaitLink(ctx context.Context, source config.Member) error {
+	allow := f.options.AllowFarSnapshot
+	if source.Region == f.self.Region || allow == nil {
+		return nil
+	}
+	for range maxLinkWaits {
+		if allow(snapshotPieceBytes) {
+			return nil
+		}
+		f.sleepJittered(ctx, snapshotRetry, nil)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return errors.Errorf("the link to region %s has no room for a snapshot", source.Region)
+}
+
+func (f *Fleet) fetchSnapshot(ctx context.Context, source config.Member, name string) ([]byte, error) {
+	address := source.InnerAddress
 	var data []byte
 	id := ""
 	for {
 		part := &snapshotPart{}
+		if err := f.awaitLink(ctx, source); err != nil {
+			return nil, err
+		}
 		pieceCtx, cancel := context.WithTimeout(ctx, snapshotPieceTimeout)
 		err := f.options.Caller.Call(pieceCtx, address, &snapshotRequest{Name: name, ID: id, Offset: len(data)}, part)
 		cancel()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/gateway"
 	"github.com/sequoiaroad/sequoiaroad/internal/idempotency"
+	"github.com/sequoiaroad/sequoiaroad/internal/kvcopy"
 	"github.com/sequoiaroad/sequoiaroad/internal/orders"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/quota"
@@ -28,6 +29,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/placement"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 const (
@@ -70,6 +72,7 @@
 	fleet      *fleet.Fleet
 	limiter    *quota.FleetLimiter
 	dispatcher *dispatch.Dispatcher
+	copies     *kvcopy.Mover // nil if switched off
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
@@ -166,6 +169,7 @@
 		Self: h.self, Store: h.options.Platform.Store, HostList: h.options.Platform.HostList,
 		Caller: h.wireClient, Registry: h.wireServer,
 		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("fleet"),
+		AllowFarSnapshot: func(bytes int) bool { return h.dispatcher.AllowLink(routing.LinkSnapshot, bytes) },
 	})
 	if err != nil {
 		return err
@@ -190,6 +194,15 @@
 	if err != nil {
 		return err
 	}
+	if h.options.Settings.KVCopies {
+		h.copies, err = kvcopy.New(kvcopy.Options{
+			Engines: engines, View: h.dispatcher, Target: h.targetByID, Logger: h.logger.Named("kvcopy"),
+		})
+		if err != nil {
+			return err
+		}
+		h.dispatcher.SetCopier(h.copies)
+	}
 	h.pollers = target.NewPollers(target.PollerOptions{
 		Client: engines, Observer: h.dispatcher, Index: h.fleet.Index, Subscribe: h.fleet.Subscribe,
 	})
@@ -305,6 +318,9 @@
 	h.addTask(&group, "quota", h.limiter.Run)
 	h.addTask(&group, "dispatch", h.dispatcher.Run)
 	h.addTask(&group, "pollers", h.pollers.Run)
+	if h.copies != nil {
+		h.addTask(&group, "copies", h.copies.Run)
+	}
 	h.addTask(&group, "claims", h.claims.Run)
 	h.addTask(&group, "target list", h.watchLeavingTargets)
 	h.addTask(&group, "snapshots", h.keepSnapshots)
--- a/internal/host/targets.go
+++ b/internal/host/targets.go
@@ -20,6 +20,7 @@
 	defer ticker.Stop()
 	for {
 		h.readLeavingTargets(ctx)
+		h.dispatcher.ObserveLiveHosts(h.liveHostsInRegion())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -28,6 +29,18 @@
 	}
 }
 
+// liveHostsInRegion counts the hosts that share this host's link to other regions,
+// itself included.
+func (h *Host) liveHostsInRegion() int {
+	live := 1
+	for _, status := range h.fleet.Hosts() {
+		if status.Live && status.Member.Region == h.self.Region && status.Member.HostID != h.self.HostID {
+			live++
+		}
+	}
+	return live
+}
+
 func (h *Host) readLeavingTargets(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listInterval)
 	defer cancel()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 	LimitWait            time.Duration `flag:"limit-wait" validate:"min=0,max=1m"`
 	MaxBodyBytes         int64         `flag:"max-body-bytes" validate:"min=1024,max=1073741824"`
 	IdempotencyRetention time.Duration `flag:"idempotency-retention" validate:"min=1h"`
+	KVCopies             bool          `flag:"kv-copies"`
 	RoutingPolicy        string        `flag:"routing-policy" validate:"oneof=predicted-ttft round-robin least-loaded prefix-hash"`
 
 	TraceExporter string `flag:"trace-exporter" validate:"oneof=none stdout otlp"`
@@ -90,6 +91,7 @@
 	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account; zero refuses at once")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in bytes")
 	flags.DurationVar(&s.IdempotencyRetention, "idempotency-retention", 720*time.Hour, "time after its end for which the outcome of a non-idempotent request is kept")
+	flags.BoolVar(&s.KVCopies, "kv-copies", false, "copy the KV cache of hot prefixes between engines instead of computing it again")
 	flags.StringVar(&s.RoutingPolicy, "routing-policy", "predicted-ttft", "predicted-ttft, round-robin, least-loaded or prefix-hash")
 
 	flags.StringVar(&s.TraceExporter, "trace-exporter", "none", "none, stdout or otlp")
--- a/policy/kvcopy/heat.go
+++ b/policy/kvcopy/heat.go
@@ -22,20 +22,23 @@
 	at    time.Time
 }
 
-// heat counts recent requests for blocks that their target did not hold.
+// heat counts recent requests for blocks.
 type heat struct{ blocks map[prefix.BlockHash]warmth }
 
 func newHeat() heat { return heat{map[prefix.BlockHash]warmth{}} }
 
-// touch counts a request and returns the decayed count, this request included.
-func (h *heat) touch(block prefix.BlockHash, now time.Time) float64 {
+// touch counts a request.
+func (h *heat) touch(block prefix.BlockHash, now time.Time) {
 	w, known := h.blocks[block]
 	if !known && len(h.blocks) >= maxHeatBlocks {
 		h.expire(now)
 	}
-	w = warmth{w.decayed(now) + 1, now}
-	h.blocks[block] = w
-	return w.level
+	h.blocks[block] = warmth{w.decayed(now) + 1, now}
+}
+
+// level returns the decayed count.
+func (h *heat) level(block prefix.BlockHash, now time.Time) float64 {
+	return h.blocks[block].decayed(now)
 }
 
 // expire drops cold blocks, or all if none is cold: the hot ones come back soon.
--- a/policy/kvcopy/kvcopy.go
+++ b/policy/kvcopy/kvcopy.go
@@ -97,8 +97,8 @@
 	InFlight int
 	// BlockBytes is the largest size of a block that is copied; zero allows none.
 	BlockBytes float64
-	// MinHeat is the number of recent requests for a block, this one included, from
-	// which on reuse is expected.
+	// MinHeat is the number of recent requests for a block, see Planner.Used, from which
+	// on reuse is expected.
 	MinHeat float64
 }
 
@@ -146,6 +146,18 @@
 	LinkShort    Verdict = "the link between regions has no room"
 )
 
+// Used counts a request for the blocks of a chain. It is called for each request, also
+// if its target holds them: otherwise the first request that is sent past the warm
+// target would find its prefix cold and compute it, and no copy would be left to do.
+func (p *Planner) Used(chain []prefix.BlockHash, now time.Time) {
+	for _, block := range chain {
+		p.heat.touch(block, now)
+	}
+}
+
+// BlockBytes returns the measured size of a block; zero before the first export.
+func (p *Planner) BlockBytes() int { return int(p.bytesPerToken * blockTokens) }
+
 // Plan decides on an offer. If the verdict is Start the copy counts as in flight until
 // End, and its bytes are charged to the link. If it is Running, only the Key of the
 // returned copy is that of the one under way.
@@ -156,7 +168,7 @@
 	}
 	hot := o.From
 	for i := o.From; i < to; i++ {
-		if p.heat.touch(o.Chain[i], now) >= p.limits.MinHeat {
+		if p.heat.level(o.Chain[i], now) >= p.limits.MinHeat {
 			hot = i + 1
 		}
 	}
--- a/policy/kvcopy/kvcopy_test.go
+++ b/policy/kvcopy/kvcopy_test.go
@@ -45,12 +45,15 @@
 	}
 	p := NewPlanner(testLimits())
 	g.Expect(verdict(p, offer(), nil)).To(Equal(Cold))
+	p.Used(offer().Chain[:6], start)
+	p.Used(offer().Chain, start)
 	c, v := p.Plan(offer(), nil, start)
 	g.Expect(v).To(Equal(Start))
-	g.Expect(c.Blocks).To(HaveLen(8))
+	g.Expect(c.Blocks).To(HaveLen(6))
 	g.Expect(verdict(p, offer(), nil)).To(Equal(Running))
 	p.End(c, true, start)
 	g.Expect(verdict(p, offer(), nil)).To(Equal(FailedLately))
+	p.Used(offer().Chain, start.Add(retryAfter))
 	_, v = p.Plan(offer(), nil, start.Add(retryAfter))
 	g.Expect(v).To(Equal(Start))
 
@@ -177,6 +180,7 @@
 func (h *history) request() {
 	account, weights := fmt.Sprint("a", h.draw(2)), fmt.Sprint("v", h.draw(2))
 	seed, chain := chainOf(account, weights, h.draw(2), 3)
+	h.planner.Used(chain, h.now)
 	var warm *engineModel
 	blocks := 0
 	for _, m := range h.index.Lookup(weights, chain, nil) {
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -36,6 +36,9 @@
 	// WaitFor is the flight that computes blocks of this prompt on the chosen target;
 	// the request should be sent after its first token. Zero means none.
 	WaitFor uint64
+	// Warm holds more of the prompt than the chosen target; its ID is empty if no target
+	// does. It may be leaving.
+	Warm Warm
 	// Predicted is the predicted time to first token in seconds.
 	Predicted float64
 	// Learned says that the prediction rests on measurements. Without any, it is no
@@ -45,6 +48,16 @@
 	replica *replica
 }
 
+// Warm is a target that is passed over although it holds more of a prompt.
+type Warm struct {
+	TargetID string
+	Blocks   int
+	Leaving  bool
+}
+
+// TokenCost returns the prefill cost of the chosen target in seconds per token.
+func (d *Decision) TokenCost() float64 { return d.replica.estimator.TokenCost() }
+
 // Choose returns the target for a request, or false if none can take it.
 func (r *Router) Choose(q *Query, now time.Time) (Decision, bool) {
 	r.fill(q, now, true)
@@ -73,6 +86,12 @@
 			d.BestCached = tokens
 		}
 	}
+	for _, m := range r.matches {
+		p := r.replicas[m.Handle]
+		if blocks := int(m.Blocks); blocks > max(d.Claim.Blocks, d.Warm.Blocks) && !m.Uncertain && !p.unreachable {
+			d.Warm = Warm{p.id, blocks, p.leaving()}
+		}
+	}
 	d.BestCached = min(d.BestCached, prefix.Tokens(q.PromptBytes))
 	return d, true
 }
@@ -120,7 +139,7 @@
 	}
 	prompt := int32(prefix.Tokens(q.PromptBytes))
 	r.expectPending(q, prompt, now)
-	linkSeconds := float64(q.PromptBytes) / r.link.Rate
+	linkSeconds := float64(q.PromptBytes) / DefaultLinkRate
 	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
 	r.least = Leaving
 	at := r.clock(now)
@@ -240,7 +259,7 @@
 		handle: d.replica.handle, owner: f.id, from: from, ready: ready, expires: ready.Add(pendingGrace),
 	}, now)
 	if d.replica.far {
-		r.link.Allow(LinkRequest, q.PromptBytes, now)
+		r.link.Charge(q.PromptBytes, now) // it is sent whether or not the budget has room
 	}
 	return f
 }
--- a/policy/routing/link.go
+++ b/policy/routing/link.go
@@ -45,6 +45,28 @@
 	return true
 }
 
+// AllowMessage is Allow for a message that can't be split. One that is larger than the
+// class may ever use is allowed on an unused budget and leaves a debt: a host's share
+// of the link in a large region is smaller than a piece of a snapshot.
+func (b *LinkBudget) AllowMessage(class LinkClass, bytes int, now time.Time) bool {
+	b.refill(now)
+	capacity := b.Rate * linkBurst.Seconds()
+	if float64(bytes) <= (1-linkReserve[class])*capacity {
+		return b.Allow(class, bytes, now)
+	}
+	if b.Rate <= 0 || b.level < capacity {
+		return false
+	}
+	b.level -= float64(bytes)
+	return true
+}
+
+// Charge counts bytes that are sent in any case, and leaves a debt of at most the burst.
+func (b *LinkBudget) Charge(bytes int, now time.Time) {
+	b.refill(now)
+	b.level = max(b.level-float64(bytes), min(b.level, -b.Rate*linkBurst.Seconds()))
+}
+
 // Delay returns the seconds until bytes of a class fit, for predictions.
 func (b *LinkBudget) Delay(class LinkClass, bytes int, now time.Time) float64 {
 	b.refill(now)
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -351,5 +351,9 @@
 	r.index.Maintain(sweepEntries)
 }
 
+// SetLinkShare divides the link between regions evenly among the live hosts of this
+// host's region, which all send over it.
+func (r *Router) SetLinkShare(hosts int) { r.link.Rate = DefaultLinkRate / float64(max(hosts, 1)) }
+
 // Link returns the budget of the link between regions.
 func (r *Router) Link() *LinkBudget { return &r.link }
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -47,6 +47,11 @@
 	EventLoss float64
 	// EventLog is the number of events kept; zero means 8,192.
 	EventLog int
+	// KVBytesPerToken is the size of exported KV caches; below 4, the size of the
+	// prompt's bytes, it has no effect.
+	KVBytesPerToken int
+	// KVRate limits exports and imports in bytes per second each; zero means no limit.
+	KVRate float64
 	// ChecksFencing rejects orders whose fencing number is below the highest seen.
 	ChecksFencing bool
 	// WeightStore is shared by the engines that load from one store; nil loads at once.
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if b := element.Value.(*block); b.seed.String() == request.CacheSalt {
-			answer.Blocks = append(answer.Blocks, kvBlock{text, b.previous.String(), b.content})
+			answer.Blocks = append(answer.Blocks, kvBlock{text, b.previous.String(), e.padded(b.content)})
 		}
 	}
 	e.mu.Unlock()
@@ -47,9 +47,33 @@
 		e.reject(w, http.StatusConflict, false, "the epoch is over")
 		return
 	}
+	e.transferTime(answer.Blocks)
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// padded brings a block's content to the size of a KV cache.
+func (e *Engine) padded(content []byte) []byte {
+	size := e.options.KVBytesPerToken * prefix.BlockBytes / prefix.BytesPerToken
+	if size <= len(content) {
+		return content
+	}
+	out := make([]byte, size)
+	copy(out, content)
+	return out
+}
+
+// transferTime waits as long as moving the blocks takes.
+func (e *Engine) transferTime(blocks []kvBlock) {
+	if e.options.KVRate <= 0 {
+		return
+	}
+	bytes := 0
+	for _, b := range blocks {
+		bytes += len(b.Content)
+	}
+	time.Sleep(time.Duration(float64(bytes) / e.options.KVRate * float64(time.Second)))
+}
+
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
 	var request kvTransfer
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
@@ -61,6 +85,7 @@
 		e.reject(w, http.StatusBadRequest, false, "%v", err)
 		return
 	}
+	e.transferTime(request.Blocks)
 	e.mu.Lock()
 	current := request.Epoch == e.epoch && request.WeightsVersion == e.weightsVersion
 	imported := 0
@@ -81,18 +106,19 @@
 	imported := 0
 	for _, b := range blocks {
 		previous, err := prefix.ParseHash(b.Previous)
-		if err != nil || len(b.Content) != prefix.BlockBytes {
+		if err != nil || len(b.Content) < prefix.BlockBytes {
 			continue
 		}
 		parent, held := e.cache.blocks[previous]
 		if previous != seed && (!held || parent.Value.(*block).seed != seed) {
 			continue
 		}
-		chain := prefix.Chain(previous, b.Content)
+		content := b.Content[:prefix.BlockBytes:prefix.BlockBytes]
+		chain := prefix.Chain(previous, content)
 		if chain[0].String() != b.Hash {
 			continue
 		}
-		e.cache.store(&block{chain[0], previous, seed, b.Content}, time.Now())
+		e.cache.store(&block{chain[0], previous, seed, content}, time.Now())
 		imported++
 	}
 	return imported
