Keep prefixes at their homes and learn the prefill cost without waits

Cause: under load the policy recomputed what others had cached until all engines were busy. (1) The learned cost per token rose to 100 times the true one, because samples subtract the predicted wait, which is wrong in an overload; targets with a high cost got no requests and kept it. (2) The scale of reported pending tokens was learned per target, and a target that looked busy could not learn. (3) The price of a recomputation ignored the queue it delays. (4) A cold prefix went to the target with the shortest queue of the moment, so that each cache held a part of everything.

Change: the cost follows samples of the whole time, upward only from idle targets, with the cached-token count of the response; the scale is shared by all targets; the price grows with the queue; a long computation stays at the home of its prefix unless that is much slower.

--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -132,6 +132,7 @@
 		c, s := &r.candidates[i], &r.summaries[handle]
 		cached := r.cached[handle]
 		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
+		c.delays = c.Queue
 		run := int32(0)
 		if len(r.runs) > 0 {
 			run = r.waits[handle]
@@ -139,6 +140,7 @@
 		if c.waits = run > 0; c.waits {
 			cached = int32(r.runs[run-1].end * blockTokens)
 			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
+			c.delays = 0 // the queue is mostly the computation that is waited for
 		}
 		c.Cached = min(cached, prompt)
 		c.Uncached = prompt - c.Cached
@@ -212,7 +214,11 @@
 	chain  []prefix.BlockHash
 	sentAt time.Time
 	queue  float64
-	state  flightState
+	// foundIdle says that nothing was known to wait at the target at the send.
+	foundIdle bool
+	// prefill is the time from sending to the first token.
+	prefill time.Duration
+	state   flightState
 }
 
 type flightState uint8
@@ -250,7 +256,7 @@
 	p := f.replica
 	f.state, f.sentAt = flightSent, now
 	p.queuedTokens -= f.Uncached
-	f.queue = p.estimator.Queue(now)
+	f.queue, f.foundIdle = p.estimator.Queue(now), p.estimator.idle()
 	p.estimator.Sent(f.id, f.Uncached, now)
 	r.refresh(p)
 }
@@ -264,10 +270,10 @@
 	}
 	f.state = flightDecoding
 	p := f.replica
-	p.estimator.Learn(now.Sub(f.sentAt), f.Uncached, f.network, f.queue, now)
+	f.prefill = now.Sub(f.sentAt)
+	p.estimator.Learn(f.prefill, f.Uncached, f.network, f.queue, now)
 	p.estimator.End(f.id)
 	r.refresh(p)
-	r.followFleetCost()
 	if r.byID[p.id] == p {
 		r.index.SetEpoch(p.id, epoch, "")
 		r.index.Stored(p.id, epoch, f.chain)
@@ -281,12 +287,15 @@
 	return max(0, now.Sub(f.sentAt)-seconds(own))
 }
 
-// Correct applies the cached-token count of the response. Blocks dropped by the
+// Correct applies the cached-token count of the response. It teaches the prefill cost,
+// since only the count says how much the target computed. Blocks dropped by the
 // correction have been computed by this request, so they are recorded again.
 func (r *Router) Correct(f *Flight, epoch string, cachedTokens int) {
 	if r.byID[f.TargetID] != f.replica {
 		return
 	}
+	f.replica.estimator.LearnCost(f.prefill, f.Cached+f.Uncached-cachedTokens, f.network, f.foundIdle)
+	r.followFleetCost()
 	if r.index.Correct(f.TargetID, epoch, f.chain, f.Claim, cachedTokens) {
 		r.index.Stored(f.TargetID, epoch, f.chain)
 	}
--- a/policy/routing/estimate.go
+++ b/policy/routing/estimate.go
@@ -25,6 +25,9 @@
 	// minSampleQueue in seconds: below it, noise hides how right the prediction was.
 	minSampleQueue = 0.02
 	minScale       = 0.05
+	// scaleRate is lower than learningRate, because the requests of all targets teach
+	// the scale.
+	scaleRate = 0.1
 	// negligibleResidual in seconds is below what a caller notices.
 	negligibleResidual = 0.001
 	// maxFlights bounds the requests that are tracked until their first token.
@@ -43,6 +46,8 @@
 	id     uint64
 	tokens int
 	sentAt time.Time
+	// recent says that the last report can't contain it.
+	recent bool
 }
 
 // Estimator predicts the queueing delay of one target and learns its prefill cost.
@@ -62,6 +67,8 @@
 	// scale is the learned part of the reported pending tokens that has to be computed;
 	// zero means all. A target may report whole prompts, of which much is cached.
 	scale float64
+	// fleetScale takes the place of scale in a router; nil means none.
+	fleetScale *float64
 }
 
 // TokenCost returns the learned seconds per prefill token.
@@ -95,8 +102,9 @@
 	}
 	e.report = r
 	e.recent = 0
-	for _, f := range e.flights {
-		if f.sentAt.After(r.MeasuredAt) {
+	for i := range e.flights {
+		f := &e.flights[i]
+		if f.recent = f.sentAt.After(r.MeasuredAt); f.recent {
 			e.recent += f.tokens
 		}
 	}
@@ -107,7 +115,7 @@
 	if len(e.flights) >= maxFlights {
 		e.End(e.flights[0].id)
 	}
-	e.flights = append(e.flights, flight{id, tokens, now})
+	e.flights = append(e.flights, flight{id, tokens, now, true})
 	e.recent += tokens
 }
 
@@ -116,7 +124,7 @@
 	for i, f := range e.flights {
 		if f.id == id {
 			e.flights = append(e.flights[:i], e.flights[i+1:]...)
-			if f.sentAt.After(e.report.MeasuredAt) {
+			if f.recent {
 				e.recent -= f.tokens
 			}
 			return
@@ -134,9 +142,15 @@
 	return float64(e.recent)*e.TokenCost() + float64(e.report.Running)*runningCost
 }
 
+// idle reports whether nothing is known to wait at the target.
+func (e *Estimator) idle() bool { return e.report.PendingPrefillTokens == 0 && len(e.flights) == 0 }
+
 // drainedAt is when the target will have computed what it reported as pending.
 func (e *Estimator) drainedAt() time.Time {
 	scale := e.scale
+	if e.fleetScale != nil {
+		scale = *e.fleetScale
+	}
 	if scale == 0 {
 		scale = 1
 	}
@@ -152,38 +166,54 @@
 	return e.residual * math.Exp2(-now.Sub(e.residualAt).Seconds()/residualHalfLife.Seconds())
 }
 
-// Learn takes the time from sending to the first token of a request, with the
-// uncached tokens it had and the network and queueing delay predicted for it.
-func (e *Estimator) Learn(elapsed time.Duration, uncached int, network, queue float64, now time.Time) {
-	observed := elapsed.Seconds() - network
-	work := observed - queue
-	if uncached >= minSampleTokens && work > observed/2 {
-		sample := min(max(work/float64(uncached), minTokenCost), maxTokenCost)
-		if e.tokenCost == 0 {
-			e.tokenCost = sample
-		} else {
-			e.tokenCost += learningRate * (sample - e.tokenCost)
+// LearnCost takes the time from sending to the first token of a request and the tokens
+// that the target says it computed for it. The time includes waiting, so that a sample
+// is an upper bound of the cost. A lower sample is followed always, a higher one only
+// if the target was idle. Subtracting the predicted wait instead raised the learned
+// cost up to a hundredfold in an overload, where the prediction is worst.
+func (e *Estimator) LearnCost(elapsed time.Duration, computed int, network float64, idle bool) {
+	if computed < minSampleTokens {
+		return
+	}
+	cost := e.TokenCost()
+	sample := min(max((elapsed.Seconds()-network)/float64(computed), minTokenCost), maxTokenCost)
+	if sample > cost {
+		if !idle {
+			return
 		}
-		if e.fleet != nil {
-			if *e.fleet == 0 {
-				*e.fleet = sample
-			}
-			*e.fleet += learningRate * (sample - *e.fleet)
+		sample = min(sample, 2*cost) // one slow request says little
+	}
+	e.tokenCost = cost + learningRate*(sample-cost)
+	if e.fleet != nil {
+		if *e.fleet == 0 {
+			*e.fleet = cost
 		}
+		*e.fleet += learningRate * (sample - *e.fleet)
 	}
+}
+
+// Learn takes the time from sending to the first token of a request, with the
+// uncached tokens it had and the network and queueing delay predicted for it.
+func (e *Estimator) Learn(elapsed time.Duration, uncached int, network, queue float64, now time.Time) {
+	waited := max(0, elapsed.Seconds()-network-float64(uncached)*e.TokenCost())
 	if own := float64(uncached) * e.TokenCost(); queue > minSampleQueue && queue > 2*own {
-		e.learnScale((observed - own) / queue)
+		e.learnScale(waited / queue)
 	}
 	// What neither queue nor prefill explains, for example a lack of batch slots.
-	unexplained := max(0, work-float64(uncached)*e.TokenCost())
-	e.residual += learningRate * (unexplained - e.residual)
+	e.residual += learningRate * (max(0, waited-queue) - e.residual)
 	e.residualAt = now
 }
 
-// learnScale takes the ratio of an observed queueing delay to the predicted one.
+// learnScale takes the ratio of an observed queueing delay to the predicted one. The
+// scale is shared by all targets: one that looks busy gets no requests, and could not
+// learn that it is not.
 func (e *Estimator) learnScale(ratio float64) {
-	if e.scale == 0 {
-		e.scale = 1
+	scale := &e.scale
+	if e.fleetScale != nil {
+		scale = e.fleetScale
+	}
+	if *scale == 0 {
+		*scale = 1
 	}
-	e.scale = min(max(e.scale*(1+learningRate*(min(ratio, 2)-1)), minScale), 1)
+	*scale = min(max(*scale*(1+scaleRate*(min(ratio, 2)-1)), minScale), 1)
 }
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -24,6 +24,18 @@
 // minimumTie in seconds is below any difference that a caller notices.
 const minimumTie = 0.002
 
+// queueUnit in seconds is about the time that a queued request takes, so that a queue
+// divided by it is the number of requests that a computation delays.
+const queueUnit = 0.1
+
+// homeShare of the price of a computation is what its home is worth. It is below the
+// price, since prompts that share only their first block have the same home.
+const homeShare = 0.25
+
+// minHomeTokens is the uncached part from which on a prompt is likely to store blocks
+// that others share, and not only its own end.
+const minHomeTokens = 2 * prefix.BlockBytes / prefix.BytesPerToken
+
 // Exclusion says why a target may not be chosen.
 type Exclusion uint8
 
@@ -50,6 +62,8 @@
 	Excluded         Exclusion
 	// waits says that Cached includes blocks that another request computes now.
 	waits bool
+	// delays is the queue in seconds of other requests that a computation here delays.
+	delays float64
 	// cost is the policy's own figure.
 	cost float64
 	// Hash is the hash of the target's id for rendezvous hashing.
@@ -117,8 +131,11 @@
 
 func (*predictedTTFT) Name() string { return PredictedTTFT }
 
+// cost is the predicted time to first token and a price for the delay of others. The
+// price grows with the queue that a computation delays: with a constant one, an
+// overload made targets recompute what others had cached, which kept up the overload.
 func (p *predictedTTFT) cost(c *Candidate) float64 {
-	return c.Total() + p.knobs.RecomputeWeight*c.Prefill
+	return c.Total() + p.knobs.RecomputeWeight*c.Prefill*(1+c.delays/queueUnit)
 }
 
 func (p *predictedTTFT) Choose(prompt *Prompt, candidates []Candidate, max Exclusion) (int, string) {
@@ -144,9 +161,9 @@
 	if candidates[warm].Cached > candidates[best].Cached {
 		return p.spill(prompt, candidates, max, best, warm)
 	}
-	tie := bestCost + p.tie(&candidates[best])
+	tie := candidates[best].Total() + p.tie(&candidates[best])
 	chosen := p.agree(candidates, max, best, prompt.key(blocksOf(candidates[best].Cached)), func(c *Candidate) bool {
-		return c.Cached == candidates[best].Cached && c.cost <= tie
+		return c.Cached == candidates[best].Cached && c.Total() <= tie
 	})
 	if candidates[chosen].Cached > 0 {
 		return chosen, "longest cached prefix in the least time"
@@ -159,15 +176,24 @@
 // requests that share the hot prefix spill to the same target.
 func (p *predictedTTFT) spill(prompt *Prompt, candidates []Candidate, max Exclusion, best, warm int) (int, string) {
 	key := prompt.key(blocksOf(candidates[warm].Cached) - 1)
-	limit := min(candidates[warm].cost, candidates[best].cost+p.tie(&candidates[best]))
+	limit, tie := candidates[warm].cost, candidates[best].Total()+p.tie(&candidates[best])
 	chosen := p.agree(candidates, max, best, key, func(c *Candidate) bool {
-		return c.Cached >= candidates[best].Cached && c.cost <= limit
+		return c.Cached >= candidates[best].Cached && c.Total() <= tie && c.cost < limit
 	})
 	return chosen, "the warm target's queue takes longer than a recomputation"
 }
 
+// tie returns by how many seconds a target may be slower than the best and still be
+// chosen by hashing. A prefix that is stored away from its home takes the place of
+// blocks that others need, so that a longer computation is worth a longer wait at the
+// home. Without that, queues that differ for a moment spread each prefix over the
+// targets until no cache held its part of the working set.
 func (p *predictedTTFT) tie(c *Candidate) float64 {
-	return max(minimumTie, p.knobs.TieShare*c.Prefill)
+	tie := p.knobs.TieShare * c.Prefill
+	if c.Uncached >= minHomeTokens {
+		tie += homeShare * p.knobs.RecomputeWeight * c.Prefill * (1 + c.delays/queueUnit)
+	}
+	return max(minimumTie, tie)
 }
 
 // agree returns the eligible candidate with the highest rendezvous score.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -98,7 +98,9 @@
 	// fleetCost is the prefill cost learned over all targets, and refreshedCost the
 	// value that the summaries contain.
 	fleetCost, refreshedCost float64
-	serviceTurn              int
+	// fleetScale is the learned share of reported tokens that is real work.
+	fleetScale  float64
+	serviceTurn int
 
 	matches    []prefix.Match
 	cached     []int32 // by handle, in tokens; zero between choices
@@ -155,7 +157,7 @@
 func (r *Router) configure(t *config.Target) {
 	p := r.byID[t.ID]
 	if p == nil {
-		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost}}
+		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost, fleetScale: &r.fleetScale}}
 		p.handle = r.takeHandle(p)
 		r.byID[t.ID] = p
 		if t.Kind == config.TargetEngine {
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -238,9 +238,13 @@
 	e.End(1)
 	g.Expect(e.recent).To(BeZero())
 	for range 40 {
-		e.Learn(time.Second, 5000, 0, 0, start)
+		e.LearnCost(time.Second, 5000, 0, true)
 	}
 	g.Expect(e.TokenCost()).To(BeNumerically("~", 0.0002, 0.00001))
+	for range 10 {
+		e.LearnCost(20*time.Second, 5000, 0, false) // an overloaded target, which computes no slower
+	}
+	g.Expect(e.TokenCost()).To(BeNumerically("<", 0.0003))
 
 	// The target reports whole prompts, of which a tenth has to be computed.
 	e = Estimator{}
