--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -28,6 +28,10 @@
 			s.EvidenceAge = status.EvidenceAge
 		}
 	}
+	if h.copies != nil {
+		t := h.copies.Totals()
+		s.Copies = telemetry.CopyState{Done: t.Done, Failed: t.Failed, Changed: t.Changed, Tokens: t.CopiedTokens, Bytes: t.Bytes}
+	}
 	claims := h.claims.Stats()
 	s.OpenClaims, s.WaitingRecords = claims.Open, claims.Waiting
 	if store, ok := h.options.Platform.Store.(storeStats); ok {
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -25,11 +25,18 @@
 	OpenClaims       int64
 	WaitingRecords   int
 	CacheIndexBlocks int
+	Copies           CopyState
 	Store            StoreState
 	Targets          []TargetState
 	Accounts         []AccountState
 }
 
+// CopyState describes copies of KV caches between engines.
+type CopyState struct {
+	Done, Failed, Changed uint64
+	Tokens, Bytes         uint64
+}
+
 // StoreState describes the calls of the platform's service.
 type StoreState struct {
 	Reads, Writes StoreCalls
@@ -74,6 +81,7 @@
 func (t *Telemetry) ExportState(read func() State) error {
 	i := &stateInstruments{meter: t.Meter}
 	i.host()
+	i.copies()
 	i.store()
 	i.targets()
 	i.accounts()
@@ -173,6 +181,19 @@
 		func(s *State) []point[int64] { return one(int64(s.CacheIndexBlocks)) })
 }
 
+func (i *stateInstruments) copies() {
+	i.counter("kv_copies", "{copy}", "copies of KV caches between engines that have ended, by outcome", func(s *State) []point[int64] {
+		outcome := func(name string, count uint64) point[int64] {
+			return point[int64]{int64(count), []attribute.KeyValue{attribute.String("outcome", name)}}
+		}
+		return []point[int64]{outcome("done", s.Copies.Done), outcome("failed", s.Copies.Failed), outcome("changed", s.Copies.Changed)}
+	})
+	i.counter("kv_copied_tokens", "{token}", "prompt tokens whose KV cache was copied between engines",
+		func(s *State) []point[int64] { return one(int64(s.Copies.Tokens)) })
+	i.counter("kv_copy", "By", "bytes of KV caches that were read from engines for copies",
+		func(s *State) []point[int64] { return one(int64(s.Copies.Bytes)) })
+}
+
 func (i *stateInstruments) store() {
 	perKind := func(value func(*StoreCalls) int64) func(*State) []point[int64] {
 		return func(s *State) []point[int64] {
