Count records that a background writer holds as waiting

Cause: the gauge of records that wait for the store counted the queue only; up to four records are held by writers while they try, so that an alert on one outcome could stay silent.

Change: a record counts from its hand-over until it is written or dropped.

--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -37,7 +37,10 @@
 
 // enqueue hands a record to the background writers. The record keeps the unit of
 // open that its claim took, so there is always room.
-func (s *Service) enqueue(r *record) { s.pending <- r }
+func (s *Service) enqueue(r *record) {
+	s.waiting.Add(1)
+	s.pending <- r
+}
 
 // Run writes records in the background and deletes expired ones until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
@@ -78,12 +81,14 @@
 func (s *Service) retry(ctx context.Context, r *record) {
 	err := s.try(ctx, r)
 	if err == nil {
+		s.waiting.Add(-1)
 		s.release()
 		return
 	}
 	if s.options.Clock().Sub(r.since) > s.options.RecordLifetime {
 		s.options.Logger.Error("record is dropped; the request stays claimed",
 			"key", r.key, "attempt", r.row.AttemptID, "state", r.to, "error", err)
+		s.waiting.Add(-1)
 		s.release()
 		return
 	}
@@ -94,7 +99,7 @@
 	case <-ctx.Done():
 	}
 	r.tries++
-	s.enqueue(r)
+	s.pending <- r
 }
 
 // pause is exponential with jitter between half and the whole.
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -115,7 +115,10 @@
 	options Options
 	open    *semaphore.Weighted
 	// opened counts the units of open that are held.
-	opened  atomic.Int64
+	opened atomic.Int64
+	// waiting counts records from enqueue until they are written or dropped, those that
+	// a worker holds included.
+	waiting atomic.Int64
 	pending chan *record
 	listing listing
 }
@@ -144,11 +147,11 @@
 	// Open counts claims whose record is not written yet.
 	Open int64
 	// Waiting counts those of them that wait for the store to take the record.
-	Waiting int
+	Waiting int64
 }
 
 // Stats returns a snapshot.
-func (s *Service) Stats() Stats { return Stats{Open: s.opened.Load(), Waiting: len(s.pending)} }
+func (s *Service) Stats() Stats { return Stats{Open: s.opened.Load(), Waiting: s.waiting.Load()} }
 
 func (s *Service) release() {
 	s.opened.Add(-1)
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -23,7 +23,7 @@
 	StreamsOpen      int64
 	RingDrops        uint64
 	OpenClaims       int64
-	WaitingRecords   int
+	WaitingRecords   int64
 	CacheIndexBlocks int
 	Copies           CopyState
 	Store            StoreState
@@ -176,7 +176,7 @@
 	i.gauge("idempotency_open_claims", "{request}", "non-idempotent requests of this host whose record is not written yet",
 		func(s *State) []point[int64] { return one(s.OpenClaims) })
 	i.gauge("idempotency_waiting_records", "{request}", "open claims whose request has ended and whose record waits for the store",
-		func(s *State) []point[int64] { return one(int64(s.WaitingRecords)) })
+		func(s *State) []point[int64] { return one(s.WaitingRecords) })
 	i.gauge("cache_index_blocks", "{block}", "entries of the index of cached blocks",
 		func(s *State) []point[int64] { return one(int64(s.CacheIndexBlocks)) })
 }
