Record outcomes before a planned stop ends

Cause: the background writer of outcomes was stopped with the host. An outcome that waited for the store, or for its next try, was lost, and the booking needed an operator.

Ruled out: a longer wait, since a store outage would hold up each stop.

--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -69,6 +69,7 @@
 	if !h.waitForRequests(stopCtx, s.DrainTimeout) {
 		h.logger.Warn("planned stop ends with requests still running", "requests", h.stop.running.Load())
 	}
+	h.recordOutcomes(stopCtx)
 	h.leave(stopCtx)
 	sleep(stopCtx, refusalLinger)
 	return nil
@@ -96,6 +97,16 @@
 	return true
 }
 
+// recordOutcomes waits until the outcomes of non-idempotent requests are recorded. What
+// is not written within stopTimeout, as in a store outage, becomes unresolved.
+func (h *Host) recordOutcomes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := h.claims.Drain(ctx); err != nil {
+		h.logger.Warn("outcomes were not all recorded", "records", h.claims.Stats().Waiting, "error", err)
+	}
+}
+
 // leave gives grants back and removes this host from the member list, so that its
 // accounts move to other hosts at once. It does what it can within stopTimeout: a
 // member that stays listed is removed by the others.
