Send a failed return of grants once more

Cause: the tokens of a return whose message was lost counted as spent. Change: a second attempt; both together take at most the lifetime of a grant, as the single one did. A return names the total so far, so that a second copy credits nothing.

--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -304,11 +304,22 @@
 	return messages
 }
 
-// sendReturn sends one message. Tokens of a failed one count as spent.
+// returnAttempts is how often a return is sent: tokens of a lost one count as spent,
+// and a message that arrives twice credits nothing twice.
+const returnAttempts = 2
+
+// sendReturn sends one message, again if it fails. All attempts together take at most
+// the lifetime of a grant, after which the tokens count as spent at the home anyway.
 func (l *FleetLimiter) sendReturn(ctx context.Context, address string, m *GrantReturn) error {
-	ctx, cancel := context.WithTimeout(ctx, l.terms.GrantLifetime)
-	defer cancel()
-	err := l.caller.Call(ctx, address, m, &GrantReturnAck{})
+	var err error
+	for range returnAttempts {
+		attempt, cancel := context.WithTimeout(ctx, l.terms.GrantLifetime/returnAttempts)
+		err = l.caller.Call(attempt, address, m, &GrantReturnAck{})
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
 	if err != nil {
 		l.log.Debug("grant return failed", "address", address, "error", err)
 	}
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -233,6 +233,27 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against returned tokens that a single lost message loses, or that a
+	// repeated one credits twice.
+	DescribeTable("returns unspent grants although a message is lost", func(dropped, lost int) {
+		f := newTestFleet(4, Options{})
+		f.settled(club)
+		ranked := f.ranked(club.ID)
+		_, err := reserve(ranked[0], 1500) // leaves room for tokens credited twice
+		Expect(err).NotTo(HaveOccurred())
+		before := statusOf(ranked[0]).Level
+		r, err := reserve(ranked[3], 1000)
+		Expect(err).NotTo(HaveOccurred())
+		r.Settle(0)
+		ranked[3].droppedReturns.Store(int64(dropped))
+		ranked[3].lostReturns.Store(int64(lost))
+		Expect(ranked[3].limiter.Return(context.Background())).To(Succeed())
+		Expect(statusOf(ranked[0]).Level).To(BeNumerically("~", before, 200))
+	},
+		Entry("the return", 1, 0),
+		Entry("its answer", 0, 1),
+	)
+
 	// Guards against tokens that are lost when a host stops.
 	It("returns unspent grants", func() {
 		f := newTestFleet(4, Options{})
--- a/internal/quota/quota_suite_test.go
+++ b/internal/quota/quota_suite_test.go
@@ -43,6 +43,9 @@
 	applied  func()
 	handlers map[wire.Type]wire.Handler
 	limiter  *FleetLimiter
+	// lostReturns is the number of next returns whose answer gets lost, droppedReturns
+	// that of returns that get lost themselves.
+	lostReturns, droppedReturns atomic.Int64
 }
 
 var clockStart = time.Now()
@@ -156,6 +159,10 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	isReturn := request.WireType() == wire.TypeGrantReturn
+	if isReturn && h.droppedReturns.Add(-1) >= 0 {
+		return errors.New("connection reset")
+	}
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
@@ -165,6 +172,9 @@
 	if err != nil {
 		return err
 	}
+	if isReturn && h.lostReturns.Add(-1) >= 0 {
+		return errors.New("connection reset")
+	}
 	if answer.WireType() != reply.WireType() {
 		return errors.Errorf("reply has type %d", answer.WireType())
 	}
