Measure blocks with a first short copy; pass over engines that load weights

Cause: the first copy was planned with guessed sizes, and engines that were ordered to load weights still got requests.

A host takes an engine that it ordered to load out of routing for the model until its report shows the version, unless no other engine is left.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -249,6 +249,23 @@
 	}
 }
 
+// ObserveLoading records that a target was ordered to load weights; see
+// routing.Router.SetLoading.
+func (d *Dispatcher) ObserveLoading(targetID, model, version string, atMost time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	d.router.SetLoading(targetID, model, version, d.clock().Add(atMost))
+}
+
+// ObserveLoadEnded records that a target no longer loads weights.
+func (d *Dispatcher) ObserveLoadEnded(targetID string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	d.router.LoadEnded(targetID)
+}
+
 // ObserveCacheEvents implements target.Observer.
 func (d *Dispatcher) ObserveCacheEvents(targetID string, e target.CacheEvents) (string, uint64) {
 	batch := prefix.Batch{Epoch: e.Epoch, Reset: e.Reset, Sequence: e.Sequence, Events: make([]prefix.Event, len(e.Events))}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -221,7 +221,7 @@
 	}
 	h.orders, err = orders.New(orders.Options{
 		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
-		Target: h.targetByID, Logger: h.logger.Named("orders"),
+		Target: h.targetByID, Logger: h.logger.Named("orders"), Loads: h.dispatcher,
 	})
 	if err != nil {
 		return err
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -83,6 +83,8 @@
 	Logger hclog.Logger
 	// Transport reaches the engines; nil means a pooled transport of its own.
 	Transport http.RoundTripper
+	// Loads takes the start and end of weight loads; nil means nobody does.
+	Loads LoadObserver
 	// Clock returns monotonic time; nil means time.Now.
 	Clock func() time.Time
 	// OrderTimeout bounds an order from sending to answer, and is taken as the
@@ -99,6 +101,15 @@
 	PollInterval time.Duration
 }
 
+// LoadObserver is told of the weight loads that this host orders.
+type LoadObserver interface {
+	// ObserveLoading is called right before an order is sent. The load ends when the
+	// target reports the version, at the latest after atMost.
+	ObserveLoading(targetID, model, version string, atMost time.Duration)
+	// ObserveLoadEnded is called if the load has ended in another way.
+	ObserveLoadEnded(targetID string)
+}
+
 func (o Options) withDefaults() Options {
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
@@ -200,7 +211,19 @@
 	if err := s.ready(ctx, holds); err != nil {
 		return Result{}, s.notHeld(o, err)
 	}
+	loads := s.options.Loads
+	if !o.Kind.loadsWeights() || o.Kind == LoadAdapter {
+		loads = nil
+	}
+	if loads != nil {
+		loads.ObserveLoading(t.ID, o.Model, o.WeightsVersion, s.options.OrderTimeout+s.options.LoadTime)
+	}
 	result, err := s.send(ctx, t, o, fence)
+	// After load_version the report tells more than the answer: it also shows that an
+	// order without an answer was carried out.
+	if loads != nil && !errors.Is(err, ErrUnanswered) && (err != nil || o.Kind == LoadModel) {
+		loads.ObserveLoadEnded(t.ID)
+	}
 	if errors.Is(err, ErrUnanswered) {
 		for _, h := range holds {
 			h.unanswered = true
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -174,3 +174,35 @@
 	_, err = b.execute(0, Order{TargetID: "e0", Kind: ChangeRole})
 	g.Expect(err).To(MatchError(ErrUnreachable))
 }
+
+// loads notes what the service reports.
+type loads struct{ events []string }
+
+func (l *loads) ObserveLoading(targetID, model, version string, _ time.Duration) {
+	l.events = append(l.events, "start "+targetID+" "+model+" "+version)
+}
+func (l *loads) ObserveLoadEnded(targetID string) { l.events = append(l.events, "end "+targetID) }
+
+// Guards against a target that gets requests while it loads, or that stays out of
+// routing although it refused the order.
+func TestLoadsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t, 1)
+	observed := &loads{}
+	b.hosts[0].options.Loads = observed
+	events := func(o Order, status int, hang bool) []string {
+		observed.events = nil
+		b.engines.mu.Lock()
+		b.engines.status, b.engines.hang = status, hang
+		b.engines.mu.Unlock()
+		_, _ = b.execute(0, o)
+		return observed.events
+	}
+	version := Order{TargetID: "e0", Kind: LoadVersion, Model: "m", WeightsVersion: "2"}
+	g.Expect(events(version, 0, false)).To(Equal([]string{"start e0 m 2"}))
+	g.Expect(events(version, 400, false)).To(Equal([]string{"start e0 m 2", "end e0"}))
+	g.Expect(events(Order{TargetID: "e0", Kind: LoadModel, Model: "m"}, 0, false)).To(Equal([]string{"start e0 m ", "end e0"}))
+	g.Expect(events(Order{TargetID: "e0", Kind: LoadAdapter, Adapter: "a"}, 0, false)).To(BeEmpty())
+	g.Expect(events(Order{TargetID: "e0", Kind: ChangeRole, Role: "r"}, 0, false)).To(BeEmpty())
+	g.Expect(events(version, 0, true)).To(Equal([]string{"start e0 m 2"}))
+}
--- a/policy/kvcopy/kvcopy.go
+++ b/policy/kvcopy/kvcopy.go
@@ -20,7 +20,7 @@
 const (
 	// maxPredictedShare is the largest share of the saved computation that a copy may
 	// take. Predictions of both are rough, and a copy also occupies the source.
-	maxPredictedShare = 0.5
+	maxPredictedShare = 0.25
 	// minSaved in seconds is below what is worth the calls of a copy.
 	minSaved = 0.02
 	// overhead in seconds is assumed for the calls of a copy besides the transfer.
@@ -29,8 +29,8 @@
 	farOverhead = 0.032
 	// defaultRate in bytes per second is assumed for an engine until one is measured.
 	defaultRate = 50e6
-	// defaultBytesPerToken is assumed until it is measured. It is no ground to use the
-	// link between regions.
+	// defaultBytesPerToken is assumed until it is measured, for the deadline of the
+	// first copy. It is no ground to use the link between regions.
 	defaultBytesPerToken = 1024
 	// learningRate weighs a new sample.
 	learningRate = 0.2
@@ -186,6 +186,10 @@
 		}
 		c.Blocks = o.Chain[o.From:hot]
 	}
+	if p.bytesPerToken == 0 {
+		// The first copy only measures the size of a block and the rates.
+		c.Blocks = c.Blocks[:1]
+	}
 	if v := p.worth(o, c, link, now); v != Start {
 		return nil, v
 	}
@@ -226,7 +230,7 @@
 		}
 		predicted += float64(legs)*farOverhead + float64(onLink)/link.Rate + link.Delay(routing.LinkKVCopy, onLink, now)
 	}
-	if saved < minSaved || predicted > maxPredictedShare*saved {
+	if saved < minSaved || predicted > maxPredictedShare*saved && p.bytesPerToken > 0 {
 		return Slow
 	}
 	if legs > 0 && !link.Allow(routing.LinkKVCopy, onLink, now) {
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -212,6 +212,9 @@
 	if len(q.Tried) > 0 && q.Tried[p.id] {
 		return Tried
 	}
+	if now.Before(p.loadingUntil) && (p.loadingModel == "" || p.loadingModel == q.Model) {
+		return Loading
+	}
 	if p.unreachable && now.Before(p.unreachableUntil) {
 		return Ejected
 	}
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -27,18 +27,19 @@
 // Exclusion says why a target may not be chosen.
 type Exclusion uint8
 
-// The exclusions. Reinstating, Refusing and Ejected targets are used if no other is left.
+// The exclusions. Those before Tried are used if no other target is left.
 const (
 	Usable Exclusion = iota
 	Reinstating
 	Refusing
 	Ejected
+	Loading
 	Tried
 	Leaving
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"", "reinstating", "refusing", "ejected", "tried", "leaving"}[e]
+	return [...]string{"", "reinstating", "refusing", "ejected", "loading", "tried", "leaving"}[e]
 }
 
 // Candidate is one target that serves the model. Times are in seconds.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -47,9 +47,13 @@
 	unreachableUntil time.Time
 	// refusingUntil follows a refusal by a target that works and takes no more.
 	refusingUntil time.Time
-	weights       string
-	estimator     Estimator
-	health        Health
+	// loadingUntil is when a load of weights ends at the latest, for loadingModel or, if
+	// that is empty, all models. The load has ended when a report shows loadingVersion.
+	loadingUntil                 time.Time
+	loadingModel, loadingVersion string
+	weights                      string
+	estimator                    Estimator
+	health                       Health
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
@@ -233,7 +237,7 @@
 		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
 		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
 		weights:    r.versions[p.weights], busy: int32(p.inFlight),
-		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.loadingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
 	}
 	if e.report.PendingPrefillTokens > 0 {
 		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
@@ -291,11 +295,28 @@
 	p.unreachable = false
 	if weights != "" {
 		p.weights = weights
+		if weights == p.loadingVersion {
+			p.loadingUntil, p.loadingVersion = time.Time{}, ""
+		}
 	}
 	p.estimator.Observe(report, now)
 	r.refresh(p)
 }
 
+// SetLoading records that a target loads weights. Until a report shows the version, but
+// not after until, it gets requests for the model only if no other target is left: they
+// would wait for the load, and lose their cached prefix with it. An empty model means
+// all models.
+func (r *Router) SetLoading(id, model, version string, until time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.loadingModel, p.loadingVersion, p.loadingUntil = model, version, until
+		r.refresh(p)
+	}
+}
+
+// LoadEnded records that a target no longer loads weights.
+func (r *Router) LoadEnded(id string) { r.SetLoading(id, "", "", time.Time{}) }
+
 // ObserveUnreachable records that a target did not answer a poll.
 func (r *Router) ObserveUnreachable(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
--- a/policy/routing/routing_test.go
+++ b/policy/routing/routing_test.go
@@ -290,6 +290,63 @@
 	g.Expect(l.Worthwhile(500, 0.6)).To(BeTrue())
 }
 
+// Guards against requests that a used-up budget does not count, a debt that grows
+// without bound, and messages above a small share that never pass.
+func TestLinkDebt(t *testing.T) {
+	g := NewWithT(t)
+	l := LinkBudget{Rate: 1000}
+	l.Charge(1200, start)
+	g.Expect(l.Delay(LinkRequest, 100, start)).To(BeNumerically("~", 0.3, 0.001))
+	l.Charge(1e6, start)
+	g.Expect(l.Delay(LinkRequest, 0, start)).To(BeNumerically("~", 1, 0.001))
+	g.Expect(l.AllowMessage(LinkSnapshot, 500, start.Add(time.Second))).To(BeFalse())
+	g.Expect(l.AllowMessage(LinkSnapshot, 500, start.Add(2*time.Second))).To(BeTrue())
+	g.Expect(l.AllowMessage(LinkSnapshot, 500, start.Add(2*time.Second))).To(BeFalse())
+	r := testRouter("", testDocument(2))
+	r.SetLinkShare(5)
+	g.Expect(r.Link().Rate).To(Equal(DefaultLinkRate / 5.0))
+	r.SetLinkShare(0)
+	g.Expect(r.Link().Rate).To(Equal(float64(DefaultLinkRate)))
+}
+
+// Guards against requests that wait for a load of weights, against a target that stays
+// out after it, and against requests that find no target while the only one loads.
+func TestLoadingTargetIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	r := testRouter(RoundRobin, testDocument(2))
+	chosen := func(model string, now time.Time) map[string]bool {
+		ids := map[string]bool{}
+		for range 4 {
+			d, ok := r.Choose(&Query{Model: model, Weights: "v", PromptBytes: 100}, now)
+			g.Expect(ok).To(BeTrue())
+			ids[d.TargetID] = true
+		}
+		return ids
+	}
+	model := testDocument(2).Targets[0].Models[0]
+	all := chosen(model, start)
+	g.Expect(all).To(HaveLen(2))
+	var loading string
+	for loading = range all {
+		break
+	}
+	until := start.Add(10 * time.Second)
+	r.SetLoading(loading, model, "w", until)
+	g.Expect(chosen(model, start)).NotTo(HaveKey(loading))
+	r.ObserveLoad(loading, "1", "v", false, Report{MeasuredAt: start}, start)
+	g.Expect(chosen(model, start)).NotTo(HaveKey(loading))
+	g.Expect(chosen(model, until)).To(HaveLen(2))
+	for id := range all {
+		r.SetLoading(id, "", "w", until)
+	}
+	g.Expect(chosen(model, start)).To(HaveLen(2))
+	r.ObserveLoad(loading, "1", "w", false, Report{MeasuredAt: start}, start)
+	g.Expect(chosen(model, start)).To(Equal(map[string]bool{loading: true}))
+	r.SetLoading(loading, "another model", "x", until)
+	g.Expect(chosen(model, start)).To(Equal(map[string]bool{loading: true}))
+	r.LoadEnded(loading)
+}
+
 // Guards against full traffic right after an ejection, and against state of a
 // removed target that lives on.
 func TestReinstatementAndRemoval(t *testing.T) {
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -38,6 +38,7 @@
 	ts.Setenv("NETCTL", "http://"+base+".1:9099")
 	ts.Setenv("E1", base+".2:9001")
 	ts.Setenv("E2", base+".2:9002")
+	ts.Setenv("E3", base+".2:9003") // started by scripts that need it
 	ts.Setenv("BOOKING", base+".3:9003")
 	startProcess(ts, "platform", "platform-standin", "--listen", base+".1:9000")
 	startProcess(ts, "network", "network-standin", "--net", base, "--hosts", args[0])
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -67,6 +67,7 @@
 		"otherbusy":  cmdOtherBusy,
 		"engine":     cmdEngine,
 		"start":      cmdStart,
+		"maxloads":   cmdMaxLoads,
 		"signal":     cmdSignal,
 		"exited":     cmdExited,
 		"waitfor":    cmdWaitFor,
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -1,11 +1,13 @@
 package scenario
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
@@ -38,9 +40,14 @@
 	set.DurationVar(&o.PrefillPerToken, "prefill", 0, "time for each uncached prompt token")
 	set.IntVar(&o.CacheBlocks, "cache-blocks", 0, "limit of the prefix cache")
 	set.BoolVar(&o.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	loadTime := set.Duration("load-time", 0, "time of a load of weights")
 	parseFlags(set)
+	o.WeightStore = &engine.WeightStore{LoadTime: *loadTime}
 	e := engine.New(o)
 	mux := http.NewServeMux()
+	recorder := &loadRecorder{engine: e}
+	mux.HandleFunc("POST /v1/orders", recorder.order)
+	mux.HandleFunc("GET /standin/loads", recorder.list)
 	mux.Handle("/", e)
 	mux.HandleFunc("POST /standin/drain", func(http.ResponseWriter, *http.Request) { e.SetDraining(true) })
 	mux.HandleFunc("GET /standin/received", func(w http.ResponseWriter, _ *http.Request) {
@@ -52,6 +59,36 @@
 	listenAndServe(*listen, mux)
 }
 
+// loadRecorder notes when an engine loads weights.
+type loadRecorder struct {
+	engine *engine.Engine
+	mu     sync.Mutex
+	loads  []loadInterval
+}
+
+// loadInterval is a load of weights in Unix milliseconds; End is zero while it runs.
+type loadInterval struct {
+	Start int64 `json:"start"`
+	End   int64 `json:"end"`
+}
+
+func (r *loadRecorder) order(w http.ResponseWriter, request *http.Request) {
+	r.mu.Lock()
+	i := len(r.loads)
+	r.loads = append(r.loads, loadInterval{Start: time.Now().UnixMilli()})
+	r.mu.Unlock()
+	r.engine.ServeHTTP(w, request)
+	r.mu.Lock()
+	r.loads[i].End = time.Now().UnixMilli()
+	r.mu.Unlock()
+}
+
+func (r *loadRecorder) list(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(r.loads)
+}
+
 func serviceMain() {
 	set := flag.NewFlagSet("service-standin", flag.ContinueOnError)
 	listen := set.String("listen", "", "IP:port")
