--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -56,6 +56,7 @@
 	f.DurationVar(&o.Duration, "duration", load.DefaultDuration, "measured time per policy")
 	f.DurationVar(&o.WarmUp, "warm-up", 0, "load before the measured time; zero means 8 s")
 	f.Float64Var(&o.RateFactor, "rate-factor", 1, "scales the request rate")
+	f.BoolVar(&o.KVCopies, "kv-copies", false, "with --dev, copy KV caches between engines")
 	f.StringVar(&preset, "preset", string(config.PresetOrdinary), "ordinary, peak or maintenance")
 	f.StringVar(&scenario, "scenario", string(load.Ordinary), "ordinary, surge, maintenance or restart")
 	f.StringVar(&plotFile, "plot", "", "draw time to first token by account to this .svg or .png file")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -197,6 +197,7 @@
 	if h.options.Settings.KVCopies {
 		h.copies, err = kvcopy.New(kvcopy.Options{
 			Engines: engines, View: h.dispatcher, Target: h.targetByID, Logger: h.logger.Named("kvcopy"),
+			Observe: newObserver(h.options.Telemetry).copyEnded,
 		})
 		if err != nil {
 			return err
@@ -296,6 +297,14 @@
 // client accounts.
 func (h *Host) Ready() bool { return h.fleet.Fresh() && len(h.index().Document().Members) > 0 }
 
+// KVCopies returns the counters of KV copies.
+func (h *Host) KVCopies() kvcopy.Totals {
+	if h.copies == nil {
+		return kvcopy.Totals{}
+	}
+	return h.copies.Totals()
+}
+
 // Drain starts the planned stop.
 func (h *Host) Drain() { h.drainOnce.Do(func() { close(h.drain) }) }
 
--- a/internal/host/observer.go
+++ b/internal/host/observer.go
@@ -40,6 +40,11 @@
 	})
 }
 
+// copyEnded records the end of a copy of a KV cache.
+func (o *observer) copyEnded(result string, tokens, bytes int) {
+	o.measures.KVCopy(context.Background(), result, tokens, bytes)
+}
+
 // Retried implements dispatch.Observer.
 func (o *observer) Retried(targetID, reason string) {
 	o.measures.Retried(context.Background(), attribute.String("target", targetID), attribute.String("reason", reason))
--- a/internal/kvcopy/kvcopy.go
+++ b/internal/kvcopy/kvcopy.go
@@ -57,6 +57,8 @@
 	View    View
 	// Target returns a configured target, or nil. Required.
 	Target func(id string) *config.Target
+	// Observe takes the end of each copy: done, failed or changed; nil means nobody does.
+	Observe func(result string, tokens, bytes int)
 	// Logger may be nil, which means no log.
 	Logger hclog.Logger
 }
@@ -73,6 +75,8 @@
 	done chan struct{}
 	// deadline holds for waiting and running together.
 	deadline time.Time
+	// tokens and bytes were moved; only the worker uses them.
+	tokens, bytes int
 }
 
 // Mover carries out copies. Its queue, its memory and the time of each copy are bounded.
@@ -91,6 +95,9 @@
 	if o.Engines == nil || o.View == nil || o.Target == nil {
 		return nil, errors.New("the mover needs Engines, View and Target")
 	}
+	if o.Observe == nil {
+		o.Observe = func(string, int, int) {}
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -165,20 +172,26 @@
 func (m *Mover) work(ctx context.Context, j *job) {
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	err := m.move(ctx, j.copy)
+	err := m.move(ctx, j)
 	m.mu.Lock()
 	m.planner.End(j.copy, err != nil, time.Now())
 	m.planner.Forget(func(id string) bool { return m.options.Target(id) != nil })
 	delete(m.running, j.copy.Key())
+	result := "failed"
 	switch {
 	case err == nil:
 		m.totals.Done++
+		result = "done"
 	case errors.Is(err, policy.ErrChanged):
 		m.totals.Changed++
+		result = "changed"
 	default:
 		m.totals.Failed++
 	}
+	m.totals.CopiedTokens += uint64(j.tokens)
+	m.totals.Bytes += uint64(j.bytes)
 	m.mu.Unlock()
+	m.options.Observe(result, j.tokens, j.bytes)
 	close(j.done)
 	if err != nil {
 		m.options.Logger.Debug("copy failed", "from", j.copy.Source.TargetID, "to", j.copy.Destination.TargetID, "error", err)
@@ -187,7 +200,8 @@
 
 // move copies the blocks in chunks, in the order of the chain, since an engine takes a
 // block only after the one before it.
-func (m *Mover) move(ctx context.Context, c *policy.Copy) error {
+func (m *Mover) move(ctx context.Context, j *job) error {
+	c := j.copy
 	source, destination := m.options.Target(c.Source.TargetID), m.options.Target(c.Destination.TargetID)
 	if source == nil || destination == nil {
 		return errors.New("an end of the copy is no longer configured")
@@ -204,10 +218,12 @@
 		}
 		chunk := rest[:min(size, len(rest))]
 		bytes, err := m.moveChunk(ctx, c, source, destination, chunk)
+		j.bytes += bytes
 		if err != nil {
 			return err
 		}
 		rest = rest[len(chunk):]
+		j.tokens += len(chunk) * prefix.BlockBytes / prefix.BytesPerToken
 		blockBytes = max(1, bytes/len(chunk))
 	}
 	return nil
@@ -235,7 +251,6 @@
 	}
 	m.mu.Lock()
 	m.planner.Imported(destination.ID, bytes, time.Since(began))
-	m.totals.CopiedTokens += uint64(len(chunk) * prefix.BlockBytes / prefix.BytesPerToken)
 	m.mu.Unlock()
 	view.Copied(c.Destination, chunk)
 	return bytes, nil
@@ -252,7 +267,6 @@
 		Epoch: c.Source.Epoch, CacheSalt: c.Seed.String(), WeightsVersion: c.Weights, Hashes: hashes,
 	}, maxChunkBytes)
 	m.mu.Lock()
-	m.totals.Bytes += uint64(bytes)
 	switch {
 	case err == nil:
 		m.planner.Exported(source.ID, len(answer.Blocks)*prefix.BlockBytes/prefix.BytesPerToken, bytes, time.Since(began))
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -67,6 +67,7 @@
 	deployment *Deployment
 	network    *network
 	policy     string
+	kvCopies   bool
 	secret     string
 	keys       []string
 	platform   *standinplatform.Server
@@ -82,11 +83,13 @@
 
 // startFleet starts stand-ins and hosts and returns once all hosts are members and
 // the limits of the accounts have started.
-func startFleet(ctx context.Context, d *Deployment, s *Schedule, policy string, preset config.Preset) (*devFleet, error) {
+func startFleet(ctx context.Context, o *Options, s *Schedule, policy string) (*devFleet, error) {
 	secret := make([]byte, secretBytes)
 	_, _ = rand.Read(secret) // never fails, see crypto/rand
-	f := &devFleet{deployment: d, network: newNetwork(d), policy: policy, secret: hex.EncodeToString(secret)}
-	if err := f.start(ctx, s, preset); err != nil {
+	f := &devFleet{
+		deployment: &o.Deployment, network: newNetwork(&o.Deployment), policy: policy, kvCopies: o.KVCopies, secret: hex.EncodeToString(secret),
+	}
+	if err := f.start(ctx, s, o.Preset); err != nil {
 		f.stop()
 		return nil, err
 	}
@@ -190,7 +193,7 @@
 	s.HostID, s.Zone, s.Region = id, f.deployment.zones[zone].name, f.deployment.zones[zone].region
 	s.CallerListen, s.InnerListen, s.AdminListen = loopback, loopback, loopback
 	s.PlatformURL, s.FleetSecret, s.RoutingPolicy = f.platformAt, f.secret, f.policy
-	s.LocatorTTL, s.DrainGrace = locatorTTL, drainGrace
+	s.LocatorTTL, s.DrainGrace, s.KVCopies = locatorTTL, drainGrace, f.kvCopies
 	if err := s.Validate(); err != nil {
 		return err
 	}
@@ -258,6 +261,18 @@
 	return list
 }
 
+// copies returns the copies of KV caches by the running hosts and their size in MB.
+func (f *devFleet) copies() (count uint64, megabytes float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.routers {
+		t := r.host.KVCopies()
+		count += t.Done
+		megabytes += float64(t.Bytes) / 1e6
+	}
+	return count, megabytes
+}
+
 // zoneOf returns the zone of the host with a callers' address.
 func (f *devFleet) zoneOf(address string) int {
 	f.mu.Lock()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -62,6 +62,8 @@
 	WarmUp   time.Duration
 	Scenario Scenario
 	Preset   config.Preset
+	// KVCopies switches copies of KV caches on in hosts that are started.
+	KVCopies bool
 	// RateFactor scales the request rate; zero means 1.
 	RateFactor float64
 	// Addresses, Keys and Model name a running fleet; without addresses, stand-ins
@@ -158,7 +160,7 @@
 
 // runPolicy measures one policy on a fresh fleet.
 func runPolicy(ctx context.Context, o *Options, s *Schedule, policy string) (Result, error) {
-	f, err := startFleet(ctx, &o.Deployment, s, policy, o.Preset)
+	f, err := startFleet(ctx, o, s, policy)
 	if err != nil {
 		return Result{}, err
 	}
@@ -196,6 +198,7 @@
 	r.Policy, r.Deployment, r.Scenario, r.Preset, r.Seed = policy, o.Deployment.Name, string(o.Scenario), string(o.Preset), o.Seed
 	r.setUtilization(before, after, o.Duration)
 	r.LinkMbps = float64(linkAfter-linkBefore) * 8 / 1e6 / o.Duration.Seconds()
+	r.KVCopies, r.KVCopyMB = f.copies()
 	r.Bookings, r.BookingRepeats = bookings.count(f.ledger)
 	return r, ctx.Err()
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -50,6 +50,9 @@
 	MaxEngineUtilization float64 `json:"max_engine_utilization"`
 	// LinkMbps is the mean traffic of requests between the regions.
 	LinkMbps float64 `json:"link_mbps"`
+	// KVCopies and KVCopyMB count the copies of KV caches since the start of the fleet.
+	KVCopies uint64  `json:"kv_copies"`
+	KVCopyMB float64 `json:"kv_copy_mb"`
 	// GeneratorLagP99Ms is how late the generator sent; above a few milliseconds the
 	// machine was overloaded and the run says little.
 	GeneratorLagP99Ms float64 `json:"generator_lag_p99_ms"`
--- a/internal/telemetry/measures.go
+++ b/internal/telemetry/measures.go
@@ -31,6 +31,9 @@
 	refused          metric.Int64Counter
 	refusedInRate    metric.Int64Counter
 	retries          metric.Int64Counter
+	kvCopies         metric.Int64Counter
+	kvCopyTokens     metric.Int64Counter
+	kvCopyBytes      metric.Int64Counter
 
 	worst worstAccount
 }
@@ -48,7 +51,7 @@
 // NewMeasures defines the instruments on a meter.
 func NewMeasures(meter metric.Meter) (*Measures, error) {
 	m := &Measures{worst: worstAccount{now: time.Now}}
-	var errs [8]error
+	var errs [11]error
 	m.promptTokens, errs[0] = meter.Int64Counter("sequoiaroad.prompt_tokens",
 		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens of completed requests"))
 	m.cachedTokens, errs[1] = meter.Int64Counter("sequoiaroad.cached_prompt_tokens",
@@ -64,6 +67,12 @@
 		metric.WithUnit("{request}"), metric.WithDescription("requests refused while the client account was within its rate"))
 	m.retries, errs[7] = meter.Int64Counter("sequoiaroad.retries",
 		metric.WithUnit("{attempt}"), metric.WithDescription("further attempts after a failure, by target and reason"))
+	m.kvCopies, errs[8] = meter.Int64Counter("sequoiaroad.kv_copies",
+		metric.WithUnit("{copy}"), metric.WithDescription("copies of KV caches between engines, by result"))
+	m.kvCopyTokens, errs[9] = meter.Int64Counter("sequoiaroad.kv_copied_tokens",
+		metric.WithUnit("{token}"), metric.WithDescription("prompt tokens whose KV cache was copied"))
+	m.kvCopyBytes, errs[10] = meter.Int64Counter("sequoiaroad.kv_copy_size",
+		metric.WithUnit("By"), metric.WithDescription("bytes read for copies of KV caches"))
 	_, errs[6] = meter.Float64ObservableGauge("sequoiaroad.worst_account_time_to_first_token",
 		metric.WithUnit("s"), metric.WithDescription("99th percentile over the last minute of the worst-served client account"),
 		metric.WithFloat64Callback(m.observeWorst))
@@ -95,6 +104,13 @@
 	m.retries.Add(ctx, 1, metric.WithAttributes(attributes...))
 }
 
+// KVCopy records the end of a copy of a KV cache.
+func (m *Measures) KVCopy(ctx context.Context, result string, tokens, bytes int) {
+	m.kvCopies.Add(ctx, 1, metric.WithAttributes(attribute.String("result", result)))
+	m.kvCopyTokens.Add(ctx, int64(tokens))
+	m.kvCopyBytes.Add(ctx, int64(bytes))
+}
+
 // RefusedWithinRate records a refusal of an account that was within its rate.
 func (m *Measures) RefusedWithinRate(ctx context.Context, accountID string) {
 	m.refusedInRate.Add(ctx, 1, metric.WithAttributes(attribute.String("account", accountID)))
