--- a/internal/dispatch/copy.go
+++ b/internal/dispatch/copy.go
@@ -54,7 +54,8 @@
 
 func (d *Dispatcher) cacheState(targetID string) kvcopy.End {
 	end := kvcopy.End{TargetID: targetID}
-	end.Epoch, end.Weights = d.index.State(targetID)
+	end.Epoch = d.index.Epoch(targetID)
+	end.Weights = d.router.Weights(targetID, end.Epoch)
 	if t := d.applied.Target(targetID); t != nil {
 		end.Region = t.Region
 	}
@@ -75,8 +76,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.follow()
-	if epoch, weights := d.index.State(end.TargetID); epoch == end.Epoch && weights == end.Weights {
-		d.index.Stored(end.TargetID, epoch, blocks)
+	if now := d.cacheState(end.TargetID); now.Epoch == end.Epoch && now.Weights == end.Weights {
+		d.index.Stored(end.TargetID, end.Epoch, blocks)
 	}
 }
 
--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -59,7 +59,8 @@
 		return reply
 	}
 	// Withdrawals take effect even if the push is refused.
-	enforced := f.hearLocked(message.Withdrawals) && d.Change.OnlyWithdrawals
+	heard := f.hearLocked(message.Withdrawals) && len(message.Withdrawals) == len(d.Change.WithdrawnKeyIDs)
+	enforced := heard && d.Change.OnlyWithdrawals
 	reply.Acked = f.state.Push(message.Attempt, enforced, f.now())
 	if reply.Acked {
 		f.pendingDocs = append(f.pendingDocs, d)
@@ -79,6 +80,8 @@
 	return listed.Incarnation == f.self.Incarnation || f.isOlder(listed.Incarnation)
 }
 
+// handleCommitted applies an accepted attempt. Without its document it asks the
+// sender, whose inner address is the one that it gave in the handshake.
 func (f *Fleet) handleCommitted(ctx context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
 	message := &committed{}
 	if err := request.Decode(message); err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,8 +76,10 @@
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
+	gateway    *gateway.Gateway
+	observer   *observer
 	callerAPI  http.Handler
-	admin      http.Handler
+	adminAPI   http.Handler
 
 	restored  atomic.Bool
 	stop      stopState
@@ -87,8 +89,10 @@
 
 // New binds the listeners and connects the parts. Nothing runs before Run.
 func New(o Options) (*Host, error) {
-	h := &Host{options: o, logger: o.Telemetry.Logger, drain: make(chan struct{})}
-	for _, step := range []func() error{h.listen, h.connectPeers, h.connectTargets, h.buildClaims, h.buildAPIs} {
+	h := &Host{
+		options: o, logger: o.Telemetry.Logger, drain: make(chan struct{}), observer: newObserver(o.Telemetry),
+	}
+	for _, step := range []func() error{h.listen, h.connectPeers, h.connectTargets, h.buildClaims, h.buildAPIs, h.exportState} {
 		if err := step(); err != nil {
 			h.closeListeners()
 			return nil, err
@@ -174,14 +178,13 @@
 	if err != nil {
 		return err
 	}
-	maxWait := s.LimitWait
-	if maxWait == 0 {
-		maxWait = -1 // zero means the default to quota
-	}
 	h.limiter = quota.New(quota.Options{
 		View: h.fleet, Caller: h.wireClient, Registry: h.wireServer,
-		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"), MaxWait: maxWait,
+		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"),
+		RefusedWithinRate: h.observer.RefusedWithinRate,
 	})
+	h.applyPreset()
+	h.fleet.Subscribe(h.applyPreset)
 	return nil
 }
 
@@ -189,7 +192,7 @@
 	engines := target.NewWrappedEngineClient(h.options.WrapTransport)
 	h.dispatcher, err = dispatch.New(dispatch.Options{
 		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
-		Logger: h.logger.Named("dispatch"), Observer: newObserver(h.options.Telemetry),
+		Logger: h.logger.Named("dispatch"), Observer: h.observer,
 	})
 	if err != nil {
 		return err
@@ -270,23 +273,34 @@
 
 func (h *Host) buildAPIs() error {
 	s := &h.options.Settings
-	api := gateway.New(gateway.Options{
+	h.gateway = gateway.New(gateway.Options{
 		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
 		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
 		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
+		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
 	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(api))
-	h.callerAPI = mux
-	h.admin = admin.NewServer(admin.Options{
+	h.callerAPI = h.stop.count(h.gateway)
+	if s.CallerMetrics {
+		h.callerAPI = h.withMetrics(h.callerAPI)
+	}
+	h.adminAPI = h.withMetrics(admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
-		Orders: &orderAdapter{service: h.orders}, Drain: h.Drain, Logger: h.logger,
-	})
+		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
+	}))
 	return nil
 }
 
+// withMetrics serves /metrics beside an API.
+func (h *Host) withMetrics(api http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
+	mux.Handle("/", api)
+	return mux
+}
+
+func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
+
 // Member returns the identity and addresses of this host.
 func (h *Host) Member() config.Member { return h.self }
 
@@ -334,7 +348,7 @@
 	h.addTask(&group, "target list", h.watchLeavingTargets)
 	h.addTask(&group, "snapshots", h.keepSnapshots)
 	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
-	h.addServer(&group, "admin server", h.adminListener, h.admin)
+	h.addServer(&group, "admin server", h.adminListener, h.adminAPI)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return h.plannedStop(ctx, stopCtx) }, func(error) { cancel() })
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -56,7 +57,9 @@
 	MaxClaimAge time.Duration
 	// ConfirmTimeout bounds the time that Begin spends on the store; zero means 2 s.
 	ConfirmTimeout time.Duration
-	// RecordTimeout bounds one try to write a record; zero means 1 s.
+	// RecordTimeout bounds one try to write a record in the background; zero means
+	// 3 s, which leaves a store that takes 1 s for a call the time for a read and a
+	// write.
 	RecordTimeout time.Duration
 	// MaxOpen bounds the claims whose record is not written yet, and with them the
 	// memory held while the store is down; zero means 1,024. Further requests are
@@ -90,7 +93,7 @@
 	setDefault(&o.CleanPause, 500*time.Millisecond)
 	setDefault(&o.MaxClaimAge, 5*time.Second)
 	setDefault(&o.ConfirmTimeout, 2*time.Second)
-	setDefault(&o.RecordTimeout, time.Second)
+	setDefault(&o.RecordTimeout, 3*time.Second)
 	setDefault(&o.MaxOpen, 1024)
 	setDefault(&o.Workers, 4)
 	setDefault(&o.RetryBase, 50*time.Millisecond)
@@ -111,6 +114,8 @@
 type Service struct {
 	options Options
 	open    *semaphore.Weighted
+	// opened counts the units of open that are held.
+	opened  atomic.Int64
 	pending chan *record
 	listing listing
 }
@@ -134,6 +139,22 @@
 	}, nil
 }
 
+// Stats describe the records that are open at this host.
+type Stats struct {
+	// Open counts claims whose record is not written yet.
+	Open int64
+	// Waiting counts those of them that wait for the store to take the record.
+	Waiting int
+}
+
+// Stats returns a snapshot.
+func (s *Service) Stats() Stats { return Stats{Open: s.opened.Load(), Waiting: len(s.pending)} }
+
+func (s *Service) release() {
+	s.opened.Add(-1)
+	s.open.Release(1)
+}
+
 // holderLive treats this process as live without asking.
 func (s *Service) holderLive(h policy.Holder) bool {
 	if h == s.self() {
@@ -151,6 +172,7 @@
 	if !s.open.TryAcquire(1) {
 		return nil, nil, refusal.New(refusal.Overloaded, "too many non-idempotent requests are open at this host")
 	}
+	s.opened.Add(1)
 	a := &attempt{
 		service: s,
 		key:     policy.RowKey(k.AccountID, k.Service, k.IdempotencyKey),
@@ -168,7 +190,7 @@
 	case err != nil && a.uncertain:
 		s.enqueue(&record{key: a.key, row: a.row, to: policy.NotRun, release: true, version: a.expected, since: a.began})
 	case err != nil || result != nil:
-		s.open.Release(1)
+		s.release()
 	default:
 		return &claim{service: s, attempt: a, gate: policy.NewGate(a.began, s.options.MaxClaimAge)}, nil, nil
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,7 @@
 	OTLPEndpoint  string `flag:"otlp-endpoint" validate:"required_if=TraceExporter otlp,omitempty,http_url"`
 	LogLevel      string `flag:"log-level" validate:"oneof=trace debug info warn error"`
 	LogJSON       bool   `flag:"log-json"`
+	CallerMetrics bool   `flag:"caller-metrics"`
 }
 
 // Register defines the flags of a host on a flag set.
@@ -84,11 +85,11 @@
 	flags.StringVar(&s.TLSKey, "tls-key", "", "private key file for mutual TLS between hosts")
 	flags.StringVar(&s.TLSCA, "tls-ca", "", "file with the certificate authority of the other hosts")
 
-	flags.DurationVar(&s.FreshnessDeadline, "freshness-deadline", 3*time.Second, "age of the newest configuration evidence at which keyed requests are refused")
+	flags.DurationVar(&s.FreshnessDeadline, "freshness-deadline", 3*time.Second, "age of the newest configuration evidence at which keyed requests are refused; the same on all hosts, since limits rest on it")
 	flags.DurationVar(&s.LocatorTTL, "locator-ttl", 5*time.Second, "time that callers may keep an answer of the locator")
 	flags.DurationVar(&s.DrainGrace, "drain-grace", 10*time.Second, "time after the start of a planned stop in which new requests are still served; at least twice locator-ttl")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 15*time.Minute, "longest wait for running requests at a planned stop")
-	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account; zero refuses at once")
+	flags.DurationVar(&s.LimitWait, "limit-wait", 250*time.Millisecond, "longest wait of a request for tokens of its client account under the preset ordinary; zero refuses at once under each preset")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 8<<20, "largest request body in bytes")
 	flags.DurationVar(&s.IdempotencyRetention, "idempotency-retention", 720*time.Hour, "time after its end for which the outcome of a non-idempotent request is kept")
 	flags.BoolVar(&s.KVCopies, "kv-copies", false, "copy the KV cache of hot prefixes between engines instead of computing it again")
@@ -98,6 +99,7 @@
 	flags.StringVar(&s.OTLPEndpoint, "otlp-endpoint", "", "URL for traces when trace-exporter is otlp")
 	flags.StringVar(&s.LogLevel, "log-level", "info", "trace, debug, info, warn or error")
 	flags.BoolVar(&s.LogJSON, "log-json", false, "write the log as JSON")
+	flags.BoolVar(&s.CallerMetrics, "caller-metrics", false, "serve /metrics to callers too; they name client accounts, so that the default is the administration address alone")
 }
 
 // Defaults returns the settings that hold without flags and variables.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
@@ -21,6 +22,11 @@
 
 const instrumentationName = "github.com/sequoiaroad/sequoiaroad"
 
+// maxSeries bounds the label values of a metric, since counters keep the values of
+// accounts and targets that were deleted. Further values share one series. The largest
+// design has 830 targets and 520 client accounts.
+const maxSeries = 4096
+
 // Options says where telemetry goes. The zero value logs nothing and exports no
 // traces.
 type Options struct {
@@ -33,6 +39,9 @@
 	OTLPEndpoint  string
 	// TraceOutput takes traces of the stdout exporter.
 	TraceOutput io.Writer
+	// SpanProcessor takes all spans besides the exporter, for example to keep them in
+	// memory; nil means none.
+	SpanProcessor sdktrace.SpanProcessor
 }
 
 // Telemetry holds the log, the meter and the tracer of a process.
@@ -62,11 +71,13 @@
 		}),
 		registry: prometheus.NewRegistry(),
 	}
-	reader, err := otelprom.New(otelprom.WithRegisterer(t.registry), otelprom.WithoutScopeInfo())
+	// CPU time and memory show the control overhead of a host.
+	t.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := otelprom.New(otelprom.WithRegisterer(t.registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "set up metrics")
 	}
-	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader))
+	t.metrics = sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader), sdkmetric.WithCardinalityLimit(maxSeries))
 	t.Meter = t.metrics.Meter(instrumentationName)
 	if t.Measures, err = NewMeasures(t.Meter); err != nil {
 		return nil, err
@@ -75,6 +86,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up traces")
 	}
+	if o.SpanProcessor != nil {
+		// The option that comes last decides about sampling.
+		options = append(options, sdktrace.WithSampler(sdktrace.AlwaysSample()), sdktrace.WithSpanProcessor(o.SpanProcessor))
+	}
 	t.traces = sdktrace.NewTracerProvider(options...)
 	t.Tracer = t.traces.Tracer(instrumentationName)
 	return t, nil
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -76,7 +76,9 @@
 	weights   string
 	sequence  uint64
 	uncertain bool
-	past      []string
+	// gaps counts the losses of events that were noticed.
+	gaps uint64
+	past []string
 }
 
 // Index knows which target holds which blocks. A look-up names only blocks of a
@@ -244,6 +246,7 @@
 		return // already applied
 	}
 	if e.Sequence != t.sequence+1 {
+		t.gaps++
 		t.uncertain = true
 	}
 	t.sequence = e.Sequence
@@ -273,13 +276,20 @@
 	}
 }
 
-// State returns the epoch and weights version last reported by a target; empty values
-// are unknown.
-func (x *Index) State(targetID string) (epoch, weights string) {
+// Gaps returns how many losses of a target's events were noticed.
+func (x *Index) Gaps(targetID string) uint64 {
 	if t := x.targets[targetID]; t != nil {
-		return t.epoch, t.weights
+		return t.gaps
 	}
-	return "", ""
+	return 0
+}
+
+// Epoch returns the last known epoch of a target; empty is unknown.
+func (x *Index) Epoch(targetID string) string {
+	if t := x.targets[targetID]; t != nil {
+		return t.epoch
+	}
+	return ""
 }
 
 // Sequence returns the last event that the index has seen of a target.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -52,8 +52,10 @@
 	loadingUntil                 time.Time
 	loadingModel, loadingVersion string
 	weights                      string
-	estimator                    Estimator
-	health                       Health
+	// weightsEpoch is the engine epoch of the last report of weights.
+	weightsEpoch string
+	estimator    Estimator
+	health       Health
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
@@ -107,7 +109,9 @@
 	// fleetCost is the prefill cost learned over all targets, and refreshedCost the
 	// value that the summaries contain.
 	fleetCost, refreshedCost float64
-	serviceTurn              int
+	// fleetScale is the learned share of reported tokens that is real work.
+	fleetScale  float64
+	serviceTurn int
 
 	matches    []prefix.Match
 	cached     []int32 // by handle, in tokens; zero between choices
@@ -164,7 +168,7 @@
 func (r *Router) configure(t *config.Target) {
 	p := r.byID[t.ID]
 	if p == nil {
-		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost}}
+		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost, fleetScale: &r.fleetScale}}
 		p.handle = r.takeHandle(p)
 		r.byID[t.ID] = p
 		if t.Kind == config.TargetEngine {
@@ -294,7 +298,7 @@
 	}
 	p.unreachable = false
 	if weights != "" {
-		p.weights = weights
+		p.weights, p.weightsEpoch = weights, epoch
 		if weights == p.loadingVersion {
 			p.loadingUntil, p.loadingVersion = time.Time{}, ""
 		}
@@ -317,6 +321,16 @@
 // LoadEnded records that a target no longer loads weights.
 func (r *Router) LoadEnded(id string) { r.SetLoading(id, "", "", time.Time{}) }
 
+// Weights returns the weights version that a target reported last in the given engine
+// epoch. It is empty if the target reported none in that epoch, since an engine may
+// come back from a restart with other weights.
+func (r *Router) Weights(id, epoch string) string {
+	if p := r.byID[id]; p != nil && p.weightsEpoch == epoch {
+		return p.weights
+	}
+	return ""
+}
+
 // ObserveUnreachable records that a target did not answer a poll.
 func (r *Router) ObserveUnreachable(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
