--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -47,7 +47,11 @@
 	unreachableUntil time.Time
 	// refusingUntil follows a refusal by a target that works and takes no more.
 	refusingUntil time.Time
-	weights       string
+	// loadingUntil is when a load of weights ends at the latest, for loadingModel or, if
+	// that is empty, all models. The load has ended when a report shows loadingVersion.
+	loadingUntil                 time.Time
+	loadingModel, loadingVersion string
+	weights                      string
 	// weightsEpoch is the engine epoch of the last report of weights.
 	weightsEpoch string
 	estimator    Estimator
@@ -239,7 +243,7 @@
 		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
 		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
 		weights:    r.versions[p.weights], busy: int32(p.inFlight),
-		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.loadingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
 	}
 	if e.report.PendingPrefillTokens > 0 {
 		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
@@ -297,11 +301,28 @@
 	p.unreachable = false
 	if weights != "" {
 		p.weights, p.weightsEpoch = weights, epoch
+		if weights == p.loadingVersion {
+			p.loadingUntil, p.loadingVersion = time.Time{}, ""
+		}
 	}
 	p.estimator.Observe(report, now)
 	r.refresh(p)
 }
 
+// SetLoading records that a target loads weights. Until a report shows the version, but
+// not after until, it gets requests for the model only if no other target is left: they
+// would wait for the load, and lose their cached prefix with it. An empty model means
+// all models.
+func (r *Router) SetLoading(id, model, version string, until time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.loadingModel, p.loadingVersion, p.loadingUntil = model, version, until
+		r.refresh(p)
+	}
+}
+
+// LoadEnded records that a target no longer loads weights.
+func (r *Router) LoadEnded(id string) { r.SetLoading(id, "", "", time.Time{}) }
+
 // Weights returns the weights version that a target reported last in the given engine
 // epoch. It is empty if the target reported none in that epoch, since an engine may
 // come back from a restart with other weights.
