Encode a document once for all hosts that fetch it

After a change every host that is no member fetches the document from the proposer, at the design size 341 hosts, and each answer encoded it anew.

Change: the encoding of the applied document is kept until the next revision. It costs the memory of one encoded document, 0.5 MB at the design size.

Ruled out: sending the bytes received in a push, since they are not kept on a host that got the revision from the store.

Conclusion: the encoding is off the path of a change; the bytes sent remain and need deltas, see docs/CAPACITY.md.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -119,3 +119,35 @@
 		})
 	}
 }
+
+// BenchmarkFetch answers a fetch of the applied document, as the proposer of a change
+// does for each host that is no member, by accounts with four keys each.
+func BenchmarkFetch(b *testing.B) {
+	for _, accounts := range []int{5, 52, 520} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			f := benchmarkFleet(b, MaxMembers)
+			d := f.Index().Document().Clone()
+			d.Revision++
+			for i := range accounts {
+				id := fmt.Sprintf("account-%03d", i)
+				d.Accounts = append(d.Accounts, config.Account{ID: id, RateTokensPerSecond: 30_000, BurstTokens: 300_000})
+				for k := range 4 {
+					key := fmt.Sprintf("%s-key-%d", id, k)
+					d.ClientKeys = append(d.ClientKeys, config.ClientKey{ID: key, AccountID: id, Hash: config.HashKey(key)})
+				}
+			}
+			f.apply(d, "benchmark")
+			request := wire.Request{Type: wire.TypeFetch, Body: packed(b, &fetch{Above: 1})}
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				answer, err := f.handleFetch(context.Background(), wire.Peer{}, request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(answer.(*fetchReply).Document)
+			}
+			b.ReportMetric(float64(size), "document-bytes")
+		})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,8 @@
 	withdrawn  atomic.Pointer[withdrawnSet]
 	draining   atomic.Bool
 
+	encoded encodedDocument
+
 	// proposing serializes the proposals of this host.
 	proposing chan struct{}
 	// changed wakes the notifier, probeNow the prober, polled the upkeep. Each
--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -140,6 +141,28 @@
 	if x == nil || x.Document().Revision <= message.Above {
 		return &fetchReply{}, nil
 	}
-	encoded, err := x.Document().Encode()
+	encoded, err := f.encodedDocument(x)
 	return &fetchReply{Document: encoded}, err
 }
+
+// encodedDocument is the encoding of an applied document, which is kept because every
+// host that is no member fetches the same one after a change.
+type encodedDocument struct {
+	mu    sync.Mutex
+	index *config.Index
+	data  []byte
+}
+
+func (f *Fleet) encodedDocument(x *config.Index) ([]byte, error) {
+	e := &f.encoded
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.index != x {
+		data, err := x.Document().Encode()
+		if err != nil {
+			return nil, err
+		}
+		e.index, e.data = x, data
+	}
+	return e.data, nil
+}
