Measure the processor time of an idle host by hosts

BenchmarkProbeRound leaves out the network and the timers. This benchmark runs whole hosts over loopback, so that the slope is that of the build.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"syscall"
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
@@ -151,3 +154,39 @@
 		})
 	}
 }
+
+// BenchmarkIdleFleet runs hosts over loopback without requests and reports the
+// processor time of one host for a second by hosts: probes, the polls of a store and
+// of a host list in memory, and the kernel's part. An operation is one second.
+func BenchmarkIdleFleet(b *testing.B) {
+	for _, hosts := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			c := newCluster(b)
+			var all []*host
+			for i := range hosts {
+				all = append(all, c.start(fmt.Sprintf("h%03d", i), ""))
+			}
+			defer func() {
+				for _, h := range all {
+					h.stop()
+				}
+			}()
+			c.g.Eventually(func() bool {
+				return slices.IndexFunc(all, func(h *host) bool { return !h.fleet.Fresh() || len(h.fleet.Hosts()) < hosts }) < 0
+			}, testDeadline).Should(BeTrue())
+			time.Sleep(2 * time.Second) // joins and first probes
+			before := processorTime(b)
+			b.ResetTimer()
+			time.Sleep(time.Duration(b.N) * time.Second)
+			b.ReportMetric(float64(processorTime(b)-before)/float64(hosts*b.N), "cpu-ns/host-s")
+		})
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var used syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -171,7 +171,7 @@
 
 // cluster runs several hosts in one process over loopback.
 type cluster struct {
-	t           *testing.T
+	t           testing.TB
 	g           *WithT
 	store       *fakeStore
 	credentials *wire.Credentials
@@ -191,7 +191,7 @@
 
 const testDeadline = 20 * time.Second
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t testing.TB) *cluster {
 	credentials, err := wire.SecretCredentials([]byte("a shared secret of the fleet"))
 	if err != nil {
 		t.Fatal(err)
