Let the engine stand-in continue texts of other weights

The stand-in rejected a resume_text that its own weights would not have produced, which no real engine can do. It hid whether the router mixes weights versions: with the router's checks off, pair_engine_weights still passed.

--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -49,6 +49,9 @@
 	EventLog int
 	// ChecksFencing rejects orders whose fencing number is below the highest seen.
 	ChecksFencing bool
+	// AnyResumeText continues any resume_text, as an engine does that can't tell which
+	// weights a text comes from. Otherwise a text of other weights is rejected.
+	AnyResumeText bool
 	// WeightStore is shared by the engines that load from one store; nil loads at once.
 	WeightStore *WeightStore
 	// StreamRetention is how long a finished stream can be resumed; zero means 30 s.
--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -39,6 +39,7 @@
 	set.DurationVar(&o.PrefillPerToken, "prefill", 0, "time for each uncached prompt token")
 	set.IntVar(&o.CacheBlocks, "cache-blocks", 0, "limit of the prefix cache")
 	set.BoolVar(&o.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	set.BoolVar(&o.AnyResumeText, "any-resume", false, "continue texts of other weights")
 	parseFlags(set)
 	e := engine.New(o)
 	mux := http.NewServeMux()
