--- a/test/scenario/caller_test.go
+++ b/test/scenario/caller_test.go
@@ -240,24 +240,32 @@
 	return r.read(response.Body)
 }
 
-// read takes events until the end marker.
+// read takes events until the end marker. An event counts, and its id becomes the last
+// one, only once the empty line after it has come: a connection may break inside it.
 func (r *streamReader) read(body io.Reader) error {
 	lines := bufio.NewScanner(body)
+	id, data := "", ""
 	for lines.Scan() {
-		if id, ok := strings.CutPrefix(lines.Text(), "id:"); ok {
-			r.lastID = strings.TrimSpace(id)
+		line := lines.Text()
+		if value, ok := strings.CutPrefix(line, "id:"); ok {
+			id = strings.TrimSpace(value)
 		}
-		data, ok := strings.CutPrefix(lines.Text(), "data:")
-		if !ok {
+		if value, ok := strings.CutPrefix(line, "data:"); ok {
+			data = strings.TrimSpace(value)
+		}
+		if line != "" || data == "" {
 			continue
 		}
-		data = strings.TrimSpace(data)
 		if data == "[DONE]" {
 			return nil
 		}
 		if err := r.event(data); err != nil {
 			return err
 		}
+		if id != "" {
+			r.lastID = id
+		}
+		id, data = "", ""
 		time.Sleep(r.pause)
 	}
 	if err := lines.Err(); err != nil {
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -72,6 +72,7 @@
 		"waitfor":    cmdWaitFor,
 		"capture":    cmdCapture,
 		"inlog":      cmdInLog,
+		"failures":   cmdFailures,
 		"ownerof":    cmdOwnerOf,
 		"waitclaim":  cmdWaitClaim,
 		"ended":      cmdEnded, "onewins": cmdOneWins, "growing": cmdGrowing,
@@ -219,7 +220,7 @@
 	data, err := os.ReadFile(processes(ts).get(ts, args[0]).log)
 	ts.Check(err)
 	if regexp.MustCompile(args[1]).Match(data) == neg {
-		ts.Fatalf("the log of %s: match of %s is %v", args[0], args[1], !neg)
+		ts.Fatalf("the log of %s: match of %s is %v", args[0], args[1], neg)
 	}
 }
 
