--- /dev/null
+++ b/internal/platform/fuzz_test.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// fixedAnswer answers each request with one status and body.
+type fixedAnswer struct {
+	status int
+	body   string
+}
+
+func (f fixedAnswer) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: f.status, Header: http.Header{}, Request: r, ContentLength: -1,
+		Body: io.NopCloser(strings.NewReader(f.body)),
+	}, nil
+}
+
+// Guards against an answer of the platform that stops the host, and against a write
+// that is reported as certain, either way, by an answer that doesn't say so.
+func FuzzResponses(f *testing.F) {
+	f.Add(200, `{"version":7}`)
+	f.Fuzz(func(t *testing.T, status int, body string) {
+		if status < 200 || status > 599 {
+			t.Skip("not a final status")
+		}
+		client, err := newClient(Options{BaseURL: "http://127.0.0.1:1", ReadAttempts: 1, BreakerFailures: 1 << 30,
+			BackoffBase: time.Nanosecond}.withDefaults(), fixedAnswer{status, body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx := context.Background()
+		_, getErr := client.Get(ctx, "t", "k")
+		_, scanErr := client.Scan(ctx, "t", "", 0, 1)
+		_, hostsErr := client.Hosts(ctx)
+		for _, err := range []error{getErr, scanErr, hostsErr} {
+			if err == nil && status/100 != 2 {
+				t.Fatalf("status %d is read as an answer", status)
+			}
+			if errors.Is(err, ErrUnknownOutcome) {
+				t.Fatalf("a read has an unknown outcome: %v", err)
+			}
+		}
+		_, err = client.Commit(ctx, nil, nil)
+		switch {
+		case err == nil && status/100 != 2:
+			t.Fatalf("status %d is read as an accepted write", status)
+		case errors.Is(err, ErrConflict) && status != http.StatusConflict:
+			t.Fatalf("status %d is read as a conflict", status)
+		case errors.Is(err, ErrUnavailable) && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+			t.Fatalf("status %d is read as a proof that nothing was written", status)
+		case status/100 == 2 && err != nil && !errors.Is(err, ErrUnknownOutcome):
+			t.Fatalf("a bad answer to an accepted write is read as %v", err)
+		}
+	})
+}
