--- a/test/scenario/programs_test.go
+++ b/test/scenario/programs_test.go
@@ -41,6 +41,7 @@
 	set.IntVar(&o.CacheBlocks, "cache-blocks", 0, "limit of the prefix cache")
 	set.BoolVar(&o.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
 	loadTime := set.Duration("load-time", 0, "time of a load of weights")
+	set.BoolVar(&o.AnyResumeText, "any-resume", false, "continue texts of other weights")
 	parseFlags(set)
 	o.WeightStore = &engine.WeightStore{LoadTime: *loadTime}
 	e := engine.New(o)
