Price recomputation by the mean queue of all targets

Cause: the price of a computation grew with the queue of the target that does it, so that the few tokens that a busy warm target has to compute cost more than a whole recomputation at an idle one.

Change: one price for all targets, from the mean of their queues, each counted up to 0.5 s.

Ruled out: the plain mean.

--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -140,7 +140,6 @@
 		if c.waits = run > 0; c.waits {
 			cached = int32(r.runs[run-1].end * blockTokens)
 			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
-			c.delays = 0 // the queue is mostly the computation that is waited for
 		}
 		c.Cached = min(cached, prompt)
 		c.Uncached = prompt - c.Cached
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -28,9 +28,13 @@
 // divided by it is the number of requests that a computation delays.
 const queueUnit = 0.1
 
+// longQueue in seconds bounds what one target adds to the mean queue, so that a single
+// hot target does not look like an overload of all.
+const longQueue = 0.5
+
 // homeShare of the price of a computation is what its home is worth. It is below the
 // price, since prompts that share only their first block have the same home.
-const homeShare = 0.25
+const homeShare = 0.2
 
 // minHomeTokens is the uncached part from which on a prompt is likely to store blocks
 // that others share, and not only its own end.
@@ -127,18 +131,38 @@
 }
 
 // predictedTTFT minimizes the predicted time to first token.
-type predictedTTFT struct{ knobs *preset.Knobs }
+type predictedTTFT struct {
+	knobs *preset.Knobs
+	// price is the cost of a second of computation besides its own time, for the choice
+	// in progress.
+	price float64
+}
 
 func (*predictedTTFT) Name() string { return PredictedTTFT }
 
-// cost is the predicted time to first token and a price for the delay of others. The
-// price grows with the queue that a computation delays: with a constant one, an
-// overload made targets recompute what others had cached, which kept up the overload.
-func (p *predictedTTFT) cost(c *Candidate) float64 {
-	return c.Total() + p.knobs.RecomputeWeight*c.Prefill*(1+c.delays/queueUnit)
+// setPrice sets the price of computations from the mean queue that they delay. With a
+// constant price, an overload made targets recompute what others had cached, which kept
+// up the overload. With each target's own queue, the little that a warm target has to
+// compute cost more than a whole recomputation elsewhere.
+func (p *predictedTTFT) setPrice(candidates []Candidate, max Exclusion) {
+	sum, count := 0.0, 0
+	for i := range candidates {
+		if candidates[i].Excluded <= max {
+			sum += min(candidates[i].delays, longQueue)
+			count++
+		}
+	}
+	p.price = p.knobs.RecomputeWeight
+	if count > 0 {
+		p.price *= 1 + sum/float64(count)/queueUnit
+	}
 }
 
+// cost is the predicted time to first token and a price for the delay of others.
+func (p *predictedTTFT) cost(c *Candidate) float64 { return c.Total() + p.price*c.Prefill }
+
 func (p *predictedTTFT) Choose(prompt *Prompt, candidates []Candidate, max Exclusion) (int, string) {
+	p.setPrice(candidates, max)
 	best, warm := -1, -1
 	var bestCost, warmCost float64
 	for i := range candidates {
@@ -191,7 +215,7 @@
 func (p *predictedTTFT) tie(c *Candidate) float64 {
 	tie := p.knobs.TieShare * c.Prefill
 	if c.Uncached >= minHomeTokens {
-		tie += homeShare * p.knobs.RecomputeWeight * c.Prefill * (1 + c.delays/queueUnit)
+		tie += homeShare * p.price * c.Prefill
 	}
 	return max(minimumTie, tie)
 }
