--- a/internal/kvcopy/measure_test.go
+++ b/internal/kvcopy/measure_test.go
@@ -110,8 +110,6 @@
 type outcome struct {
 	all, second  []time.Duration
 	recomputed   int
-	totals       Totals
-	wasted       uint64
 	failedOffers int
 }
 
