--- a/internal/host/operations_page_test.go
+++ b/internal/host/operations_page_test.go
@@ -21,6 +21,7 @@
 	o.telemetry.Measures.Refused(ctx, "rate_limited", "not_run")
 	o.telemetry.Measures.RefusedWithinRate(ctx, "dev")
 	o.telemetry.Measures.Retried(ctx, "engine-a", "stalled")
+	o.telemetry.Measures.KVCopy(ctx, "done", 1000, 1)
 	page, err := os.ReadFile("../../docs/operations.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	var documented []string
