--- a/test/scenario/failurerun_test.go
+++ b/test/scenario/failurerun_test.go
@@ -157,7 +157,7 @@
 		}
 		var broken *brokenError
 		if !errors.As(err, &broken) && !safeToRepeat(err) {
-			f.count("streams ended by an error")
+			f.count("streams ended: " + err.Error())
 			return
 		}
 		if !f.pause(retryInterval) {
