--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/gateway"
 	"github.com/sequoiaroad/sequoiaroad/internal/idempotency"
+	"github.com/sequoiaroad/sequoiaroad/internal/kvcopy"
 	"github.com/sequoiaroad/sequoiaroad/internal/orders"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/quota"
@@ -28,6 +29,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/placement"
+	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 const (
@@ -70,13 +72,14 @@
 	fleet      *fleet.Fleet
 	limiter    *quota.FleetLimiter
 	dispatcher *dispatch.Dispatcher
+	copies     *kvcopy.Mover // nil if switched off
 	pollers    *target.Pollers
 	claims     *idempotency.Service
 	orders     *orders.Service
 	gateway    *gateway.Gateway
 	observer   *observer
 	callerAPI  http.Handler
-	admin      http.Handler
+	adminAPI   http.Handler
 
 	restored  atomic.Bool
 	stop      stopState
@@ -170,6 +173,7 @@
 		Self: h.self, Store: h.options.Platform.Store, HostList: h.options.Platform.HostList,
 		Caller: h.wireClient, Registry: h.wireServer,
 		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("fleet"),
+		AllowFarSnapshot: func(bytes int) bool { return h.dispatcher.AllowLink(routing.LinkSnapshot, bytes) },
 	})
 	if err != nil {
 		return err
@@ -193,6 +197,16 @@
 	if err != nil {
 		return err
 	}
+	if h.options.Settings.KVCopies {
+		h.copies, err = kvcopy.New(kvcopy.Options{
+			Engines: engines, View: h.dispatcher, Target: h.targetByID, Logger: h.logger.Named("kvcopy"),
+			Observe: newObserver(h.options.Telemetry).copyEnded,
+		})
+		if err != nil {
+			return err
+		}
+		h.dispatcher.SetCopier(h.copies)
+	}
 	h.pollers = target.NewPollers(target.PollerOptions{
 		Client: engines, Observer: h.dispatcher, Index: h.fleet.Index, Subscribe: h.fleet.Subscribe,
 	})
@@ -211,7 +225,7 @@
 	}
 	h.orders, err = orders.New(orders.Options{
 		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
-		Target: h.targetByID, Logger: h.logger.Named("orders"),
+		Target: h.targetByID, Logger: h.logger.Named("orders"), Loads: h.dispatcher,
 	})
 	if err != nil {
 		return err
@@ -266,17 +280,25 @@
 		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
 		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
 	})
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", h.stop.count(h.gateway))
-	h.callerAPI = mux
-	h.admin = admin.NewServer(admin.Options{
+	h.callerAPI = h.stop.count(h.gateway)
+	if s.CallerMetrics {
+		h.callerAPI = h.withMetrics(h.callerAPI)
+	}
+	h.adminAPI = h.withMetrics(admin.NewServer(admin.Options{
 		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
 		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
-	})
+	}))
 	return nil
 }
 
+// withMetrics serves /metrics beside an API.
+func (h *Host) withMetrics(api http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
+	mux.Handle("/", api)
+	return mux
+}
+
 func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
 
 // Member returns the identity and addresses of this host.
@@ -289,6 +311,14 @@
 // client accounts.
 func (h *Host) Ready() bool { return h.fleet.Fresh() && len(h.index().Document().Members) > 0 }
 
+// KVCopies returns the counters of KV copies.
+func (h *Host) KVCopies() kvcopy.Totals {
+	if h.copies == nil {
+		return kvcopy.Totals{}
+	}
+	return h.copies.Totals()
+}
+
 // Drain starts the planned stop.
 func (h *Host) Drain() { h.drainOnce.Do(func() { close(h.drain) }) }
 
@@ -311,11 +341,14 @@
 	h.addTask(&group, "quota", h.limiter.Run)
 	h.addTask(&group, "dispatch", h.dispatcher.Run)
 	h.addTask(&group, "pollers", h.pollers.Run)
+	if h.copies != nil {
+		h.addTask(&group, "copies", h.copies.Run)
+	}
 	h.addTask(&group, "claims", h.claims.Run)
 	h.addTask(&group, "target list", h.watchLeavingTargets)
 	h.addTask(&group, "snapshots", h.keepSnapshots)
 	h.addServer(&group, "caller server", h.callerListener, h.callerAPI)
-	h.addServer(&group, "admin server", h.adminListener, h.admin)
+	h.addServer(&group, "admin server", h.adminListener, h.adminAPI)
 
 	stopCtx, cancel := context.WithCancel(context.Background())
 	group.Add(func() error { return h.plannedStop(ctx, stopCtx) }, func(error) { cancel() })
--- a/internal/telemetry/state.go
+++ b/internal/telemetry/state.go
@@ -23,13 +23,20 @@
 	StreamsOpen      int64
 	RingDrops        uint64
 	OpenClaims       int64
-	WaitingRecords   int
+	WaitingRecords   int64
 	CacheIndexBlocks int
+	Copies           CopyState
 	Store            StoreState
 	Targets          []TargetState
 	Accounts         []AccountState
 }
 
+// CopyState describes copies of KV caches between engines.
+type CopyState struct {
+	Done, Failed, Changed uint64
+	Tokens, Bytes         uint64
+}
+
 // StoreState describes the calls of the platform's service.
 type StoreState struct {
 	Reads, Writes StoreCalls
@@ -43,7 +50,8 @@
 	BudgetUsed float64
 }
 
-// TargetState describes the traffic to one engine.
+// TargetState describes the traffic to one target. Plain services have no queue, no
+// limit and no events.
 type TargetState struct {
 	TargetID                string
 	Queued, QueuedTokens    int
@@ -73,6 +81,7 @@
 func (t *Telemetry) ExportState(read func() State) error {
 	i := &stateInstruments{meter: t.Meter}
 	i.host()
+	i.copies()
 	i.store()
 	i.targets()
 	i.accounts()
@@ -167,11 +176,24 @@
 	i.gauge("idempotency_open_claims", "{request}", "non-idempotent requests of this host whose record is not written yet",
 		func(s *State) []point[int64] { return one(s.OpenClaims) })
 	i.gauge("idempotency_waiting_records", "{request}", "open claims whose request has ended and whose record waits for the store",
-		func(s *State) []point[int64] { return one(int64(s.WaitingRecords)) })
+		func(s *State) []point[int64] { return one(s.WaitingRecords) })
 	i.gauge("cache_index_blocks", "{block}", "entries of the index of cached blocks",
 		func(s *State) []point[int64] { return one(int64(s.CacheIndexBlocks)) })
 }
 
+func (i *stateInstruments) copies() {
+	i.counter("kv_copies", "{copy}", "copies of KV caches between engines that have ended, by outcome", func(s *State) []point[int64] {
+		outcome := func(name string, count uint64) point[int64] {
+			return point[int64]{int64(count), []attribute.KeyValue{attribute.String("outcome", name)}}
+		}
+		return []point[int64]{outcome("done", s.Copies.Done), outcome("failed", s.Copies.Failed), outcome("changed", s.Copies.Changed)}
+	})
+	i.counter("kv_copied_tokens", "{token}", "prompt tokens whose KV cache was copied between engines",
+		func(s *State) []point[int64] { return one(int64(s.Copies.Tokens)) })
+	i.counter("kv_copy", "By", "bytes of KV caches that were read from engines for copies",
+		func(s *State) []point[int64] { return one(int64(s.Copies.Bytes)) })
+}
+
 func (i *stateInstruments) store() {
 	perKind := func(value func(*StoreCalls) int64) func(*State) []point[int64] {
 		return func(s *State) []point[int64] {
@@ -210,9 +232,9 @@
 		perTarget(func(t *TargetState) int64 { return int64(t.QueuedTokens) }))
 	i.gauge("target_prefill_waiters", "{request}", "requests that wait for another one to compute their shared prefix, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.PrefillWaiters) }))
-	i.gauge("target_requests_in_flight", "{request}", "requests of this host at the engine, by target",
+	i.gauge("target_requests_in_flight", "{request}", "requests of this host at the target, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.InFlight) }))
-	i.gauge("target_in_flight_limit", "{request}", "requests that this host may have at the engine, by target",
+	i.gauge("target_in_flight_limit", "{request}", "requests that this host may have at an engine, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.InFlightLimit) }))
 	i.counter("target_ejections", "{ejection}", "ejections after failures in a row, by target",
 		perTarget(func(t *TargetState) int64 { return int64(t.Ejections) }))
--- a/policy/routing/choose.go
+++ b/policy/routing/choose.go
@@ -36,6 +36,9 @@
 	// WaitFor is the flight that computes blocks of this prompt on the chosen target;
 	// the request should be sent after its first token. Zero means none.
 	WaitFor uint64
+	// Warm holds more of the prompt than the chosen target; its ID is empty if no target
+	// does. It may be leaving.
+	Warm Warm
 	// Predicted is the predicted time to first token in seconds.
 	Predicted float64
 	// Learned says that the prediction rests on measurements. Without any, it is no
@@ -45,6 +48,16 @@
 	replica *replica
 }
 
+// Warm is a target that is passed over although it holds more of a prompt.
+type Warm struct {
+	TargetID string
+	Blocks   int
+	Leaving  bool
+}
+
+// TokenCost returns the prefill cost of the chosen target in seconds per token.
+func (d *Decision) TokenCost() float64 { return d.replica.estimator.TokenCost() }
+
 // Choose returns the target for a request, or false if none can take it.
 func (r *Router) Choose(q *Query, now time.Time) (Decision, bool) {
 	r.fill(q, now, true)
@@ -73,6 +86,12 @@
 			d.BestCached = tokens
 		}
 	}
+	for _, m := range r.matches {
+		p := r.replicas[m.Handle]
+		if blocks := int(m.Blocks); blocks > max(d.Claim.Blocks, d.Warm.Blocks) && !m.Uncertain && !p.unreachable {
+			d.Warm = Warm{p.id, blocks, p.leaving()}
+		}
+	}
 	d.BestCached = min(d.BestCached, prefix.Tokens(q.PromptBytes))
 	return d, true
 }
@@ -126,7 +145,7 @@
 	}
 	prompt := int32(prefix.Tokens(q.PromptBytes))
 	r.expectPending(q, prompt, now)
-	linkSeconds := float64(q.PromptBytes) / r.link.Rate
+	linkSeconds := float64(q.PromptBytes) / DefaultLinkRate
 	linkWait := r.link.Delay(LinkRequest, q.PromptBytes, now)
 	r.least = Leaving
 	at := r.clock(now)
@@ -138,6 +157,7 @@
 		c, s := &r.candidates[i], &r.summaries[handle]
 		cached := r.cached[handle]
 		c.Queue = s.fixedQueue + max(0, s.drainedAt-at)
+		c.delays = c.Queue
 		run := int32(0)
 		if len(r.runs) > 0 {
 			run = r.waits[handle]
@@ -145,6 +165,7 @@
 		if c.waits = run > 0; c.waits {
 			cached = int32(r.runs[run-1].end * blockTokens)
 			c.Queue = max(c.Queue, r.runs[run-1].ready.Sub(now).Seconds())
+			c.delays = 0 // the queue is mostly the computation that is waited for
 		}
 		c.Cached = min(cached, prompt)
 		c.Uncached = prompt - c.Cached
@@ -199,6 +220,9 @@
 	if len(q.Tried) > 0 && q.Tried[p.id] {
 		return Tried
 	}
+	if now.Before(p.loadingUntil) && (p.loadingModel == "" || p.loadingModel == q.Model) {
+		return Loading
+	}
 	if p.unreachable && now.Before(p.unreachableUntil) {
 		return Ejected
 	}
@@ -221,7 +245,11 @@
 	chain  []prefix.BlockHash
 	sentAt time.Time
 	queue  float64
-	state  flightState
+	// foundIdle says that nothing was known to wait at the target at the send.
+	foundIdle bool
+	// prefill is the time from sending to the first token.
+	prefill time.Duration
+	state   flightState
 }
 
 type flightState uint8
@@ -246,7 +274,7 @@
 		handle: d.replica.handle, owner: f.id, from: from, ready: ready, expires: ready.Add(pendingGrace),
 	}, now)
 	if d.replica.far {
-		r.link.Allow(LinkRequest, q.PromptBytes, now)
+		r.link.Charge(q.PromptBytes, now) // it is sent whether or not the budget has room
 	}
 	return f
 }
@@ -259,7 +287,7 @@
 	p := f.replica
 	f.state, f.sentAt = flightSent, now
 	p.queuedTokens -= f.Uncached
-	f.queue = p.estimator.Queue(now)
+	f.queue, f.foundIdle = p.estimator.Queue(now), p.estimator.idle()
 	p.estimator.Sent(f.id, f.Uncached, now)
 	r.refresh(p)
 }
@@ -273,10 +301,10 @@
 	}
 	f.state = flightDecoding
 	p := f.replica
-	p.estimator.Learn(now.Sub(f.sentAt), f.Uncached, f.network, f.queue, now)
+	f.prefill = now.Sub(f.sentAt)
+	p.estimator.Learn(f.prefill, f.Uncached, f.network, f.queue, now)
 	p.estimator.End(f.id)
 	r.refresh(p)
-	r.followFleetCost()
 	if r.byID[p.id] == p {
 		r.index.SetEpoch(p.id, epoch, "")
 		r.index.Stored(p.id, epoch, f.chain)
@@ -290,12 +318,15 @@
 	return max(0, now.Sub(f.sentAt)-seconds(own))
 }
 
-// Correct applies the cached-token count of the response. Blocks dropped by the
+// Correct applies the cached-token count of the response. It teaches the prefill cost,
+// since only the count says how much the target computed. Blocks dropped by the
 // correction have been computed by this request, so they are recorded again.
 func (r *Router) Correct(f *Flight, epoch string, cachedTokens int) {
 	if r.byID[f.TargetID] != f.replica {
 		return
 	}
+	f.replica.estimator.LearnCost(f.prefill, f.Cached+f.Uncached-cachedTokens, f.network, f.foundIdle)
+	r.followFleetCost()
 	if r.index.Correct(f.TargetID, epoch, f.chain, f.Claim, cachedTokens) {
 		r.index.Stored(f.TargetID, epoch, f.chain)
 	}
@@ -370,7 +401,7 @@
 	}
 	p.inFlight = max(0, p.inFlight-1)
 	if failed {
-		p.health.Failed(r.knobs, now)
+		r.noteFailure(p, now)
 	} else {
 		p.health.Succeeded(now)
 	}
