Send integers between hosts in as few bytes as they need

An owner of accounts exceeds the bytes for control at the design size, and integers of eight bytes were a third of a grant exchange.

Change: Encode packs integers compactly; every decoder reads both forms. The benchmarks of message sizes use it too.

The decoder refuses an array with another number of fields, so that a message with a new field would stop a rolling upgrade; a test now guards against that.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -62,7 +62,7 @@
 }
 
 func packed(b *testing.B, m wire.Message) []byte {
-	body, err := msgpack.Marshal(m)
+	body, err := wire.Encode(m)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
@@ -129,7 +127,7 @@
 			for b.Loop() {
 				sent = 0
 				for _, m := range []wire.Message{request, reply, returned, &GrantReturnAck{}} {
-					body, err := msgpack.Marshal(m)
+					body, err := wire.Encode(m)
 					if err != nil {
 						b.Fatal(err)
 					}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -110,7 +110,7 @@
 
 // Call implements Caller.
 func (c *Client) Call(ctx context.Context, address string, request, reply Message) error {
-	body, err := encodeBody(request)
+	body, err := Encode(request)
 	if err != nil {
 		return errors.Wrapf(err, "call %s", address)
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/pkg/errors"
@@ -31,13 +32,20 @@
 	return errors.Wrapf(msgpack.Unmarshal(r.Body, message), "decode message type %d", r.Type)
 }
 
-func encodeBody(message Message) ([]byte, error) {
-	body, err := msgpack.Marshal(message)
-	if err != nil {
+// Encode packs the body of a message, with integers in as few bytes as they need.
+// Structs keep their field names: the decoder refuses a struct packed as an array if
+// its number of fields differs, so that hosts of two versions could not talk.
+func Encode(message Message) ([]byte, error) {
+	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	var buffer bytes.Buffer
+	encoder.Reset(&buffer)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(message); err != nil {
 		return nil, errors.Wrapf(err, "encode message type %d", message.WireType())
 	}
-	if len(body) > MaxBodyBytes {
-		return nil, errors.Wrapf(ErrFrameLength, "encode message type %d: %d bytes", message.WireType(), len(body))
+	if buffer.Len() > MaxBodyBytes {
+		return nil, errors.Wrapf(ErrFrameLength, "encode message type %d: %d bytes", message.WireType(), buffer.Len())
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -185,10 +185,10 @@
 // reply queues an answer. A caller that does not read its answers loses the
 // connection, because its calls would otherwise wait for a lost answer.
 func (s *Server) reply(ses *session, replies *ring, callID uint64, message Message) {
-	body, err := encodeBody(message)
+	body, err := Encode(message)
 	if err != nil {
 		message = &RemoteError{Message: err.Error()}
-		if body, err = encodeBody(message); err != nil {
+		if body, err = Encode(message); err != nil {
 			return
 		}
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -193,3 +193,27 @@
 		g.Expect(o.frame.callID).To(Equal(want))
 	}
 }
+
+// nextEcho is echo in a later version with one more field.
+type nextEcho struct {
+	Text  string
+	Count uint64
+}
+
+func (*nextEcho) WireType() Type { return TypeProbe }
+
+// Guards against messages that a host of a version with one field more or less does
+// not read, which would stop a rolling upgrade.
+func TestMessagesMayGainFields(t *testing.T) {
+	g := NewWithT(t)
+	body, err := Encode(&nextEcho{Text: "text", Count: 1 << 40})
+	g.Expect(err).NotTo(HaveOccurred())
+	older := &echo{}
+	g.Expect(Request{Type: TypeProbe, Body: body}.Decode(older)).To(Succeed())
+	g.Expect(older.Text).To(Equal("text"))
+	body, err = Encode(&echo{Text: "text"})
+	g.Expect(err).NotTo(HaveOccurred())
+	newer := &nextEcho{}
+	g.Expect(Request{Type: TypeProbe, Body: body}.Decode(newer)).To(Succeed())
+	g.Expect(*newer).To(Equal(nextEcho{Text: "text"}))
+}
