--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -7,7 +7,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
 const (
@@ -19,8 +21,9 @@
 	// peerSnapshotWait is how long a starting host waits for a peer's snapshot before it
 	// reads the object store. After a restart of all hosts no peer has one.
 	peerSnapshotWait = time.Second
-	// snapshotInterval is the mean time between two snapshots in the object store. At 9
-	// hosts it costs 0.3 writes a second.
+	// snapshotInterval is the mean time between two snapshots of a zone in the object
+	// store. A snapshot has up to 1.3 MB, so that a host that wrote each interval would
+	// use 44 KB/s.
 	snapshotInterval = 30 * time.Second
 	snapshotTimeout  = 5 * time.Second
 )
@@ -43,7 +46,7 @@
 			h.logger.Info("no routing snapshot in the object store", "error", err)
 		}
 	}
-	for sleep(ctx, jittered(snapshotInterval)) {
+	for sleep(ctx, jittered(h.snapshotPause())) {
 		if err := h.writeSnapshotObject(ctx); err != nil {
 			h.logger.Debug("routing snapshot was not written", "error", err)
 		}
@@ -51,6 +54,23 @@
 	return nil
 }
 
+// snapshotPause is the mean time between two snapshots of this host. The live hosts of
+// a zone write the same object and take turns.
+func (h *Host) snapshotPause() time.Duration {
+	return snapshotInterval * time.Duration(liveInZone(h.fleet.Hosts(), h.self))
+}
+
+// liveInZone counts the live hosts in the zone of self, which is always one of them.
+func liveInZone(hosts []fleet.HostStatus, self config.Member) int {
+	count := 1
+	for _, other := range hosts {
+		if other.Live && other.Member.Zone == self.Zone && other.Member.HostID != self.HostID {
+			count++
+		}
+	}
+	return count
+}
+
 // jittered spreads the writes of hosts that started together.
 func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
