Measure the cost of control by fleet size

A test behind FLEET_SCALE runs fleets in one process and reports bytes, processor time, heap, and the times of a withdrawal, a killed host and a herd restart. The wire client and server count their bytes if asked to.

--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -186,6 +186,7 @@
 type host struct {
 	fleet   *Fleet
 	address string
+	traffic *wire.Traffic
 	stop    func()
 }
 
@@ -250,14 +251,16 @@
 		address = "127.0.0.1:0"
 	}
 	var bound net.Addr
-	server := wire.NewServer(wire.ServerOptions{Self: wire.Peer{HostID: id, Incarnation: incarnation}, Credentials: c.credentials})
+	traffic := &wire.Traffic{}
+	server := wire.NewServer(wire.ServerOptions{
+		Self: wire.Peer{HostID: id, Incarnation: incarnation}, Credentials: c.credentials, Traffic: traffic})
 	c.g.Eventually(func() (err error) {
 		bound, err = server.Listen(address)
 		return err
 	}, testDeadline).Should(Succeed())
 	address = bound.String()
 	client := wire.NewClient(wire.ClientOptions{
-		Self: wire.Peer{HostID: id, Incarnation: incarnation, Address: address}, Credentials: c.credentials})
+		Self: wire.Peer{HostID: id, Incarnation: incarnation, Address: address}, Credentials: c.credentials, Traffic: traffic})
 	level := hclog.Error
 	if os.Getenv("FLEET_TEST_DEBUG") != "" {
 		level = hclog.Debug
@@ -284,7 +287,7 @@
 		running.Wait()
 	})
 	c.t.Cleanup(stop)
-	return &host{fleet: f, address: address, stop: stop}
+	return &host{fleet: f, address: address, traffic: traffic, stop: stop}
 }
 
 func (c *cluster) isPartitioned(address string) bool {
--- /dev/null
+++ b/internal/fleet/scale_test.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+const (
+	scaleWindow = 10 * time.Second
+	scaleLimit  = 90 * time.Second
+)
+
+// TestScale measures the cost of control for the fleet sizes in FLEET_SCALE, for
+// example FLEET_SCALE=9,35,70. It guards against hosts that never learn of each other
+// or keep a dead host in the locator.
+func TestScale(t *testing.T) {
+	if os.Getenv("FLEET_SCALE") == "" {
+		t.Skip("FLEET_SCALE is not set")
+	}
+	for _, field := range strings.Split(os.Getenv("FLEET_SCALE"), ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(field, func(t *testing.T) { measureScale(t, n) })
+	}
+}
+
+func measureScale(t *testing.T, n int) {
+	c := newCluster(t)
+	hosts := make([]*host, n)
+	for i := range hosts {
+		hosts[i] = c.start(fmt.Sprintf("host-%03d", i), "")
+	}
+	c.awaitLive(hosts, n)
+	time.Sleep(2 * time.Second)
+
+	before, cpu := c.traffic(hosts), cpuTime()
+	start := time.Now()
+	time.Sleep(scaleWindow)
+	elapsed := time.Since(start).Seconds()
+	used := (cpuTime() - cpu).Seconds()
+	var total, most float64
+	for i, after := range c.traffic(hosts) {
+		rate := float64(after-before[i]) / elapsed
+		total, most = total+rate, max(most, rate)
+	}
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+
+	start = time.Now()
+	_, _ = hosts[0].fleet.Propose(testContext(t), withdrawKey("k2"), ProposeOptions{})
+	proposed := time.Since(start)
+	c.g.Eventually(func() bool { return all(hosts, func(h *host) bool { return h.fleet.Withdrawn("k2") }) },
+		scaleLimit, 5*time.Millisecond).Should(BeTrue())
+
+	hosts[n-1].stop()
+	start = time.Now()
+	c.awaitLive(hosts[:n-1], n-1)
+	gone := time.Since(start)
+
+	revision := hosts[0].fleet.Index().Document().Revision
+	for _, h := range hosts {
+		h.stop()
+	}
+	start = time.Now()
+	for i, h := range hosts {
+		hosts[i] = c.start(h.fleet.Self().HostID, h.address)
+	}
+	c.awaitLive(hosts, n)
+	c.awaitMembers(hosts, min(n, MaxMembers))
+	t.Logf("hosts %d: %.0f B/s per host, %.0f B/s at the busiest (sent and received), CPU %.4f s/s per host, heap %.2f MB per host, "+
+		"withdrawal in force on all %v, killed host gone everywhere %v, herd restart %v with %d revisions",
+		n, total/float64(n), most, used/elapsed/float64(n), float64(memory.HeapAlloc)/float64(n)/1e6,
+		proposed.Round(time.Millisecond), gone.Round(time.Millisecond), time.Since(start).Round(time.Millisecond),
+		hosts[0].fleet.Index().Document().Revision-revision)
+}
+
+func all(hosts []*host, holds func(*host) bool) bool {
+	for _, h := range hosts {
+		if !holds(h) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitLive waits until each host is fresh and sees exactly n live hosts, all fresh.
+func (c *cluster) awaitLive(hosts []*host, n int) {
+	c.t.Helper()
+	c.g.Eventually(func() bool {
+		return all(hosts, func(h *host) bool { return h.fleet.Fresh() && liveFresh(h) == n })
+	}, scaleLimit, 20*time.Millisecond).Should(BeTrue())
+}
+
+func liveFresh(h *host) int {
+	live := 0
+	for _, s := range h.fleet.Hosts() {
+		if s.Live && s.Fresh {
+			live++
+		} else if s.Live {
+			return -1
+		}
+	}
+	return live
+}
+
+// awaitMembers waits until a revision lists n running incarnations on all hosts.
+func (c *cluster) awaitMembers(hosts []*host, n int) {
+	c.t.Helper()
+	running := map[config.Member]bool{}
+	for _, h := range hosts {
+		running[h.fleet.Self()] = true
+	}
+	c.g.Eventually(func() bool {
+		return all(hosts, func(h *host) bool {
+			listed := 0
+			for _, m := range h.fleet.Index().Document().Members {
+				if running[m] {
+					listed++
+				}
+			}
+			return listed == n
+		})
+	}, scaleLimit, 20*time.Millisecond).Should(BeTrue())
+}
+
+func (c *cluster) traffic(hosts []*host) []uint64 {
+	bytes := make([]uint64, len(hosts))
+	for i, h := range hosts {
+		bytes[i] = h.traffic.Sent() + h.traffic.Received()
+	}
+	return bytes
+}
+
+// cpuTime returns the processor time of this process.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -37,6 +37,8 @@
 	// LocalIP is the source address of connections, so that firewalls between hosts
 	// can be strict; the zero address leaves the choice to the system.
 	LocalIP netip.Addr
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *Traffic
 	// Logger may be nil.
 	Logger hclog.Logger
 }
@@ -229,6 +231,7 @@
 	if err != nil {
 		return errors.Wrap(err, "dial")
 	}
+	raw = c.options.Traffic.count(raw)
 	stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
 	defer stop()
 	defer func() { _ = raw.Close() }()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -24,6 +24,8 @@
 type ServerOptions struct {
 	Self        Peer
 	Credentials *Credentials
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *Traffic
 	// Logger may be nil.
 	Logger hclog.Logger
 }
@@ -98,7 +100,7 @@
 		}
 		running.Go(func() {
 			defer s.remove(conn)
-			s.serveConn(ctx, conn)
+			s.serveConn(ctx, s.options.Traffic.count(conn))
 		})
 	}
 }
