Probe a bounded number of hosts in a large fleet

Cause: each host probed each known host every 500 ms. Control traffic grew with the fleet (17 KB/s per host with 9 hosts, 69 KB/s with 35), and with 70 hosts the fleet did not settle within 90 s: more probes were due than the prober runs at once.

Change: above 16 known hosts, members probe each other, at most 50 relays probe members, and the other hosts probe relays, each with a backup parent. Probes and replies carry records of host states (incarnation, version, draining, fresh, dead) as changes since the last exchange; a first contact with a different table transfers it as a whole. The hosts that a host probes watch it and declare it dead when it is silent and fails a probe; a host that learns of its own death raises its version. A random host, dead ones included, is probed every 4 s, so that partitions heal. The decisions are in policy/gossip. Messages encode structs as arrays, and a reply leaves out the member entry if the probe names its hash.

Ruled out: relaying a heartbeat per host (about 2 KB per exchange at 350 hosts, too much for a relay), and random contacts only (9 rounds for 350 hosts, too old for the 3 s deadline).

Not included: revisions of hosts that are not probed directly are not in the records, since each change would send one for every host.

--- /dev/null
+++ b/internal/fleet/bounded_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/config"
+)
+
+// boundedHosts is a fleet in which hosts do not probe all others.
+const boundedHosts = fullProbeHosts + 8
+
+func (c *cluster) startBounded() []*host {
+	c.t.Helper()
+	hosts := make([]*host, boundedHosts)
+	for i := range hosts {
+		hosts[i] = c.start(fmt.Sprintf("host-%02d", i), "")
+	}
+	c.awaitLive(hosts, boundedHosts)
+	c.awaitMembers(hosts, MaxMembers)
+	return hosts
+}
+
+// outsider returns the index of a host that is not a member.
+func outsider(hosts []*host) int {
+	for i, h := range hosts {
+		if !h.fleet.lists(h.fleet.Self()) {
+			return i
+		}
+	}
+	return -1
+}
+
+func drains(h *host, id string) bool {
+	for _, s := range h.fleet.Hosts() {
+		if s.Member.HostID == id {
+			return s.Draining
+		}
+	}
+	return false
+}
+
+// Guards against a draining, dead or restarted host that the hosts which do not probe
+// it go on holding as it was for longer than 2 s, which the locator would pass on.
+func TestHostStatesSpreadInALargeFleet(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startBounded()
+	i := outsider(hosts)
+	self := hosts[i].fleet.Self()
+
+	hosts[i].fleet.SetDraining(true)
+	c.g.Eventually(func() bool {
+		return all(hosts, func(h *host) bool { return drains(h, self.HostID) })
+	}, 2*time.Second, 10*time.Millisecond).Should(BeTrue())
+
+	hosts[i].stop()
+	rest := append(append([]*host{}, hosts[:i]...), hosts[i+1:]...)
+	start := time.Now()
+	c.awaitLive(rest, len(rest))
+	c.g.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
+
+	hosts[i] = c.start(self.HostID, hosts[i].address)
+	c.awaitLive(hosts, len(hosts))
+	c.g.Expect(all(hosts, func(h *host) bool { return !drains(h, self.HostID) })).To(BeTrue())
+}
+
+// Guards against hosts that each side of a partition declared dead and that stay dead
+// after it, and against hosts without the majority that stay fresh in it.
+func TestLargeFleetHealsAfterAPartition(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startBounded()
+	var cut, rest []*host
+	for _, h := range hosts {
+		if len(cut) < 4 && !h.fleet.lists(h.fleet.Self()) {
+			cut = append(cut, h)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	c.setPartitioned(true, cut...)
+	c.awaitLive(rest, len(rest))
+	c.g.Eventually(func() bool { return all(cut, func(h *host) bool { return !h.fleet.Fresh() }) }, testDeadline).Should(BeTrue())
+	_, err := rest[0].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.setPartitioned(false, cut...)
+	c.awaitLive(hosts, len(hosts))
+	for _, h := range hosts {
+		c.g.Expect(h.fleet.Index().Document().Preset).To(Equal(config.PresetPeak))
+	}
+}
--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -20,7 +20,7 @@
 	hostListRole = "router"
 )
 
-// runProber probes the known hosts, at once after a new revision.
+// runProber probes the hosts that are due, at once after a new revision.
 func (f *Fleet) runProber(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(maxParallelCalls)
@@ -35,7 +35,11 @@
 				f.endProbe(target)
 			}
 		}
-		f.sleepJittered(ctx, probeInterval, f.probeNow)
+		if f.bounded() {
+			f.sleepJittered(ctx, boundedTick, nil)
+		} else {
+			f.sleepJittered(ctx, probeInterval, f.probeNow)
+		}
 	}
 }
 
@@ -43,6 +47,10 @@
 func (f *Fleet) probeTargets() []config.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshSelf()
+	if f.boundedLocked() {
+		return f.boundedTargets(f.now())
+	}
 	var targets []config.Member
 	for _, p := range f.peers {
 		if p.probing || p.member.InnerAddress == "" {
@@ -64,16 +72,23 @@
 
 func (f *Fleet) probePeer(ctx context.Context, target config.Member) {
 	defer f.endProbe(target)
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+	message, sentUpTo, timeout := f.newProbe(target)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	reply := &probeReply{}
 	sentAt := f.now()
-	if err := f.options.Caller.Call(ctx, target.InnerAddress, &probe{Sender: f.self}, reply); err != nil {
+	err := f.options.Caller.Call(callCtx, target.InnerAddress, message, reply)
+	cancel()
+	if err != nil {
 		f.log.Debug("probe failed", "host", target.HostID, "error", err)
+		f.noteFailure(target)
 		return
 	}
+	reply.complete(target)
 	f.observe(reply, sentAt)
+	f.completeGossip(reply, sentUpTo)
 	if reply.Report.Applied > f.applied() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
 		f.fetchFrom(ctx, target.InnerAddress)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 )
 
 // Fleet implements View and Proposer.
@@ -38,6 +39,7 @@
 	mu          sync.Mutex
 	state       *freshness.State
 	peers       map[string]*peer
+	gossip      gossipState
 	pendingDocs []*config.Document
 	withdrawals withdrawalLog
 	// older holds incarnations of this host that ended before this process started.
@@ -72,6 +74,7 @@
 		polled:      make(chan struct{}, 1),
 		state:       freshness.New(memberOf(options.Self)),
 		peers:       map[string]*peer{},
+		gossip:      gossipState{table: gossip.NewTable(options.Self)},
 		withdrawals: newWithdrawalLog(),
 		older:       map[string]bool{},
 		random:      rand.New(rand.NewPCG(options.Seed, options.Seed)),
--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -24,15 +24,18 @@
 	f.options.Registry.Handle(wire.TypeSnapshotRequest, f.handleSnapshot)
 }
 
-func (f *Fleet) handleProbe(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+func (f *Fleet) handleProbe(_ context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
 	message := &probe{}
 	if err := request.Decode(message); err != nil {
 		return nil, err
 	}
-	f.mu.Lock()
-	f.noteSender(message.Sender)
-	f.mu.Unlock()
-	return f.selfReply(), nil
+	f.noteProbe(message, from)
+	reply := f.selfReply()
+	if message.Gossip != nil {
+		reply.Gossip = f.answerGossip(message.Gossip, from)
+	}
+	reply.shorten(message.Known)
+	return reply, nil
 }
 
 func (f *Fleet) handlePush(_ context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -6,11 +6,18 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 )
 
 // probe asks a host for its state and tells it about the sender.
 type probe struct {
+	// Sender is zero if the records that were sent include it.
 	Sender config.Member
+	// Known is the hash of the receiver's entry as the sender knows it. The reply
+	// leaves out an entry that has the same hash.
+	Known uint64
+	// Gossip is nil in a small fleet, in which every host probes every other.
+	Gossip *gossip.Request
 }
 
 // probeReply is the state of a host. It also answers a committed message.
@@ -23,6 +30,26 @@
 	EvidenceAge time.Duration
 	// Withdrawals lists withdrawals that no accepted revision contains yet.
 	Withdrawals []withdrawnKey
+	// Gossip answers the records of a probe.
+	Gossip *gossip.Reply
+}
+
+// shorten leaves out what the receiver knows.
+func (r *probeReply) shorten(known uint64) {
+	if known != 0 && known == gossip.MemberHash(r.Member) {
+		r.Member = config.Member{}
+		r.Report.From = freshness.Member{}
+	}
+}
+
+// complete restores what shorten left out. The hash that the probe carried covers the
+// incarnation, so that a later process of the host never answers as the one that the
+// sender knows.
+func (r *probeReply) complete(known config.Member) {
+	if r.Member.HostID == "" {
+		r.Member = known
+		r.Report.From = memberOf(known)
+	}
 }
 
 // withdrawnKey is a withdrawal that was heard before it was accepted. The hash
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -50,6 +50,28 @@
 	// MaxMembers bounds the member list, so that a commit stays cheap in a large
 	// fleet.
 	MaxMembers = 9
+	// fullProbeHosts is the number of known hosts up to which every host probes every
+	// other. Beyond it a host probes few others and learns about the rest from them.
+	fullProbeHosts = 16
+	// parentInterval is the time between the probes of a host that is no member to its
+	// parent. Evidence passes at most two parents: with the members' probe interval
+	// it is less than 1.6 s old, and a lost probe leaves it below the deadline.
+	parentInterval = 400 * time.Millisecond
+	// backupInterval keeps the connection and the table of a backup parent current.
+	backupInterval = 1600 * time.Millisecond
+	// randomInterval is the time between probes of a random host, dead ones included,
+	// so that the sides of a network partition find each other afterwards.
+	randomInterval = 4 * time.Second
+	// boundedTick is the time between looks at which probes are due.
+	boundedTick = 100 * time.Millisecond
+	// suspectAfter is the silence after which a watcher probes a host and declares it
+	// dead if that fails. It covers one lost probe of a parent.
+	suspectAfter = 2*parentInterval + 100*time.Millisecond
+	// backupSuspectAfter leaves the first watcher the time to find out.
+	backupSuspectAfter = 2500 * time.Millisecond
+	// boundedProbeTimeout bounds a probe in a large fleet, so that a dead host is
+	// known everywhere within 2 s.
+	boundedProbeTimeout = 500 * time.Millisecond
 	// maxParallelCalls bounds the concurrent calls of one duty.
 	maxParallelCalls = 32
 )
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 )
 
 // peer is what this host knows of another host.
@@ -22,6 +23,11 @@
 	knownSince time.Time
 	reply      probeReply
 	probing    bool
+	// The rest is used in a large fleet. heardAt is when the host last probed this one
+	// or answered it, dueAt when the next probe is due.
+	heardAt time.Time
+	dueAt   time.Time
+	link    gossip.Link
 }
 
 func (p *peer) live(now time.Time) bool {
@@ -99,7 +105,7 @@
 func (f *Fleet) forgetPeers() {
 	now := f.now()
 	for id, p := range f.peers {
-		if !p.inHostList && !f.listsHost(id) && p.silence(now) > forgetAfter {
+		if !p.inHostList && !f.listsHost(id) && !f.gossip.holdsLive(id) && p.silence(now) > forgetAfter {
 			delete(f.peers, id)
 		}
 	}
@@ -138,8 +144,9 @@
 	now := f.now()
 	if p := f.ensurePeer(reply.Member.HostID); p != nil {
 		p.member = reply.Member
-		p.answeredAt = now
+		p.answeredAt, p.heardAt = now, now
 		p.reply = *reply
+		p.reply.Gossip = nil
 	}
 	f.state.Observe(reply.Report, sentAt, now)
 	f.hearLocked(reply.Withdrawals)
@@ -178,7 +185,9 @@
 	for _, p := range f.peers {
 		reply := p.reply
 		reply.Member = p.member
-		hosts = append(hosts, f.status(&reply, now.Sub(p.answeredAt), p.live(now), p.leaving))
+		status := f.status(&reply, now.Sub(p.answeredAt), p.live(now), p.leaving)
+		f.applyRecord(&status, now)
+		hosts = append(hosts, status)
 	}
 	slices.SortFunc(hosts, func(a, b HostStatus) int { return cmp.Compare(a.Member.HostID, b.Member.HostID) })
 	return hosts
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/pkg/errors"
@@ -31,11 +32,20 @@
 	return errors.Wrapf(msgpack.Unmarshal(r.Body, message), "decode message type %d", r.Type)
 }
 
+// encodeBody encodes structs as arrays: field names made up more than half of the
+// bytes of a probe and its reply. Decoding takes arrays and maps.
 func encodeBody(message Message) ([]byte, error) {
-	body, err := msgpack.Marshal(message)
+	var buffer bytes.Buffer
+	encoder := msgpack.GetEncoder()
+	encoder.Reset(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(message)
+	msgpack.PutEncoder(encoder)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode message type %d", message.WireType())
 	}
+	body := buffer.Bytes()
 	if len(body) > MaxBodyBytes {
 		return nil, errors.Wrapf(ErrFrameLength, "encode message type %d: %d bytes", message.WireType(), len(body))
 	}
