Spread members over zones and list waiting hosts together

Cause: places of the member list went to whichever host asked first, so that one availability zone could hold the majority. Each starting host committed a revision of its own: a herd of 9 made 9 revisions.

Change: policy/membership gives free places to the zone with the fewest members, and replaces a member only while the loss of its zone would leave no majority and the waiting hosts allow a list without such a zone. A host that has a place commits one revision for all waiting hosts that it knows; a member does so if the host has not after 2 s. A change that another host has made already is no longer committed as an empty revision.

Ruled out: commits by members only. After a restart of all hosts no listed process runs, so that a starting host must be able to commit.

--- a/internal/fleet/bounded_test.go
+++ b/internal/fleet/bounded_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/membership"
 )
 
 // boundedHosts is a fleet in which hosts do not probe all others.
@@ -91,3 +92,30 @@
 		c.g.Expect(h.fleet.Index().Document().Preset).To(Equal(config.PresetPeak))
 	}
 }
+
+// Guards against a member list that one availability zone can take the majority from
+// although hosts of other zones wait, and against a list that goes on changing.
+func TestMembersSpreadOverZones(t *testing.T) {
+	c := newCluster(t)
+	var hosts []*host
+	for _, zone := range []string{"a", "b", "c"} {
+		c.zone = zone
+		for i := range MaxMembers {
+			hosts = append(hosts, c.start(fmt.Sprint("host-", zone, i), ""))
+		}
+		c.awaitLive(hosts, len(hosts))
+		if zone == "a" {
+			c.awaitMembers(hosts, MaxMembers)
+		}
+	}
+	c.g.Eventually(func() bool {
+		zones := map[string]int{}
+		for _, m := range hosts[0].fleet.Index().Document().Members {
+			zones[m.Zone]++
+		}
+		return max(zones["a"], zones["b"], zones["c"]) <= membership.Tolerance(MaxMembers)
+	}, testDeadline, 20*time.Millisecond).Should(BeTrue())
+	settled := hosts[0].fleet.Index().Document().Revision
+	c.g.Consistently(func() uint64 { return hosts[0].fleet.Index().Document().Revision },
+		2*placeAfter, 100*time.Millisecond).Should(Equal(settled))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,6 +47,9 @@
 	subscribers []func()
 	random      *rand.Rand
 	store       storeView
+	// placesDueSince is when this host, a member, first saw that places of the member
+	// list are due to change; zero if they are not.
+	placesDueSince time.Time
 	// hostListAt is when the host list was last read.
 	hostListAt time.Time
 	snapshots  snapshots
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	version uint64
+	reads   int
 	down    bool
 	// loseCommits is the number of coming commits that take effect, or meet a conflict,
 	// without answer.
@@ -56,6 +57,7 @@
 func (s *fakeStore) Get(_ context.Context, table, key string) (platform.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return platform.Row{}, platform.ErrUnavailable
 	}
@@ -101,6 +103,7 @@
 func (s *fakeStore) Scan(_ context.Context, table, prefix string, after uint64, limit int) ([]platform.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.down {
 		return nil, platform.ErrUnavailable
 	}
@@ -180,6 +183,15 @@
 	hostList    map[string]string
 	partitioned map[string]bool // by address
 	incarnation int
+	// zone is the availability zone of the hosts that are started next.
+	zone string
+}
+
+// readCount returns the number of reads of the store so far.
+func (s *fakeStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
 }
 
 // host is one running host.
@@ -266,7 +278,7 @@
 		level = hclog.Debug
 	}
 	f, err := New(Options{
-		Self:     config.Member{HostID: id, Incarnation: incarnation, InnerAddress: address},
+		Self:     config.Member{HostID: id, Incarnation: incarnation, InnerAddress: address, Zone: c.zone},
 		Store:    hostStore{c.store, func() bool { return c.isPartitioned(address) }},
 		HostList: fakeHostList{c}, Caller: cutCaller{client, c, address}, Registry: server,
 		Logger: hclog.New(&hclog.LoggerOptions{Name: id, Level: level, Output: os.Stderr}),
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -38,6 +38,8 @@
 	// resolveAfter is the age of a pending push, or of a withdrawal that no accepted
 	// revision contains, after which a member commits a revision that settles it.
 	resolveAfter = 2 * time.Second
+	// placeAfter is how long a member leaves a place to the host that is to take it.
+	placeAfter = 2 * time.Second
 	// removeAfter is the silence after which a member that the host list does not
 	// name is removed.
 	removeAfter = 5 * time.Second
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -45,11 +45,12 @@
 	c.awaitLive(hosts, n)
 	time.Sleep(2 * time.Second)
 
-	before, cpu := c.traffic(hosts), cpuTime()
+	before, cpu, reads := c.traffic(hosts), cpuTime(), c.store.readCount()
 	start := time.Now()
 	time.Sleep(scaleWindow)
 	elapsed := time.Since(start).Seconds()
 	used := (cpuTime() - cpu).Seconds()
+	readRate := float64(c.store.readCount()-reads) / elapsed
 	var total, most float64
 	for i, after := range c.traffic(hosts) {
 		rate := float64(after-before[i]) / elapsed
@@ -81,8 +82,8 @@
 	c.awaitLive(hosts, n)
 	c.awaitMembers(hosts, min(n, MaxMembers))
 	t.Logf("hosts %d: %.0f B/s per host, %.0f B/s at the busiest (sent and received), CPU %.4f s/s per host, heap %.2f MB per host, "+
-		"withdrawal in force on all %v, killed host gone everywhere %v, herd restart %v with %d revisions",
-		n, total/float64(n), most, used/elapsed/float64(n), float64(memory.HeapAlloc)/float64(n)/1e6,
+		"%.1f store reads/s, withdrawal in force on all %v, killed host gone everywhere %v, herd restart %v with %d revisions",
+		n, total/float64(n), most, used/elapsed/float64(n), float64(memory.HeapAlloc)/float64(n)/1e6, readRate,
 		proposed.Round(time.Millisecond), gone.Round(time.Millisecond), time.Since(start).Round(time.Millisecond),
 		hosts[0].fleet.Index().Document().Revision-revision)
 }
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -41,12 +41,16 @@
 	}
 }
 
-// repairStep is a part of an upkeep change.
+// repairStep is a part of an upkeep change. Mutate returns false if the document needs
+// no change.
 type repairStep struct {
 	summary string
-	mutate  func(*config.Document)
+	mutate  func(*config.Document) bool
 }
 
+// errNothingDue means that another host has made the change.
+var errNothingDue = errors.New("no upkeep change is due")
+
 // repair commits one change with all repairs that are due.
 func (f *Fleet) repair(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, upkeepTimeout)
@@ -60,12 +64,19 @@
 		summaries = append(summaries, s.summary)
 	}
 	mutate := func(d *config.Document) error {
+		due := false
 		for _, s := range steps {
-			s.mutate(d)
+			due = s.mutate(d) || due
+		}
+		if !due {
+			return errNothingDue
 		}
 		return nil
 	}
 	p, err := f.commit(ctx, mutate, ProposeOptions{Operator: upkeepOperator, Summary: strings.Join(summaries, ", ")})
+	if errors.Is(err, errNothingDue) {
+		return nil
+	}
 	if err != nil {
 		return errors.Wrap(err, "upkeep")
 	}
@@ -86,14 +97,14 @@
 	d := x.Document()
 	var steps []repairStep
 	listed := f.lists(f.self)
-	if !listed && f.shouldJoin(d) {
-		steps = append(steps, repairStep{"join " + f.self.HostID, f.joinMutation})
+	if waiting := f.waitingHosts(d, now); f.placesDue(d, waiting, listed, now) {
+		steps = append(steps, repairStep{"join " + f.self.HostID, f.placeMutation(waiting)})
 	}
 	if !listed {
 		return steps
 	}
 	if since, ok := f.state.OldestPending(); ok && now.Sub(since) > resolveAfter {
-		steps = append(steps, repairStep{"resolve a pending push", func(*config.Document) {}})
+		steps = append(steps, repairStep{"resolve a pending push", func(*config.Document) bool { return true }})
 	}
 	if since, ok := f.withdrawals.oldest(); ok && now.Sub(since) > resolveAfter {
 		steps = append(steps, repairStep{"accept withdrawals", withdrawMutation(f.withdrawals.list())})
@@ -104,25 +115,6 @@
 	return steps
 }
 
-// shouldJoin reports whether this host has a place in the member list. A listed
-// incarnation that is newer means that this process has been replaced.
-func (f *Fleet) shouldJoin(d *config.Document) bool {
-	for _, m := range d.Members {
-		if m.HostID == f.self.HostID {
-			return f.isOlder(m.Incarnation)
-		}
-	}
-	return len(d.Members) < MaxMembers && !f.draining.Load()
-}
-
-// joinMutation lists this process in place of an older one of the same host.
-func (f *Fleet) joinMutation(d *config.Document) {
-	d.Members = slices.DeleteFunc(d.Members, func(m config.Member) bool { return m.HostID == f.self.HostID })
-	if len(d.Members) < MaxMembers {
-		d.Members = append(d.Members, f.self)
-	}
-}
-
 // goneMembers returns members that the host list does not name and that are silent.
 func (f *Fleet) goneMembers(d *config.Document, now time.Time) []string {
 	if f.options.HostList == nil || f.hostListAt.IsZero() || now.Sub(f.hostListAt) > 2*hostListInterval {
@@ -138,16 +130,19 @@
 	return gone
 }
 
-func removeMutation(gone []string) func(*config.Document) {
-	return func(d *config.Document) {
+func removeMutation(gone []string) func(*config.Document) bool {
+	return func(d *config.Document) bool {
+		before := len(d.Members)
 		d.Members = slices.DeleteFunc(d.Members, func(m config.Member) bool { return slices.Contains(gone, m.HostID) })
+		return len(d.Members) < before
 	}
 }
 
-func withdrawMutation(keys []withdrawnKey) func(*config.Document) {
-	return func(d *config.Document) {
+func withdrawMutation(keys []withdrawnKey) func(*config.Document) bool {
+	return func(d *config.Document) bool {
 		d.ClientKeys = slices.DeleteFunc(d.ClientKeys, func(c config.ClientKey) bool {
 			return slices.ContainsFunc(keys, func(k withdrawnKey) bool { return k.matches(c) })
 		})
+		return true
 	}
 }
