--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -14,15 +14,15 @@
 
 // Member is one process that counts for a majority.
 type Member struct {
-	HostID      string
-	Incarnation string
+	HostID      string `msgpack:"h,omitempty"`
+	Incarnation string `msgpack:"i,omitempty"`
 }
 
 // Attempt is one try to commit a revision. Racing proposers push different
 // attempts for the same revision.
 type Attempt struct {
-	Revision uint64
-	ID       string
+	Revision uint64 `msgpack:"r,omitempty"`
+	ID       string `msgpack:"i,omitempty"`
 }
 
 // maxPending bounds the pending attempts. Further pushes are not acknowledged,
@@ -48,23 +48,23 @@
 // Evidence is evidence as a host reports it.
 type Evidence struct {
 	// Known is false if the host has no evidence of this kind.
-	Known bool
+	Known bool `msgpack:"k,omitempty"`
 	// Age is the age when the report was made.
-	Age time.Duration
+	Age time.Duration `msgpack:"a,omitempty"`
 	// Excused lists pending attempts that the evidence does not cover.
-	Excused []Attempt
+	Excused []Attempt `msgpack:"e,omitempty"`
 }
 
 // Report is a host's answer to a probe.
 type Report struct {
-	From    Member
-	Applied uint64
+	From    Member `msgpack:"f,omitempty"`
+	Applied uint64 `msgpack:"a,omitempty"`
 	// Pending lists the acknowledged attempts above Applied. Together with Applied
 	// it is what the host reports as known.
-	Pending []Attempt
+	Pending []Attempt `msgpack:"p,omitempty"`
 	// Full is evidence without exceptions, Conditional may have some.
-	Full        Evidence
-	Conditional Evidence
+	Full        Evidence `msgpack:"u,omitempty"`
+	Conditional Evidence `msgpack:"c,omitempty"`
 }
 
 // heard is the newest answer of a member, by the time its probe was sent.
