Let no request wait for the first copy of a process

Cause: the deadline of the first copy came from a guessed size, so that on a slow machine (seen under the race detector) the export of a block above the bound ran into the deadline before its size was known. Each further hot prefix would have tried it again, with a request waiting for it.

Change: the first copy has time for the largest block, and requests do not wait for it. The tests wait for the counters instead of the channel, and check that no channel is given for the first copy.

Ruled out: a longer deadline alone, for which the request would wait 1.5 s.

--- a/internal/kvcopy/kvcopy.go
+++ b/internal/kvcopy/kvcopy.go
@@ -127,9 +127,11 @@
 		m.running[c.Key()] = j
 		m.totals.Started++
 		m.jobs <- j // has room: see New
-		return j.done, limit
+		if !c.First {
+			return j.done, limit
+		}
 	case policy.Running:
-		if j := m.running[c.Key()]; j != nil {
+		if j := m.running[c.Key()]; j != nil && !j.copy.First {
 			return j.done, time.Until(j.deadline)
 		}
 	}
--- a/policy/kvcopy/kvcopy.go
+++ b/policy/kvcopy/kvcopy.go
@@ -29,9 +29,6 @@
 	farOverhead = 0.032
 	// defaultRate in bytes per second is assumed for an engine until one is measured.
 	defaultRate = 50e6
-	// defaultBytesPerToken is assumed until it is measured, for the deadline of the
-	// first copy. It is no ground to use the link between regions.
-	defaultBytesPerToken = 1024
 	// learningRate weighs a new sample.
 	learningRate = 0.2
 	// retryAfter is the pause after a failed copy of a prefix to a target.
@@ -69,6 +66,8 @@
 	// Blocks follow each other in the chain.
 	Blocks              []prefix.BlockHash
 	Source, Destination End
+	// First says that the copy only measures: no request should wait for it.
+	First bool
 	// Predicted is the expected duration.
 	Predicted time.Duration
 }
@@ -188,7 +187,7 @@
 	}
 	if p.bytesPerToken == 0 {
 		// The first copy only measures the size of a block and the rates.
-		c.Blocks = c.Blocks[:1]
+		c.Blocks, c.First = c.Blocks[:1], true
 	}
 	if v := p.worth(o, c, link, now); v != Start {
 		return nil, v
@@ -208,7 +207,7 @@
 	}
 	perToken := p.bytesPerToken
 	if perToken == 0 {
-		perToken = defaultBytesPerToken
+		perToken = p.limits.BlockBytes / blockTokens // so that the first copy has time for any block
 	}
 	if perToken*blockTokens > p.limits.BlockBytes {
 		return Large
