Count only the runs of one check in TestNotRunOfCompletionsIsTrue

Seen once in a run of scripts/test: 'not_run, but it ran' for an engine that refused everything (drawn: RefuseNotRun, draining), and rapid could not reproduce it. Such an engine can't have run the request, so the run that the counter showed was of an earlier check, whose connection had been dropped before its prefill began.

Change: each check waits until no request runs or waits at the engine before it reads the counter. What is checked stays the same.

The cause follows from the drawn values and has not been seen directly.

--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -475,6 +476,8 @@
 			{DropAfterBytes: rapid.IntRange(1, 900).Draw(t, "byte")},
 		}).Draw(t, "engine"))
 		f.engine.SetDraining(rapid.IntRange(0, 4).Draw(t, "draining") == 0)
+		// A request of an earlier check whose connection was dropped may begin late.
+		NewWithT(t).Eventually(func() bool { return engineIsIdle(f.engine) }).Should(BeTrue())
 		before := f.engine.Counters().Runs
 		body := strings.Replace(streamBody, "true", fmt.Sprint(rapid.Bool().Draw(t, "stream")), 1)
 		r := f.do("POST", "/v1/completions", clubKey, body)
@@ -488,6 +491,14 @@
 	})
 }
 
+// engineIsIdle reports whether no request runs or waits at the engine.
+func engineIsIdle(e *engine.Engine) bool {
+	response := httptest.NewRecorder()
+	e.ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/v1/load", nil))
+	var load struct{ Running, Waiting int }
+	return json.Unmarshal(response.Body.Bytes(), &load) == nil && load.Running == 0 && load.Waiting == 0
+}
+
 // Guards against a ring that reorders, loses or piles up events.
 func TestRingKeepsOrderAndBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
