--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -471,13 +471,14 @@
 func TestNotRunOfCompletionsIsTrue(t *testing.T) {
 	f := newFixture(t, nil)
 	rapid.Check(t, func(t *rapid.T) {
+		// A request of an earlier check whose connection was dropped may begin late.
+		f.engine.SetFaults(engine.Faults{})
+		NewWithT(t).Eventually(func() bool { return engineIsIdle(f.engine) }).Should(BeTrue())
 		f.engine.SetFaults(rapid.SampledFrom([]engine.Faults{
 			{}, {RefuseNotRun: true}, {DropAfterBytes: -1}, {DropAfterTokens: 2}, {WrongID: true}, {CrashAfterTokens: 1},
 			{DropAfterBytes: rapid.IntRange(1, 900).Draw(t, "byte")},
 		}).Draw(t, "engine"))
 		f.engine.SetDraining(rapid.IntRange(0, 4).Draw(t, "draining") == 0)
-		// A request of an earlier check whose connection was dropped may begin late.
-		NewWithT(t).Eventually(func() bool { return engineIsIdle(f.engine) }).Should(BeTrue())
 		before := f.engine.Counters().Runs
 		body := strings.Replace(streamBody, "true", fmt.Sprint(rapid.Bool().Draw(t, "stream")), 1)
 		r := f.do("POST", "/v1/completions", clubKey, body)
