--- a/internal/fleet/duties.go
+++ b/internal/fleet/duties.go
@@ -20,7 +20,7 @@
 	hostListRole = "router"
 )
 
-// runProber probes the known hosts, at once after a new revision.
+// runProber probes the hosts that are due, at once after a new revision.
 func (f *Fleet) runProber(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(maxParallelCalls)
@@ -35,7 +35,11 @@
 				f.endProbe(target)
 			}
 		}
-		f.sleepJittered(ctx, probeInterval, f.probeNow)
+		if f.bounded() {
+			f.sleepJittered(ctx, boundedTick, nil)
+		} else {
+			f.sleepJittered(ctx, probeInterval, f.probeNow)
+		}
 	}
 }
 
@@ -43,6 +47,10 @@
 func (f *Fleet) probeTargets() []config.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshSelf()
+	if f.boundedLocked() {
+		return f.boundedTargets(f.now())
+	}
 	var targets []config.Member
 	for _, p := range f.peers {
 		if p.probing || p.member.InnerAddress == "" {
@@ -64,16 +72,23 @@
 
 func (f *Fleet) probePeer(ctx context.Context, target config.Member) {
 	defer f.endProbe(target)
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
+	message, sentUpTo, timeout := f.newProbe(target)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	reply := &probeReply{}
 	sentAt := f.now()
-	if err := f.options.Caller.Call(ctx, target.InnerAddress, &probe{Sender: f.self}, reply); err != nil {
+	err := f.options.Caller.Call(callCtx, target.InnerAddress, message, reply)
+	cancel()
+	if err != nil {
 		f.log.Debug("probe failed", "host", target.HostID, "error", err)
+		f.noteFailure(target)
 		return
 	}
+	reply.complete(target)
 	f.observe(reply, sentAt)
+	f.completeGossip(reply, sentUpTo)
 	if reply.Report.Applied > f.applied() {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
 		f.fetchFrom(ctx, target.InnerAddress)
 	}
 }
@@ -102,19 +117,38 @@
 	f.apply(d, "peer")
 }
 
-// runStorePoller reads the current row until ctx ends. The interval counts from the
-// start of a read, as the age of the evidence does: with a store that takes 1 s for a
-// read, a full pause after each would bring the age close to the freshness deadline.
+// runStorePoller reads the current row when a read is due, until ctx ends.
 func (f *Fleet) runStorePoller(ctx context.Context) {
 	for ctx.Err() == nil {
-		started := f.now()
+		if f.reliesOnPeers() {
+			f.sleepJittered(ctx, storeCheckInterval, nil)
+			continue
+		}
 		if err := f.pollStore(ctx); err != nil && ctx.Err() == nil {
 			f.log.Debug("store poll failed", "error", err)
 		}
-		f.sleepJittered(ctx, max(storeInterval-f.now().Sub(started), minStorePause), nil)
+		f.sleepJittered(ctx, storeInterval, nil)
 	}
 }
 
+// reliesOnPeers reports whether this host needs no read of the store now. In a large
+// fleet a host that is no member lives on relayed evidence and reads the store only
+// now and then, when its evidence is old, or when it is to change the member list.
+func (f *Fleet) reliesOnPeers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	x := f.index.Load()
+	if x == nil || !f.boundedLocked() || f.lists(f.self) {
+		return false
+	}
+	if now.Sub(f.state.EvidenceAt()) > relayedEvidenceBound || now.Sub(f.store.polledAt) > outsiderStoreInterval {
+		return false
+	}
+	d := x.Document()
+	return !f.placesDue(d, f.waitingHosts(d, now), false, now)
+}
+
 // pollStore scans for a change of the current row since the last version seen, so
 // that an unchanged document is not transferred again. An empty result proves that
 // the last revision seen is still the newest.
@@ -123,8 +157,9 @@
 	defer cancel()
 	f.mu.Lock()
 	seen := f.store
-	f.mu.Unlock()
 	sentAt := f.now()
+	f.store.polledAt = sentAt
+	f.mu.Unlock()
 	if seen.version == 0 {
 		_, _, err := f.readCurrent(ctx)
 		return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 )
 
 // Fleet implements View and Proposer.
@@ -40,6 +41,7 @@
 	mu          sync.Mutex
 	state       *freshness.State
 	peers       map[string]*peer
+	gossip      gossipState
 	pendingDocs []*config.Document
 	withdrawals withdrawalLog
 	// older holds incarnations of this host that ended before this process started.
@@ -47,6 +49,9 @@
 	subscribers []func()
 	random      *rand.Rand
 	store       storeView
+	// placesDueSince is when this host, a member, first saw that places of the member
+	// list are due to change; zero if they are not.
+	placesDueSince time.Time
 	// hostListAt is when the host list was last read.
 	hostListAt time.Time
 	snapshots  snapshots
@@ -54,6 +59,8 @@
 
 // storeView is what the store poller last saw.
 type storeView struct {
+	// polledAt is when the last poll was sent, readAt when the last that succeeded was.
+	polledAt time.Time
 	readAt   time.Time
 	version  uint64
 	revision uint64
@@ -74,6 +81,7 @@
 		polled:      make(chan struct{}, 1),
 		state:       freshness.New(memberOf(options.Self)),
 		peers:       map[string]*peer{},
+		gossip:      gossipState{table: gossip.NewTable(options.Self)},
 		withdrawals: newWithdrawalLog(),
 		older:       map[string]bool{},
 		random:      rand.New(rand.NewPCG(options.Seed, options.Seed)),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -200,7 +200,6 @@
 	if h.options.Settings.KVCopies {
 		h.copies, err = kvcopy.New(kvcopy.Options{
 			Engines: engines, View: h.dispatcher, Target: h.targetByID, Logger: h.logger.Named("kvcopy"),
-			Observe: newObserver(h.options.Telemetry).copyEnded,
 		})
 		if err != nil {
 			return err
