--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -24,13 +24,9 @@
 // minimumTie in seconds is below any difference that a caller notices.
 const minimumTie = 0.002
 
-// The price of a computation is idlePrice of the knob while no target has a queue and
-// grows with the square of the mean queue, in units of busyQueue seconds: an ordinary
-// queue must not keep a hot prefix from its second home, and an overload must.
-const (
-	idlePrice = 0.5
-	busyQueue = 0.15
-)
+// queueUnit in seconds is about the time that a queued request takes, so that a queue
+// divided by it is the number of requests that a computation delays.
+const queueUnit = 0.1
 
 // longQueue in seconds bounds what one target adds to the mean queue, so that a single
 // hot target does not look like an overload of all.
@@ -158,8 +154,7 @@
 	}
 	p.price = p.knobs.RecomputeWeight
 	if count > 0 {
-		busy := sum / float64(count) / busyQueue
-		p.price *= idlePrice + busy*busy
+		p.price *= 1 + sum/float64(count)/queueUnit
 	}
 }
 
