--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -33,14 +33,20 @@
 	}
 	lowest, highest := 0.0, 0.0
 	for i, r := range results {
-		points := make(plotter.XYs, len(r.Accounts))
+		var points plotter.XYs
 		offset := (float64(i) - float64(len(results)-1)/2) / float64(len(results)+1)
 		for j, a := range r.Accounts {
-			points[j] = plotter.XY{X: float64(j) + offset, Y: max(1, a.TTFTP99Ms)}
-			highest = max(highest, points[j].Y)
-			if lowest == 0 || points[j].Y < lowest {
-				lowest = points[j].Y
+			if a.TTFTP99Ms == 0 {
+				continue // no request of the account was completed
 			}
+			points = append(points, plotter.XY{X: float64(j) + offset, Y: a.TTFTP99Ms})
+			highest = max(highest, a.TTFTP99Ms)
+			if lowest == 0 || a.TTFTP99Ms < lowest {
+				lowest = a.TTFTP99Ms
+			}
+		}
+		if len(points) == 0 {
+			continue
 		}
 		scatter, err := plotter.NewScatter(points)
 		if err != nil {
@@ -50,6 +56,9 @@
 		p.Add(scatter)
 		p.Legend.Add(r.Policy, scatter)
 	}
+	if highest == 0 {
+		return errors.New("no request was completed")
+	}
 	const margin = 2
 	p.Y.Min, p.Y.Max = lowest/margin, highest*margin*margin
 	p.X.Min, p.X.Max = -0.6, float64(len(names))-0.4
