Ask hosts of a large fleet again to confirm a revision

Cause: a host that missed the message about a change gets it from its parents, but the proposer does not probe it, and reported it as expired after the deadline.

Small fleets still learn of it by their probes.

--- a/internal/fleet/bounded_test.go
+++ b/internal/fleet/bounded_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// Guards against a host that missed the message about a change and is then reported as
+// expired, or delays the report by the deadline, although it has applied the change.
+func TestHostThatMissedAChangeConfirmsIt(t *testing.T) {
+	c := newCluster(t)
+	hosts := c.startBounded()
+	missing := hosts[outsider(hosts)]
+	c.setPartitioned(true, missing)
+	time.AfterFunc(500*time.Millisecond, func() { c.setPartitioned(false, missing) })
+	start := time.Now()
+	report, err := hosts[outsider(hosts)+1].fleet.Propose(testContext(t), setPreset(config.PresetPeak), ProposeOptions{})
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(time.Since(start)).To(BeNumerically("<", DefaultFreshnessDeadline))
+	c.g.Expect(report.Confirmed).To(HaveLen(boundedHosts))
+}
+
 // Guards against a member list that one availability zone can take the majority from
 // although hosts of other zones wait, and against a list that goes on changing.
 func TestMembersSpreadOverZones(t *testing.T) {
--- a/internal/fleet/inforce.go
+++ b/internal/fleet/inforce.go
@@ -11,10 +11,15 @@
 // inForceInterval is the time between looks at the hosts' confirmations.
 const inForceInterval = 20 * time.Millisecond
 
+// confirmInterval is the time between questions to hosts of a large fleet that have not
+// confirmed a revision; probes reach only a few of them.
+const confirmInterval = probeInterval
+
 // awaitInForce tells all hosts about an accepted revision and waits until each has
 // confirmed it or is stale.
 func (f *Fleet) awaitInForce(ctx context.Context, p *proposal) InForce {
 	f.spreadCommitted(ctx, p)
+	spreadAt := f.now()
 	ticker := time.NewTicker(inForceInterval)
 	defer ticker.Stop()
 	for {
@@ -25,6 +30,10 @@
 		if p.forced && f.now().After(f.expiry(p)) {
 			return report
 		}
+		if f.bounded() && f.now().Sub(spreadAt) > confirmInterval {
+			spreadAt = f.now()
+			f.spread(ctx, f.addressesOf(report.Pending), &committed{Attempt: p.attempt}, f.observeAnswer)
+		}
 		select {
 		case <-ctx.Done():
 			return report
@@ -34,9 +43,24 @@
 }
 
 func (f *Fleet) spreadCommitted(ctx context.Context, p *proposal) {
-	f.spread(ctx, f.peerAddresses(), &committed{Attempt: p.attempt}, func(_ string, reply *probeReply, sentAt time.Time) {
-		f.observe(reply, sentAt)
-	})
+	f.spread(ctx, f.peerAddresses(), &committed{Attempt: p.attempt}, f.observeAnswer)
+}
+
+func (f *Fleet) observeAnswer(_ string, reply *probeReply, sentAt time.Time) {
+	f.observe(reply, sentAt)
+}
+
+// addressesOf returns the addresses of the peers among the hosts.
+func (f *Fleet) addressesOf(hostIDs []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for _, id := range hostIDs {
+		if p := f.peers[id]; p != nil && p.member.InnerAddress != "" {
+			addresses = append(addresses, p.member.InnerAddress)
+		}
+	}
+	return addresses
 }
 
 // expiry is the time from which no host without the revision is fresh.
