--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -52,8 +52,6 @@
 	limit    queue.Limit
 	// prefillWaiters counts requests that wait for another one's prefill.
 	prefillWaiters int
-	// ejections counts how often the target was ejected.
-	ejections uint64
 }
 
 func newLane(targetID string, k *preset.Knobs) *lane {
@@ -134,7 +132,7 @@
 	lane     *lane
 	waiter   *waiter
 	itemID   uint64
-	prefill  chan struct{}
+	prefill  <-chan struct{}
 	computes uint64
 	patience time.Duration
 }
@@ -181,6 +179,9 @@
 		l.prefillWaiters++
 		return queued{lane: l, prefill: waiting, computes: decision.WaitFor, patience: time.Duration(decision.Predicted*float64(time.Second)) + prefillGrace}, nil
 	}
+	if step, ok := d.offerCopy(r, &decision, l, mayWait, now); ok {
+		return step, nil
+	}
 	w := &waiter{flight: d.router.Begin(query, decision, now), over: r.over, answer: make(chan answer, 1)}
 	d.nextItem++
 	item := queue.Item[*waiter]{
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -12,26 +12,26 @@
 // probe asks a host for its state and tells it about the sender.
 type probe struct {
 	// Sender is zero if the records that were sent include it.
-	Sender config.Member
+	Sender config.Member `msgpack:"s,omitempty"`
 	// Known is the hash of the receiver's entry as the sender knows it. The reply
 	// leaves out an entry that has the same hash.
-	Known uint64
+	Known uint64 `msgpack:"k,omitempty"`
 	// Gossip is nil in a small fleet, in which every host probes every other.
-	Gossip *gossip.Request
+	Gossip *gossip.Request `msgpack:"g,omitempty"`
 }
 
 // probeReply is the state of a host. It also answers a committed message.
 type probeReply struct {
-	Member      config.Member
-	Report      freshness.Report
-	Draining    bool
-	Fresh       bool
-	HasEvidence bool
-	EvidenceAge time.Duration
+	Member      config.Member    `msgpack:"m,omitempty"`
+	Report      freshness.Report `msgpack:"r"`
+	Draining    bool             `msgpack:"d,omitempty"`
+	Fresh       bool             `msgpack:"f,omitempty"`
+	HasEvidence bool             `msgpack:"e,omitempty"`
+	EvidenceAge time.Duration    `msgpack:"a,omitempty"`
 	// Withdrawals lists withdrawals that no accepted revision contains yet.
-	Withdrawals []withdrawnKey
+	Withdrawals []withdrawnKey `msgpack:"w,omitempty"`
 	// Gossip answers the records of a probe.
-	Gossip *gossip.Reply
+	Gossip *gossip.Reply `msgpack:"g,omitempty"`
 }
 
 // shorten leaves out what the receiver knows.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -32,22 +32,20 @@
 	return errors.Wrapf(msgpack.Unmarshal(r.Body, message), "decode message type %d", r.Type)
 }
 
-// encodeBody encodes structs as arrays: field names made up more than half of the
-// bytes of a probe and its reply. Decoding takes arrays and maps.
-func encodeBody(message Message) ([]byte, error) {
-	var buffer bytes.Buffer
+// Encode packs the body of a message, with integers in as few bytes as they need.
+// Structs keep their field names: the decoder refuses a struct packed as an array if
+// its number of fields differs, so that hosts of two versions could not talk.
+func Encode(message Message) ([]byte, error) {
 	encoder := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(encoder)
+	var buffer bytes.Buffer
 	encoder.Reset(&buffer)
-	encoder.UseArrayEncodedStructs(true)
 	encoder.UseCompactInts(true)
-	err := encoder.Encode(message)
-	msgpack.PutEncoder(encoder)
-	if err != nil {
+	if err := encoder.Encode(message); err != nil {
 		return nil, errors.Wrapf(err, "encode message type %d", message.WireType())
 	}
-	body := buffer.Bytes()
-	if len(body) > MaxBodyBytes {
-		return nil, errors.Wrapf(ErrFrameLength, "encode message type %d: %d bytes", message.WireType(), len(body))
+	if buffer.Len() > MaxBodyBytes {
+		return nil, errors.Wrapf(ErrFrameLength, "encode message type %d: %d bytes", message.WireType(), buffer.Len())
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
--- a/policy/gossip/exchange.go
+++ b/policy/gossip/exchange.go
@@ -11,21 +11,21 @@
 type Request struct {
 	// Epoch and After name the state of the receiver's table that the sender has; a
 	// zero Epoch means none.
-	Epoch uint64
-	After uint64
+	Epoch uint64 `msgpack:"e,omitempty"`
+	After uint64 `msgpack:"a,omitempty"`
 	// Sum is the hash of the sender's table.
-	Sum     uint64
-	Records []Record
+	Sum     uint64   `msgpack:"s"`
+	Records []Record `msgpack:"r,omitempty"`
 }
 
 // Reply answers a Request.
 type Reply struct {
-	Epoch uint64
+	Epoch uint64 `msgpack:"e"`
 	// UpTo is the sequence number through which the sender of the request is now
 	// complete.
-	UpTo    uint64
-	Sum     uint64
-	Records []Record
+	UpTo    uint64   `msgpack:"u"`
+	Sum     uint64   `msgpack:"s"`
+	Records []Record `msgpack:"r,omitempty"`
 }
 
 // Link is what a host keeps of its exchanges with one other host. The zero value
--- a/policy/kvcopy/kvcopy.go
+++ b/policy/kvcopy/kvcopy.go
@@ -20,7 +20,7 @@
 const (
 	// maxPredictedShare is the largest share of the saved computation that a copy may
 	// take. Predictions of both are rough, and a copy also occupies the source.
-	maxPredictedShare = 0.5
+	maxPredictedShare = 0.25
 	// minSaved in seconds is below what is worth the calls of a copy.
 	minSaved = 0.02
 	// overhead in seconds is assumed for the calls of a copy besides the transfer.
@@ -29,8 +29,8 @@
 	farOverhead = 0.032
 	// defaultRate in bytes per second is assumed for an engine until one is measured.
 	defaultRate = 50e6
-	// defaultBytesPerToken is assumed until it is measured. It is no ground to use the
-	// link between regions.
+	// defaultBytesPerToken is assumed until it is measured, for the deadline of the
+	// first copy. It is no ground to use the link between regions.
 	defaultBytesPerToken = 1024
 	// learningRate weighs a new sample.
 	learningRate = 0.2
@@ -97,8 +97,8 @@
 	InFlight int
 	// BlockBytes is the largest size of a block that is copied; zero allows none.
 	BlockBytes float64
-	// MinHeat is the number of recent requests for a block, this one included, from
-	// which on reuse is expected.
+	// MinHeat is the number of recent requests for a block, see Planner.Used, from which
+	// on reuse is expected.
 	MinHeat float64
 }
 
@@ -146,6 +146,18 @@
 	LinkShort    Verdict = "the link between regions has no room"
 )
 
+// Used counts a request for the blocks of a chain. It is called for each request, also
+// if its target holds them: otherwise the first request that is sent past the warm
+// target would find its prefix cold and compute it, and no copy would be left to do.
+func (p *Planner) Used(chain []prefix.BlockHash, now time.Time) {
+	for _, block := range chain {
+		p.heat.touch(block, now)
+	}
+}
+
+// BlockBytes returns the measured size of a block; zero before the first export.
+func (p *Planner) BlockBytes() int { return int(p.bytesPerToken * blockTokens) }
+
 // Plan decides on an offer. If the verdict is Start the copy counts as in flight until
 // End, and its bytes are charged to the link. If it is Running, only the Key of the
 // returned copy is that of the one under way.
@@ -156,7 +168,7 @@
 	}
 	hot := o.From
 	for i := o.From; i < to; i++ {
-		if p.heat.touch(o.Chain[i], now) >= p.limits.MinHeat {
+		if p.heat.level(o.Chain[i], now) >= p.limits.MinHeat {
 			hot = i + 1
 		}
 	}
@@ -174,6 +186,10 @@
 		}
 		c.Blocks = o.Chain[o.From:hot]
 	}
+	if p.bytesPerToken == 0 {
+		// The first copy only measures the size of a block and the rates.
+		c.Blocks = c.Blocks[:1]
+	}
 	if v := p.worth(o, c, link, now); v != Start {
 		return nil, v
 	}
@@ -214,7 +230,7 @@
 		}
 		predicted += float64(legs)*farOverhead + float64(onLink)/link.Rate + link.Delay(routing.LinkKVCopy, onLink, now)
 	}
-	if saved < minSaved || predicted > maxPredictedShare*saved {
+	if saved < minSaved || predicted > maxPredictedShare*saved && p.bytesPerToken > 0 {
 		return Slow
 	}
 	if legs > 0 && !link.Allow(routing.LinkKVCopy, onLink, now) {
--- a/policy/prefix/index.go
+++ b/policy/prefix/index.go
@@ -284,13 +284,12 @@
 	return 0
 }
 
-// State returns the epoch and weights version last reported by a target; empty values
-// are unknown.
-func (x *Index) State(targetID string) (epoch, weights string) {
+// Epoch returns the last known epoch of a target; empty is unknown.
+func (x *Index) Epoch(targetID string) string {
 	if t := x.targets[targetID]; t != nil {
-		return t.epoch, t.weights
+		return t.epoch
 	}
-	return "", ""
+	return ""
 }
 
 // Sequence returns the last event that the index has seen of a target.
--- a/policy/routing/policy.go
+++ b/policy/routing/policy.go
@@ -24,21 +24,38 @@
 // minimumTie in seconds is below any difference that a caller notices.
 const minimumTie = 0.002
 
+// queueUnit in seconds is about the time that a queued request takes, so that a queue
+// divided by it is the number of requests that a computation delays.
+const queueUnit = 0.1
+
+// longQueue in seconds bounds what one target adds to the mean queue, so that a single
+// hot target does not look like an overload of all.
+const longQueue = 0.5
+
+// homeShare of the price of a computation is what its home is worth. It is below the
+// price, since prompts that share only their first block have the same home.
+const homeShare = 0.2
+
+// minHomeTokens is the uncached part from which on a prompt is likely to store blocks
+// that others share, and not only its own end.
+const minHomeTokens = 2 * prefix.BlockBytes / prefix.BytesPerToken
+
 // Exclusion says why a target may not be chosen.
 type Exclusion uint8
 
-// The exclusions. Reinstating, Refusing and Ejected targets are used if no other is left.
+// The exclusions. Those before Tried are used if no other target is left.
 const (
 	Usable Exclusion = iota
 	Reinstating
 	Refusing
 	Ejected
+	Loading
 	Tried
 	Leaving
 )
 
 func (e Exclusion) String() string {
-	return [...]string{"", "reinstating", "refusing", "ejected", "tried", "leaving"}[e]
+	return [...]string{"", "reinstating", "refusing", "ejected", "loading", "tried", "leaving"}[e]
 }
 
 // Candidate is one target that serves the model. Times are in seconds.
@@ -51,6 +68,8 @@
 	Excluded         Exclusion
 	// waits says that Cached includes blocks that another request computes now.
 	waits bool
+	// delays is the queue in seconds of other requests that a computation here delays.
+	delays float64
 	// cost is the policy's own figure.
 	cost float64
 	// Hash is the hash of the target's id for rendezvous hashing.
@@ -114,15 +133,38 @@
 }
 
 // predictedTTFT minimizes the predicted time to first token.
-type predictedTTFT struct{ knobs *preset.Knobs }
+type predictedTTFT struct {
+	knobs *preset.Knobs
+	// price is the cost of a second of computation besides its own time, for the choice
+	// in progress.
+	price float64
+}
 
 func (*predictedTTFT) Name() string { return PredictedTTFT }
 
-func (p *predictedTTFT) cost(c *Candidate) float64 {
-	return c.Total() + p.knobs.RecomputeWeight*c.Prefill
+// setPrice sets the price of computations from the mean queue that they delay. With a
+// constant price, an overload made targets recompute what others had cached, which kept
+// up the overload. With each target's own queue, the little that a warm target has to
+// compute cost more than a whole recomputation elsewhere.
+func (p *predictedTTFT) setPrice(candidates []Candidate, max Exclusion) {
+	sum, count := 0.0, 0
+	for i := range candidates {
+		if candidates[i].Excluded <= max {
+			sum += min(candidates[i].delays, longQueue)
+			count++
+		}
+	}
+	p.price = p.knobs.RecomputeWeight
+	if count > 0 {
+		p.price *= 1 + sum/float64(count)/queueUnit
+	}
 }
 
+// cost is the predicted time to first token and a price for the delay of others.
+func (p *predictedTTFT) cost(c *Candidate) float64 { return c.Total() + p.price*c.Prefill }
+
 func (p *predictedTTFT) Choose(prompt *Prompt, candidates []Candidate, max Exclusion) (int, string) {
+	p.setPrice(candidates, max)
 	best, warm := -1, -1
 	var bestCost, warmCost float64
 	for i := range candidates {
@@ -145,9 +187,9 @@
 	if candidates[warm].Cached > candidates[best].Cached {
 		return p.spill(prompt, candidates, max, best, warm)
 	}
-	tie := bestCost + p.tie(&candidates[best])
+	tie := candidates[best].Total() + p.tie(&candidates[best])
 	chosen := p.agree(candidates, max, best, prompt.key(blocksOf(candidates[best].Cached)), func(c *Candidate) bool {
-		return c.Cached == candidates[best].Cached && c.cost <= tie
+		return c.Cached == candidates[best].Cached && c.Total() <= tie
 	})
 	if candidates[chosen].Cached > 0 {
 		return chosen, "longest cached prefix in the least time"
@@ -160,15 +202,24 @@
 // requests that share the hot prefix spill to the same target.
 func (p *predictedTTFT) spill(prompt *Prompt, candidates []Candidate, max Exclusion, best, warm int) (int, string) {
 	key := prompt.key(blocksOf(candidates[warm].Cached) - 1)
-	limit := min(candidates[warm].cost, candidates[best].cost+p.tie(&candidates[best]))
+	limit, tie := candidates[warm].cost, candidates[best].Total()+p.tie(&candidates[best])
 	chosen := p.agree(candidates, max, best, key, func(c *Candidate) bool {
-		return c.Cached >= candidates[best].Cached && c.cost <= limit
+		return c.Cached >= candidates[best].Cached && c.Total() <= tie && c.cost < limit
 	})
 	return chosen, "the warm target's queue takes longer than a recomputation"
 }
 
+// tie returns by how many seconds a target may be slower than the best and still be
+// chosen by hashing. A prefix that is stored away from its home takes the place of
+// blocks that others need, so that a longer computation is worth a longer wait at the
+// home. Without that, queues that differ for a moment spread each prefix over the
+// targets until no cache held its part of the working set.
 func (p *predictedTTFT) tie(c *Candidate) float64 {
-	return max(minimumTie, p.knobs.TieShare*c.Prefill)
+	tie := p.knobs.TieShare * c.Prefill
+	if c.Uncached >= minHomeTokens {
+		tie += homeShare * p.price * c.Prefill
+	}
+	return max(minimumTie, tie)
 }
 
 // agree returns the eligible candidate with the highest rendezvous score.
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -47,7 +47,11 @@
 	unreachableUntil time.Time
 	// refusingUntil follows a refusal by a target that works and takes no more.
 	refusingUntil time.Time
-	weights       string
+	// loadingUntil is when a load of weights ends at the latest, for loadingModel or, if
+	// that is empty, all models. The load has ended when a report shows loadingVersion.
+	loadingUntil                 time.Time
+	loadingModel, loadingVersion string
+	weights                      string
 	// weightsEpoch is the engine epoch of the last report of weights.
 	weightsEpoch string
 	estimator    Estimator
@@ -55,6 +59,8 @@
 	// inFlight counts requests from choice to end, queuedTokens the uncached tokens
 	// of those not yet sent.
 	inFlight, queuedTokens int
+	// ejected counts ejections since the target was configured.
+	ejected uint64
 }
 
 func (r *replica) leaving() bool { return r.configLeaving || r.listLeaving || r.draining }
@@ -105,7 +111,9 @@
 	// fleetCost is the prefill cost learned over all targets, and refreshedCost the
 	// value that the summaries contain.
 	fleetCost, refreshedCost float64
-	serviceTurn              int
+	// fleetScale is the learned share of reported tokens that is real work.
+	fleetScale  float64
+	serviceTurn int
 
 	matches    []prefix.Match
 	cached     []int32 // by handle, in tokens; zero between choices
@@ -162,7 +170,7 @@
 func (r *Router) configure(t *config.Target) {
 	p := r.byID[t.ID]
 	if p == nil {
-		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost}}
+		p = &replica{id: t.ID, hash: HashID(t.ID), listLeaving: r.listLeaving[t.ID], estimator: Estimator{fleet: &r.fleetCost, fleetScale: &r.fleetScale}}
 		p.handle = r.takeHandle(p)
 		r.byID[t.ID] = p
 		if t.Kind == config.TargetEngine {
@@ -235,7 +243,7 @@
 		hash: p.hash, network: p.network, tokenCost: e.TokenCost(),
 		fixedQueue: e.fixed() + float64(p.queuedTokens)*e.TokenCost(),
 		weights:    r.versions[p.weights], busy: int32(p.inFlight),
-		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
+		special: p.leaving() || p.unreachable || p.far || !p.refusingUntil.IsZero() || !p.loadingUntil.IsZero() || !p.health.fullAt.IsZero() || e.residual >= negligibleResidual,
 	}
 	if e.report.PendingPrefillTokens > 0 {
 		r.summaries[p.handle].drainedAt = r.clock(e.drainedAt())
@@ -293,11 +301,28 @@
 	p.unreachable = false
 	if weights != "" {
 		p.weights, p.weightsEpoch = weights, epoch
+		if weights == p.loadingVersion {
+			p.loadingUntil, p.loadingVersion = time.Time{}, ""
+		}
 	}
 	p.estimator.Observe(report, now)
 	r.refresh(p)
 }
 
+// SetLoading records that a target loads weights. Until a report shows the version, but
+// not after until, it gets requests for the model only if no other target is left: they
+// would wait for the load, and lose their cached prefix with it. An empty model means
+// all models.
+func (r *Router) SetLoading(id, model, version string, until time.Time) {
+	if p := r.byID[id]; p != nil {
+		p.loadingModel, p.loadingVersion, p.loadingUntil = model, version, until
+		r.refresh(p)
+	}
+}
+
+// LoadEnded records that a target no longer loads weights.
+func (r *Router) LoadEnded(id string) { r.SetLoading(id, "", "", time.Time{}) }
+
 // Weights returns the weights version that a target reported last in the given engine
 // epoch. It is empty if the target reported none in that epoch, since an engine may
 // come back from a restart with other weights.
@@ -330,11 +355,34 @@
 	if p == nil {
 		return false
 	}
-	ejected := p.health.Failed(r.knobs, now)
+	ejected := r.noteFailure(p, now)
 	r.refresh(p)
 	return ejected
 }
 
+func (r *Router) noteFailure(p *replica, now time.Time) bool {
+	ejected := p.health.Failed(r.knobs, now)
+	if ejected {
+		p.ejected++
+	}
+	return ejected
+}
+
+// Traffic is what this host sends to a target and how often it ejected it.
+type Traffic struct {
+	InFlight  int
+	Ejections uint64
+}
+
+// Traffic returns the traffic of a target; zero for an unknown one.
+func (r *Router) Traffic(id string) Traffic {
+	p := r.byID[id]
+	if p == nil {
+		return Traffic{}
+	}
+	return Traffic{InFlight: p.inFlight, Ejections: p.ejected}
+}
+
 // Refused records that a target works, but takes no more requests for now. Without
 // it, the target would stay the first choice of its prefixes, and each of their requests
 // would need a retry.
@@ -363,5 +411,9 @@
 	r.index.Maintain(sweepEntries)
 }
 
+// SetLinkShare divides the link between regions evenly among the live hosts of this
+// host's region, which all send over it.
+func (r *Router) SetLinkShare(hosts int) { r.link.Rate = DefaultLinkRate / float64(max(hosts, 1)) }
+
 // Link returns the budget of the link between regions.
 func (r *Router) Link() *LinkBudget { return &r.link }
