--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -23,10 +23,10 @@
 // probeReply is the state of a host. It also answers a committed message.
 type probeReply struct {
 	Member      config.Member    `msgpack:"m,omitempty"`
-	Report      freshness.Report `msgpack:"r"`
+	Report      freshness.Report `msgpack:"r,omitempty"`
 	Draining    bool             `msgpack:"d,omitempty"`
 	Fresh       bool             `msgpack:"f,omitempty"`
-	HasEvidence bool             `msgpack:"e,omitempty"`
+	HasEvidence bool             `msgpack:"h,omitempty"`
 	EvidenceAge time.Duration    `msgpack:"a,omitempty"`
 	// Withdrawals lists withdrawals that no accepted revision contains yet.
 	Withdrawals []withdrawnKey `msgpack:"w,omitempty"`
--- a/policy/freshness/freshness.go
+++ b/policy/freshness/freshness.go
@@ -21,8 +21,8 @@
 // Attempt is one try to commit a revision. Racing proposers push different
 // attempts for the same revision.
 type Attempt struct {
-	Revision uint64
-	ID       string
+	Revision uint64 `msgpack:"r,omitempty"`
+	ID       string `msgpack:"i,omitempty"`
 }
 
 // maxPending bounds the pending attempts. Further pushes are not acknowledged,
@@ -52,18 +52,18 @@
 	// Age is the age when the report was made.
 	Age time.Duration `msgpack:"a,omitempty"`
 	// Excused lists pending attempts that the evidence does not cover.
-	Excused []Attempt `msgpack:"x,omitempty"`
+	Excused []Attempt `msgpack:"e,omitempty"`
 }
 
 // Report is a host's answer to a probe.
 type Report struct {
-	From    Member `msgpack:"m,omitempty"`
-	Applied uint64 `msgpack:"a"`
+	From    Member `msgpack:"f,omitempty"`
+	Applied uint64 `msgpack:"a,omitempty"`
 	// Pending lists the acknowledged attempts above Applied. Together with Applied
 	// it is what the host reports as known.
 	Pending []Attempt `msgpack:"p,omitempty"`
 	// Full is evidence without exceptions, Conditional may have some.
-	Full        Evidence `msgpack:"f,omitempty"`
+	Full        Evidence `msgpack:"u,omitempty"`
 	Conditional Evidence `msgpack:"c,omitempty"`
 }
 
--- a/policy/gossip/exchange.go
+++ b/policy/gossip/exchange.go
@@ -14,17 +14,17 @@
 	Epoch uint64 `msgpack:"e,omitempty"`
 	After uint64 `msgpack:"a,omitempty"`
 	// Sum is the hash of the sender's table.
-	Sum     uint64   `msgpack:"s"`
+	Sum     uint64   `msgpack:"s,omitempty"`
 	Records []Record `msgpack:"r,omitempty"`
 }
 
 // Reply answers a Request.
 type Reply struct {
-	Epoch uint64 `msgpack:"e"`
+	Epoch uint64 `msgpack:"e,omitempty"`
 	// UpTo is the sequence number through which the sender of the request is now
 	// complete.
-	UpTo    uint64   `msgpack:"u"`
-	Sum     uint64   `msgpack:"s"`
+	UpTo    uint64   `msgpack:"u,omitempty"`
+	Sum     uint64   `msgpack:"s,omitempty"`
 	Records []Record `msgpack:"r,omitempty"`
 }
 
