--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -183,7 +183,7 @@
 	}
 }
 
-func processorTime(b *testing.B) time.Duration {
+func processorTime(b testing.TB) time.Duration {
 	var used syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
 		b.Fatal(err)
