--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -62,7 +62,7 @@
 }
 
 func packed(b *testing.B, m wire.Message) []byte {
-	body, err := msgpack.Marshal(m)
+	body, err := wire.Encode(m)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -183,7 +183,7 @@
 	}
 }
 
-func processorTime(b *testing.B) time.Duration {
+func processorTime(b testing.TB) time.Duration {
 	var used syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &used); err != nil {
 		b.Fatal(err)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -24,6 +24,8 @@
 type ServerOptions struct {
 	Self        Peer
 	Credentials *Credentials
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *Traffic
 	// Logger may be nil.
 	Logger hclog.Logger
 }
@@ -98,7 +100,7 @@
 		}
 		running.Go(func() {
 			defer s.remove(conn)
-			s.serveConn(ctx, conn)
+			s.serveConn(ctx, s.options.Traffic.count(conn))
 		})
 	}
 }
@@ -185,10 +187,10 @@
 // reply queues an answer. A caller that does not read its answers loses the
 // connection, because its calls would otherwise wait for a lost answer.
 func (s *Server) reply(ses *session, replies *ring, callID uint64, message Message) {
-	body, err := encodeBody(message)
+	body, err := Encode(message)
 	if err != nil {
 		message = &RemoteError{Message: err.Error()}
-		if body, err = encodeBody(message); err != nil {
+		if body, err = Encode(message); err != nil {
 			return
 		}
 	}
