--- a/policy/preset/preset.go
+++ b/policy/preset/preset.go
@@ -102,7 +102,7 @@
 		Quantum:         4000,
 		OverRateShare:   0.5,
 		DelayTarget:     200 * time.Millisecond,
-		MinInFlight:     6,
+		MinInFlight:     2,
 		MaxInFlight:     256,
 	}
 }
