--- a/policy/gossip/table.go
+++ b/policy/gossip/table.go
@@ -37,15 +37,15 @@
 // hosts may only set Dead, so that two records with the same host, incarnation,
 // version and Dead are equal.
 type Record struct {
-	Member   config.Member `msgpack:"m"`
-	Version  uint64        `msgpack:"v"`
-	Draining bool          `msgpack:"d,omitempty"`
+	Member   config.Member
+	Version  uint64
+	Draining bool
 	// Fresh says that the host may serve keyed requests.
-	Fresh bool `msgpack:"f,omitempty"`
-	Dead  bool `msgpack:"x,omitempty"`
+	Fresh bool
+	Dead  bool
 	// DeadFor is the time since a host was first found dead, by the clocks of the
 	// hosts that the record passed.
-	DeadFor time.Duration `msgpack:"a,omitempty"`
+	DeadFor time.Duration
 }
 
 // Supersedes reports whether r replaces old, a record of the same host. Incarnations
