Leave empty member entries out of probes

Cause: the member entry had no short field names and was sent even when it was empty, since the encoder leaves a struct out only if all its fields may be left out. Probe and reply of a large fleet took 314 bytes, twice what they need, and the busiest host of 70 had 21,289 B/s, above the limit of 13 KB/s.

A test bounds the size of a probe and its reply.

--- a/internal/fleet/bounded_test.go
+++ b/internal/fleet/bounded_test.go
@@ -7,7 +7,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 	"github.com/sequoiaroad/sequoiaroad/policy/membership"
 )
 
@@ -108,6 +111,25 @@
 	c.g.Expect(report.Confirmed).To(HaveLen(boundedHosts))
 }
 
+// Guards against probes that carry entries and field names for nothing, which would take
+// the control traffic of a member above 13 KB/s: it takes part in about 60 exchanges/s.
+func TestProbesOfALargeFleetAreSmall(t *testing.T) {
+	const limit = 130 // bytes of both bodies
+	g := NewWithT(t)
+	evidence := freshness.Evidence{Known: true, Age: time.Second}
+	member := config.Member{HostID: "host", Incarnation: "i1"}
+	reply := &probeReply{Member: member, Fresh: true, HasEvidence: true, EvidenceAge: time.Second,
+		Report: freshness.Report{From: memberOf(member), Applied: 1000, Full: evidence, Conditional: evidence},
+		Gossip: &gossip.Reply{Epoch: 1 << 63, UpTo: 1000, Sum: 1 << 63}}
+	known := gossip.MemberHash(member)
+	reply.shorten(known)
+	sent, err := wire.Encode(&probe{Known: known, Gossip: &gossip.Request{Epoch: 1 << 63, After: 1000, Sum: 1 << 63}})
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := wire.Encode(reply)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(sent) + len(received)).To(BeNumerically("<", limit))
+}
+
 // Guards against a member list that one availability zone can take the majority from
 // although hosts of other zones wait, and against a list that goes on changing.
 func TestMembersSpreadOverZones(t *testing.T) {
--- a/policy/gossip/table.go
+++ b/policy/gossip/table.go
@@ -37,15 +37,15 @@
 // hosts may only set Dead, so that two records with the same host, incarnation,
 // version and Dead are equal.
 type Record struct {
-	Member   config.Member
-	Version  uint64
-	Draining bool
+	Member   config.Member `msgpack:"m,omitempty"`
+	Version  uint64        `msgpack:"v,omitempty"`
+	Draining bool          `msgpack:"d,omitempty"`
 	// Fresh says that the host may serve keyed requests.
-	Fresh bool
-	Dead  bool
+	Fresh bool `msgpack:"f,omitempty"`
+	Dead  bool `msgpack:"x,omitempty"`
 	// DeadFor is the time since a host was first found dead, by the clocks of the
 	// hosts that the record passed.
-	DeadFor time.Duration
+	DeadFor time.Duration `msgpack:"a,omitempty"`
 }
 
 // Supersedes reports whether r replaces old, a record of the same host. Incarnations
