--- a/policy/gossip/table.go
+++ b/policy/gossip/table.go
@@ -37,8 +37,8 @@
 // hosts may only set Dead, so that two records with the same host, incarnation,
 // version and Dead are equal.
 type Record struct {
-	Member   config.Member `msgpack:"m"`
-	Version  uint64        `msgpack:"v"`
+	Member   config.Member `msgpack:"m,omitempty"`
+	Version  uint64        `msgpack:"v,omitempty"`
 	Draining bool          `msgpack:"d,omitempty"`
 	// Fresh says that the host may serve keyed requests.
 	Fresh bool `msgpack:"f,omitempty"`
