--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/idempotency"
 	"github.com/sequoiaroad/sequoiaroad/internal/quota"
 	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
@@ -239,7 +240,7 @@
 		if len(tried) == maxServiceAttempts || ctx.Err() != nil {
 			return refuse(refusal.New(failureCode(mayHaveRun), "no replica answered").WithCause(err))
 		}
-		sleep(ctx, rand.N(retryJitter))
+		clock.Sleep(ctx, rand.N(retryJitter))
 	}
 }
 
@@ -262,15 +263,6 @@
 	return refusal.TargetUnavailable
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // relay gives the caller the response, if its key is still valid.
 func (s *serviceCall) relay(response *target.ServiceResponse) error {
 	if err := s.keyValid(); err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
-	"github.com/sequoiaroad/sequoiaroad/internal/admin"
 	"github.com/sequoiaroad/sequoiaroad/internal/dispatch"
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/gateway"
@@ -28,8 +26,6 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
-	"github.com/sequoiaroad/sequoiaroad/policy/placement"
-	"github.com/sequoiaroad/sequoiaroad/policy/routing"
 )
 
 const (
@@ -101,203 +97,6 @@
 	return h, nil
 }
 
-func (h *Host) listen() (err error) {
-	s := &h.options.Settings
-	if h.callerListener, err = net.Listen("tcp", s.CallerListen); err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	if h.adminListener, err = net.Listen("tcp", s.AdminListen); err != nil {
-		return errors.Wrap(err, "listen for operators")
-	}
-	incarnation, err := fleet.NewIncarnation()
-	if err != nil {
-		return err
-	}
-	peer := wire.Peer{HostID: s.HostID, Incarnation: incarnation, Address: s.InnerAddress}
-	credentials, err := h.credentials()
-	if err != nil {
-		return err
-	}
-	h.wireServer = wire.NewServer(wire.ServerOptions{Self: peer, Credentials: credentials, Logger: h.logger.Named("wire")})
-	innerAddress, err := h.wireServer.Listen(s.InnerListen)
-	if err != nil {
-		return errors.Wrap(err, "listen for hosts")
-	}
-	h.self = config.Member{
-		HostID: s.HostID, Incarnation: incarnation, Zone: s.Zone, Region: s.Region, Weight: s.Weight,
-		CallerAddress: advertised(s.CallerAddress, h.callerListener.Addr()),
-		InnerAddress:  advertised(s.InnerAddress, innerAddress),
-		AdminAddress:  advertised(s.AdminAddress, h.adminListener.Addr()),
-	}
-	peer.Address = h.self.InnerAddress
-	h.wireClient = wire.NewClient(wire.ClientOptions{
-		Self: peer, Credentials: credentials, LocalIP: sourceAddress(innerAddress), Logger: h.logger.Named("wire"),
-	})
-	return nil
-}
-
-// sourceAddress returns the IP that the inner listener is bound to, or the zero
-// address for a wildcard.
-func sourceAddress(bound net.Addr) netip.Addr {
-	address, err := netip.ParseAddrPort(bound.String())
-	if err != nil || address.Addr().IsUnspecified() {
-		return netip.Addr{}
-	}
-	return address.Addr()
-}
-
-// advertised replaces port 0 by the port that was bound.
-func advertised(setting string, bound net.Addr) string {
-	ip, port, err := net.SplitHostPort(setting)
-	if err != nil || port != "0" {
-		return setting
-	}
-	_, boundPort, err := net.SplitHostPort(bound.String())
-	if err != nil {
-		return setting
-	}
-	return net.JoinHostPort(ip, boundPort)
-}
-
-func (h *Host) credentials() (*wire.Credentials, error) {
-	s := &h.options.Settings
-	if s.TLSCert != "" {
-		return wire.TLSCredentials(s.TLSCert, s.TLSKey, s.TLSCA)
-	}
-	return wire.SecretCredentials([]byte(s.FleetSecret))
-}
-
-func (h *Host) connectPeers() (err error) {
-	s := &h.options.Settings
-	h.fleet, err = fleet.New(fleet.Options{
-		Self: h.self, Store: h.options.Platform.Store, HostList: h.options.Platform.HostList,
-		Caller: h.wireClient, Registry: h.wireServer,
-		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("fleet"),
-		AllowFarSnapshot: func(bytes int) bool { return h.dispatcher.AllowLink(routing.LinkSnapshot, bytes) },
-	})
-	if err != nil {
-		return err
-	}
-	h.limiter = quota.New(quota.Options{
-		View: h.fleet, Caller: h.wireClient, Registry: h.wireServer,
-		FreshnessDeadline: s.FreshnessDeadline, Logger: h.logger.Named("quota"),
-		RefusedWithinRate: h.observer.RefusedWithinRate,
-	})
-	h.applyPreset()
-	h.fleet.Subscribe(h.applyPreset)
-	return nil
-}
-
-func (h *Host) connectTargets() (err error) {
-	engines := target.NewWrappedEngineClient(h.options.WrapTransport)
-	h.dispatcher, err = dispatch.New(dispatch.Options{
-		Config: h.index, Self: h.self, Engines: engines, Policy: h.options.Settings.RoutingPolicy,
-		Logger: h.logger.Named("dispatch"), Observer: h.observer,
-	})
-	if err != nil {
-		return err
-	}
-	if h.options.Settings.KVCopies {
-		h.copies, err = kvcopy.New(kvcopy.Options{
-			Engines: engines, View: h.dispatcher, Target: h.targetByID, Logger: h.logger.Named("kvcopy"),
-		})
-		if err != nil {
-			return err
-		}
-		h.dispatcher.SetCopier(h.copies)
-	}
-	h.pollers = target.NewPollers(target.PollerOptions{
-		Client: engines, Observer: h.dispatcher, Index: h.fleet.Index, Subscribe: h.fleet.Subscribe,
-	})
-	return nil
-}
-
-func (h *Host) buildClaims() (err error) {
-	h.claims, err = idempotency.New(idempotency.Options{
-		Store: h.options.Platform.Store, Objects: h.options.Platform.Objects,
-		HostID: h.self.HostID, Incarnation: h.self.Incarnation,
-		HolderLive: h.holderLive, Fresh: h.fleet.Fresh, Logger: h.logger.Named("idempotency"),
-		Retention: h.options.Settings.IdempotencyRetention, MayClean: h.cleansRecords,
-	})
-	if err != nil {
-		return err
-	}
-	h.orders, err = orders.New(orders.Options{
-		Store: h.options.Platform.Store, HostID: h.self.HostID, Incarnation: h.self.Incarnation,
-		Target: h.targetByID, Logger: h.logger.Named("orders"), Loads: h.dispatcher,
-	})
-	if err != nil {
-		return err
-	}
-	h.fleet.RegisterSnapshot(snapshotName, h.dispatcher.Snapshot, h.restoreSnapshot)
-	return nil
-}
-
-// emptyIndex stands for the configuration until one is applied.
-var emptyIndex = config.NewIndex(&config.Document{})
-
-func (h *Host) index() *config.Index {
-	if index := h.fleet.Index(); index != nil {
-		return index
-	}
-	return emptyIndex
-}
-
-func (h *Host) targetByID(id string) *config.Target { return h.index().Target(id) }
-
-// retentionKey is hashed over the members to choose the host that deletes expired
-// idempotency records.
-const retentionKey = "idempotency-retention"
-
-// cleansRecords reports whether this host deletes expired idempotency records.
-func (h *Host) cleansRecords() bool {
-	members := h.index().Document().Members
-	nodes := make([]placement.Node, len(members))
-	for i, m := range members {
-		nodes[i] = placement.Node{ID: m.HostID, Weight: m.Weight}
-	}
-	ranked := placement.Rank(retentionKey, nodes)
-	return len(ranked) > 0 && ranked[0].ID == h.self.HostID && h.fleet.Fresh()
-}
-
-// holderLive reports whether the holder of a claim may still be running it.
-func (h *Host) holderLive(hostID, incarnation string) bool {
-	for _, status := range h.fleet.Hosts() {
-		if status.Member.HostID == hostID && status.Member.Incarnation == incarnation {
-			return status.Live
-		}
-	}
-	return false
-}
-
-func (h *Host) buildAPIs() error {
-	s := &h.options.Settings
-	h.gateway = gateway.New(gateway.Options{
-		View: h.fleet, Limiter: h.limiter, Completer: h.dispatcher, Services: h.dispatcher, Claims: h.claims,
-		ServiceClient: target.NewWrappedServiceClient(h.options.WrapTransport),
-		StreamSecret:  []byte(s.FleetSecret), LocatorTTL: s.LocatorTTL, BodyLimit: s.MaxBodyBytes,
-		Draining: h.stop.draining.Load, Refusing: h.stop.refusing, Logger: h.logger.Named("gateway"), Tracer: h.options.Telemetry.Tracer,
-		Refused: h.observer.Refused, DefaultDeadline: h.defaultDeadline,
-	})
-	h.callerAPI = h.stop.count(h.gateway)
-	if s.CallerMetrics {
-		h.callerAPI = h.withMetrics(h.callerAPI)
-	}
-	h.adminAPI = h.withMetrics(admin.NewServer(admin.Options{
-		View: h.fleet, Proposer: h.fleet, Explainer: h.dispatcher, Unresolved: h.claims,
-		Orders: &orderAdapter{service: h.orders}, Limits: h.limiter, Drain: h.Drain, Logger: h.logger,
-	}))
-	return nil
-}
-
-// withMetrics serves /metrics beside an API.
-func (h *Host) withMetrics(api http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", h.options.Telemetry.MetricsHandler())
-	mux.Handle("/", api)
-	return mux
-}
-
 func (h *Host) exportState() error { return h.options.Telemetry.ExportState(h.state) }
 
 // Member returns the identity and addresses of this host.
--- a/internal/host/snapshot.go
+++ b/internal/host/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
@@ -41,12 +42,12 @@
 // keepSnapshots restores the routing state from the object store if no peer has given
 // any, and then writes it there from time to time.
 func (h *Host) keepSnapshots(ctx context.Context) error {
-	if sleep(ctx, peerSnapshotWait) && !h.restored.Load() {
+	if clock.Sleep(ctx, peerSnapshotWait) && !h.restored.Load() {
 		if err := h.readSnapshotObject(ctx); err != nil {
 			h.logger.Info("no routing snapshot in the object store", "error", err)
 		}
 	}
-	for sleep(ctx, jittered(h.snapshotPause())) {
+	for clock.Sleep(ctx, jittered(h.snapshotPause())) {
 		if err := h.writeSnapshotObject(ctx); err != nil {
 			h.logger.Debug("routing snapshot was not written", "error", err)
 		}
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/fleet"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
@@ -62,7 +63,7 @@
 	h.logger.Info("planned stop starts", "grace", s.DrainGrace)
 	h.stop.draining.Store(true)
 	h.fleet.SetDraining(true)
-	if !sleep(stopCtx, s.DrainGrace) {
+	if !clock.Sleep(stopCtx, s.DrainGrace) {
 		return nil
 	}
 	h.stop.refuse.Store(true)
@@ -71,26 +72,15 @@
 	}
 	h.recordOutcomes(stopCtx)
 	h.leave(stopCtx)
-	sleep(stopCtx, refusalLinger)
+	clock.Sleep(stopCtx, refusalLinger)
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (h *Host) waitForRequests(ctx context.Context, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for h.stop.running.Load() > 0 {
-		if !sleep(ctx, pollInterval) {
+		if !clock.Sleep(ctx, pollInterval) {
 			return false
 		}
 	}
--- a/internal/idempotency/retention.go
+++ b/internal/idempotency/retention.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	policy "github.com/sequoiaroad/sequoiaroad/policy/idempotency"
 )
@@ -28,7 +28,7 @@
 // run cleans from time to time until ctx ends.
 func (c *cleaner) run(ctx context.Context) error {
 	o := &c.service.options
-	for pause(ctx, o.CleanInterval) {
+	for clock.Sleep(ctx, o.CleanInterval) {
 		if deleted, err := c.clean(ctx); err != nil {
 			o.Logger.Debug("expired records were not all deleted", "deleted", deleted, "error", err)
 		} else if deleted > 0 {
@@ -107,7 +107,7 @@
 			conditions[i] = platform.Condition{Table: Table, Key: row.key, Version: row.version}
 			writes[i] = platform.Write{Table: Table, Key: row.key, Delete: true}
 		}
-		if !pause(ctx, o.CleanPause) || !o.MayClean() {
+		if !clock.Sleep(ctx, o.CleanPause) || !o.MayClean() {
 			return deleted, errors.New("the clean-up was stopped")
 		}
 		if _, err := o.Store.Commit(ctx, conditions, writes); err != nil {
@@ -125,19 +125,8 @@
 	if name == "" {
 		return nil
 	}
-	if !pause(ctx, c.service.options.CleanPause) {
+	if !clock.Sleep(ctx, c.service.options.CleanPause) {
 		return ctx.Err()
 	}
 	return c.service.options.Objects.PutObject(ctx, name, nil)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/lease"
@@ -298,18 +299,7 @@
 
 // pause sleeps for between half and one and a half times d.
 func (s *Service) pause(ctx context.Context, d time.Duration) bool {
-	return sleep(ctx, d/2+rand.N(d+1))
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d/2+rand.N(d+1))
 }
 
 // ready waits until the order may be sent under all leases, with time left for
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 )
 
 // Options set up a Client; zero values mean the defaults.
@@ -151,7 +153,7 @@
 		if err == nil || !errors.Is(err, ErrUnavailable) || attempt >= c.options.ReadAttempts {
 			return body, err
 		}
-		if !sleep(ctx, c.backoff(attempt)) {
+		if !clock.Sleep(ctx, c.backoff(attempt)) {
 			return nil, err
 		}
 	}
@@ -171,17 +173,6 @@
 	return rand.N(ceiling + 1)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt makes one request. A failure after the request may have been sent is of
 // the kind unanswered; before that it is ErrUnavailable.
 func (c *Client) attempt(caller context.Context, k call, b *budget, unanswered error) ([]byte, error) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 )
 
 const (
@@ -91,7 +93,7 @@
 		}
 		if err != nil {
 			s.options.Logger.Warn("accept failed", "error", err)
-			waitContext(ctx, acceptRetryDelay)
+			clock.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
 		if !s.add(ctx, conn) {
@@ -237,12 +239,3 @@
 
 // maxKeptBuffer bounds the write buffer that a connection keeps between frames.
 const maxKeptBuffer = 64 << 10
-
-func waitContext(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
