Name the queue and the permit of a target by their usual terms

Cause: lane, pass, pump and evacuate needed explaining to a newcomer. Change: targetQueue, permit, sendQueued, requeueLeaving. No behaviour changes. After: the package's tests pass.

--- a/internal/dispatch/complete.go
+++ b/internal/dispatch/complete.go
@@ -180,7 +180,7 @@
 }
 
 // transmit makes the call and follows its stream.
-func (r *run) transmit(ctx context.Context, p *pass) (bool, error) {
+func (r *run) transmit(ctx context.Context, p *permit) (bool, error) {
 	r.result.Attempts++
 	r.result.TargetID = p.target.ID
 	r.lastDrained = false
@@ -203,7 +203,7 @@
 	attemptContext, cancel := context.WithCancel(spanContext)
 	defer cancel()
 	// A target that never answers must not hold the request until its deadline.
-	f := &follower{run: r, ctx: ctx, cancel: cancel, target: p.target, requestID: request.RequestID, pass: p}
+	f := &follower{run: r, ctx: ctx, cancel: cancel, target: p.target, requestID: request.RequestID, permit: p}
 	timer := time.AfterFunc(f.silence(), cancel)
 	stream, err := r.d.options.Engines.Complete(attemptContext, p.target, request)
 	timer.Stop()
@@ -230,7 +230,7 @@
 }
 
 // sendFailed classifies an attempt that brought no stream; nil allows another one.
-func (r *run) sendFailed(ctx context.Context, p *pass, requestID string, err error) error {
+func (r *run) sendFailed(ctx context.Context, p *permit, requestID string, err error) error {
 	r.lastErr = err
 	r.tried[p.target.ID] = true
 	var call *target.CallError
@@ -254,7 +254,7 @@
 			return refusal.New(refusal.InvalidRequest, "the engine rejected the request with status %d", call.Status).WithCause(err)
 		}
 	}
-	r.d.failed(p.lane, err)
+	r.d.failed(p.queue, err)
 	return nil
 }
 
--- a/internal/dispatch/contract.go
+++ b/internal/dispatch/contract.go
@@ -94,7 +94,7 @@
 	ChooseService(service string, tried []string) (*config.Target, func(err error), error)
 }
 
-// TargetSet takes the platform's word on leaving targets.
+// TargetSet takes the platform's list of leaving targets.
 type TargetSet interface {
 	ObserveLeaving(targetIDs []string)
 }
--- a/internal/dispatch/copy.go
+++ b/internal/dispatch/copy.go
@@ -24,7 +24,7 @@
 // offerCopy offers a copy for a request that was sent past its warm target. While the
 // copy runs the request waits as it does for another request's prefill, and chooses
 // again after it. The caller holds the lock.
-func (d *Dispatcher) offerCopy(r *run, decision *routing.Decision, l *lane, mayWait bool, now time.Time) (queued, bool) {
+func (d *Dispatcher) offerCopy(r *run, decision *routing.Decision, l *targetQueue, mayWait bool, now time.Time) (queued, bool) {
 	if d.copier == nil {
 		return queued{}, false
 	}
@@ -49,7 +49,7 @@
 		return queued{}, false
 	}
 	l.prefillWaiters++
-	return queued{lane: l, prefill: done, patience: patience}, true
+	return queued{queue: l, prefill: done, patience: patience}, true
 }
 
 func (d *Dispatcher) cacheState(targetID string) kvcopy.End {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -116,7 +116,7 @@
 func (f *fixture) load(id string) (inFlight, waiting int) {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
-	l := f.d.lanes[id]
+	l := f.d.targetQueues[id]
 	return l.limit.InFlight(), l.queue.Len()
 }
 
@@ -495,7 +495,7 @@
 	}
 	f.change(func(d *config.Document) { d.Targets, d.Accounts = d.Targets[2:], d.Accounts[:1] })
 	f.d.maintain()
-	g.Expect(f.d.lanes).To(HaveLen(1))
+	g.Expect(f.d.targetQueues).To(HaveLen(1))
 	g.Expect(f.d.accounts).To(HaveLen(1))
 	g.Expect(f.d.index.Targets()).To(Equal([]string{"t2"}))
 	f.d.ObserveLoad("t0", target.LoadReport{Epoch: "e"})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -89,15 +89,15 @@
 	logger   hclog.Logger
 	observer Observer
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	applied  *config.Index
-	knobs    preset.Knobs
-	index    *prefix.Index
-	router   *routing.Router
-	retries  routing.RetryBudget
-	lanes    map[string]*lane
-	accounts map[string]*meter
+	mu           sync.Mutex
+	random       *rand.Rand
+	applied      *config.Index
+	knobs        preset.Knobs
+	index        *prefix.Index
+	router       *routing.Router
+	retries      routing.RetryBudget
+	targetQueues map[string]*targetQueue
+	accounts     map[string]*meter
 	// prefills holds, by flight, who waits for the flight's first token.
 	prefills map[uint64][]chan struct{}
 	nextItem uint64
@@ -127,14 +127,14 @@
 		o.IndexBlocks = defaultIndexBlocks
 	}
 	d := &Dispatcher{
-		options:  o,
-		clock:    o.Clock,
-		logger:   o.Logger,
-		observer: o.Observer,
-		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
-		lanes:    map[string]*lane{},
-		accounts: map[string]*meter{},
-		prefills: map[uint64][]chan struct{}{},
+		options:      o,
+		clock:        o.Clock,
+		logger:       o.Logger,
+		observer:     o.Observer,
+		random:       rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		targetQueues: map[string]*targetQueue{},
+		accounts:     map[string]*meter{},
+		prefills:     map[uint64][]chan struct{}{},
 	}
 	d.index = prefix.NewIndex(o.IndexBlocks, d.random.Uint64())
 	d.knobs = preset.For("")
@@ -178,7 +178,7 @@
 	d.follow()
 	now := d.clock()
 	d.router.Expire(now)
-	for _, l := range d.lanes {
+	for _, l := range d.targetQueues {
 		for _, item := range l.queue.Expire(now) {
 			d.router.End(item.Value.flight)
 			d.wake(item.Value.flight.ID())
--- a/internal/dispatch/snapshot.go
+++ b/internal/dispatch/snapshot.go
@@ -66,7 +66,7 @@
 	defer d.mu.Unlock()
 	d.follow()
 	for i := range export.Targets {
-		if d.lanes[export.Targets[i].ID] == nil {
+		if d.targetQueues[export.Targets[i].ID] == nil {
 			export.Targets[i].Epoch = "" // no longer configured
 		}
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -78,16 +78,16 @@
 	document := x.Document()
 	d.knobs = preset.For(document.Preset)
 	d.router.Configure(document)
-	d.evacuate()
-	for id := range d.lanes {
+	d.requeueLeaving()
+	for id := range d.targetQueues {
 		if x.Target(id) == nil {
-			delete(d.lanes, id)
+			delete(d.targetQueues, id)
 		}
 	}
 	for i := range document.Targets {
 		t := &document.Targets[i]
-		if t.Kind == config.TargetEngine && d.lanes[t.ID] == nil {
-			d.lanes[t.ID] = newLane(t.ID, &d.knobs)
+		if t.Kind == config.TargetEngine && d.targetQueues[t.ID] == nil {
+			d.targetQueues[t.ID] = newTargetQueue(t.ID, &d.knobs)
 		}
 	}
 	for id := range d.accounts {
@@ -98,7 +98,7 @@
 }
 
 // failed records that an attempt at a target failed.
-func (d *Dispatcher) failed(l *lane, err error) {
+func (d *Dispatcher) failed(l *targetQueue, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
@@ -106,7 +106,7 @@
 	if errors.As(err, &call) && call.NotRun {
 		if call.Draining {
 			d.router.SetDraining(l.targetID, now)
-			d.evacuate()
+			d.requeueLeaving()
 			return
 		}
 		if call.Status != 0 {
@@ -253,7 +253,7 @@
 	defer d.mu.Unlock()
 	d.follow()
 	d.router.SetLeaving(targetIDs)
-	d.evacuate()
+	d.requeueLeaving()
 }
 
 // ObserveLoad implements target.Observer.
@@ -265,7 +265,7 @@
 		Running: r.Running, Waiting: r.Waiting, PendingPrefillTokens: r.PendingPrefillTokens, MeasuredAt: r.MeasuredAt,
 	}, d.clock())
 	if r.Draining {
-		d.evacuate()
+		d.requeueLeaving()
 	}
 }
 
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -44,7 +44,7 @@
 		id := targets[i].ID
 		traffic := d.router.Traffic(id)
 		t := TargetStats{TargetID: id, InFlight: traffic.InFlight, Ejections: traffic.Ejections, EventGaps: d.index.Gaps(id)}
-		if l := d.lanes[id]; l != nil {
+		if l := d.targetQueues[id]; l != nil {
 			t.Queued, t.QueuedTokens, t.PrefillWaiters = l.queue.Len(), l.queue.Tokens(), l.prefillWaiters
 			t.InFlight, t.InFlightLimit = l.limit.InFlight(), l.limit.Value(&d.knobs)
 		}
--- a/internal/dispatch/stats_test.go
+++ b/internal/dispatch/stats_test.go
@@ -19,8 +19,8 @@
 	f := newFixture(2)
 	f.d.maintain()
 	failTwice := func(id string) uint64 {
-		f.d.failed(f.d.lanes[id], errFake)
-		f.d.failed(f.d.lanes[id], errFake)
+		f.d.failed(f.d.targetQueues[id], errFake)
+		f.d.failed(f.d.targetQueues[id], errFake)
 		for _, s := range f.d.Stats().Targets {
 			if s.TargetID == id {
 				return s.Ejections
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -101,8 +101,8 @@
 	target    *config.Target
 	requestID string
 	epoch     string
-	// pass is nil for a caller that reconnected.
-	pass *pass
+	// permit is nil for a caller that reconnected.
+	permit *permit
 	// first says that the attempt has brought a token.
 	first bool
 }
@@ -169,9 +169,9 @@
 	r := f.run
 	r.tried[f.target.ID] = true
 	r.d.cancelAttempt(f.ctx, f.target, f.requestID)
-	if f.pass != nil {
-		r.wasted += f.pass.flight.Uncached
-		r.d.failed(f.pass.lane, r.lastErr)
+	if f.permit != nil {
+		r.wasted += f.permit.flight.Uncached
+		r.d.failed(f.permit.queue, r.lastErr)
 	}
 	if f.ctx.Err() != nil {
 		return r.ended(f.ctx)
@@ -182,8 +182,8 @@
 // silence is how long the stream may be silent now.
 func (f *follower) silence() time.Duration {
 	limit := f.run.d.options.StallTimeout
-	if f.pass != nil && f.run.assembler.next == 0 {
-		limit += time.Duration(firstTokenFactor * f.pass.flight.Predicted * float64(time.Second))
+	if f.permit != nil && f.run.assembler.next == 0 {
+		limit += time.Duration(firstTokenFactor * f.permit.flight.Predicted * float64(time.Second))
 	}
 	return limit
 }
@@ -224,20 +224,20 @@
 
 func (f *follower) usage(u *target.Usage) {
 	f.run.result.Usage = *u
-	if f.pass == nil {
+	if f.permit == nil {
 		return
 	}
 	f.run.d.mu.Lock()
 	defer f.run.d.mu.Unlock()
-	f.run.d.router.Correct(f.pass.flight, f.epoch, u.CachedTokens)
+	f.run.d.router.Correct(f.permit.flight, f.epoch, u.CachedTokens)
 }
 
 // emit passes one token to the caller, unless the caller had it before it reconnected.
 func (f *follower) emit(event target.TokenEvent) error {
 	r := f.run
-	if f.pass != nil && !f.first {
+	if f.permit != nil && !f.first {
 		f.first = true
-		f.pass.firstToken(f.epoch)
+		f.permit.firstToken(f.epoch)
 	}
 	if r.assembler.next <= r.skip {
 		return nil
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/target_queue.go
@@ -45,8 +45,8 @@
 	answer chan answer
 }
 
-// lane is the queue and the limit of one target.
-type lane struct {
+// targetQueue is the queue and the limit of one target.
+type targetQueue struct {
 	targetID string
 	queue    *queue.Queue[*waiter]
 	limit    queue.Limit
@@ -54,21 +54,21 @@
 	prefillWaiters int
 }
 
-func newLane(targetID string, k *preset.Knobs) *lane {
-	return &lane{targetID: targetID, queue: queue.New[*waiter](k)}
+func newTargetQueue(targetID string, k *preset.Knobs) *targetQueue {
+	return &targetQueue{targetID: targetID, queue: queue.New[*waiter](k)}
 }
 
-// pass is the right to send one request to one target.
-type pass struct {
+// permit is the right to send one request to one target.
+type permit struct {
 	d      *Dispatcher
-	lane   *lane
+	queue  *targetQueue
 	target *config.Target
 	flight *routing.Flight
 	over   bool
 }
 
-// pump lets requests go while the limit allows it.
-func (d *Dispatcher) pump(l *lane) {
+// sendQueued lets requests go while the limit allows it.
+func (d *Dispatcher) sendQueued(l *targetQueue) {
 	for l.limit.Free(&d.knobs) {
 		item, ok := l.queue.Pop(l.limit.FreeOver(&d.knobs))
 		if !ok {
@@ -79,9 +79,9 @@
 	}
 }
 
-// evacuate sends the queued requests of leaving targets elsewhere.
-func (d *Dispatcher) evacuate() {
-	for id, l := range d.lanes {
+// requeueLeaving sends the queued requests of leaving targets elsewhere.
+func (d *Dispatcher) requeueLeaving() {
+	for id, l := range d.targetQueues {
 		if l.queue.Len() == 0 || !d.router.Leaving(id) {
 			continue
 		}
@@ -102,7 +102,7 @@
 }
 
 // acquire chooses a target and waits until the request may be sent there.
-func (d *Dispatcher) acquire(ctx context.Context, r *run) (*pass, error) {
+func (d *Dispatcher) acquire(ctx context.Context, r *run) (*permit, error) {
 	avoid := make(map[string]bool, len(r.tried))
 	for id := range r.tried {
 		avoid[id] = true
@@ -129,7 +129,7 @@
 
 // queued is the state after enqueue: in a queue, or waiting for a prefill.
 type queued struct {
-	lane     *lane
+	queue    *targetQueue
 	waiter   *waiter
 	itemID   uint64
 	prefill  <-chan struct{}
@@ -172,12 +172,12 @@
 	if !r.c.Deadline.IsZero() && now.Add(predicted).After(r.c.Deadline) {
 		return queued{}, r.unreachable(predicted)
 	}
-	l := d.lanes[decision.TargetID]
+	l := d.targetQueues[decision.TargetID]
 	if decision.WaitFor != 0 && mayWait && l.prefillWaiters < d.knobs.QueueItems {
 		waiting := make(chan struct{})
 		d.prefills[decision.WaitFor] = append(d.prefills[decision.WaitFor], waiting)
 		l.prefillWaiters++
-		return queued{lane: l, prefill: waiting, computes: decision.WaitFor, patience: time.Duration(decision.Predicted*float64(time.Second)) + prefillGrace}, nil
+		return queued{queue: l, prefill: waiting, computes: decision.WaitFor, patience: time.Duration(decision.Predicted*float64(time.Second)) + prefillGrace}, nil
 	}
 	if step, ok := d.offerCopy(r, &decision, l, mayWait, now); ok {
 		return step, nil
@@ -196,8 +196,8 @@
 		avoid[decision.TargetID] = true
 		return queued{}, nil
 	}
-	d.pump(l)
-	return queued{lane: l, waiter: w, itemID: item.ID}, nil
+	d.sendQueued(l)
+	return queued{queue: l, waiter: w, itemID: item.ID}, nil
 }
 
 // awaitPrefill waits until another request has computed the shared prefix.
@@ -213,7 +213,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	q.lane.prefillWaiters--
+	q.queue.prefillWaiters--
 	d.dropPrefillWait(q)
 }
 
@@ -232,14 +232,14 @@
 
 // awaitTurn waits in the queue. It returns nil without an error if another target must
 // be chosen.
-func (d *Dispatcher) awaitTurn(ctx context.Context, r *run, q queued) (*pass, error) {
+func (d *Dispatcher) awaitTurn(ctx context.Context, r *run, q queued) (*permit, error) {
 	_, end := d.observer.StartSpan(ctx, "queue")
 	var got answer
 	select {
 	case got = <-q.waiter.answer:
 	case <-ctx.Done():
 		d.mu.Lock()
-		if q.lane.queue.Remove(r.c.AccountID, q.itemID) {
+		if q.queue.queue.Remove(r.c.AccountID, q.itemID) {
 			d.router.End(q.waiter.flight)
 			d.wake(q.waiter.flight.ID())
 			d.mu.Unlock()
@@ -256,8 +256,8 @@
 	case answerExpired:
 		return nil, refusal.New(refusal.DeadlineUnreachable, "the deadline passed in the queue")
 	}
-	p := &pass{d: d, lane: q.lane, flight: q.waiter.flight, over: q.waiter.over}
-	if p.target = d.options.Config().Target(q.lane.targetID); p.target == nil || ctx.Err() != nil {
+	p := &permit{d: d, queue: q.queue, flight: q.waiter.flight, over: q.waiter.over}
+	if p.target = d.options.Config().Target(q.queue.targetID); p.target == nil || ctx.Err() != nil {
 		p.release()
 		if ctx.Err() != nil {
 			return nil, r.ended(ctx)
@@ -269,11 +269,11 @@
 
 // send records that the request is being sent. It returns false if the target has
 // begun to leave since the choice.
-func (p *pass) send() bool {
+func (p *permit) send() bool {
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
 	p.d.follow()
-	if p.d.router.Leaving(p.lane.targetID) {
+	if p.d.router.Leaving(p.queue.targetID) {
 		return false
 	}
 	p.d.router.Send(p.flight, p.d.clock())
@@ -281,21 +281,21 @@
 }
 
 // firstToken records the end of the prefill.
-func (p *pass) firstToken(epoch string) {
+func (p *permit) firstToken(epoch string) {
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
 	now := p.d.clock()
-	p.lane.limit.Measured(&p.d.knobs, p.flight.Delay(now), now)
+	p.queue.limit.Measured(&p.d.knobs, p.flight.Delay(now), now)
 	p.d.router.FirstToken(p.flight, epoch, now)
 	p.d.wake(p.flight.ID())
 }
 
 // release ends the request at the target.
-func (p *pass) release() {
+func (p *permit) release() {
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
-	p.lane.limit.End(p.over)
+	p.queue.limit.End(p.over)
 	p.d.router.End(p.flight)
 	p.d.wake(p.flight.ID())
-	p.d.pump(p.lane)
+	p.d.sendQueued(p.queue)
 }
--- a/internal/host/targets.go
+++ b/internal/host/targets.go
@@ -14,7 +14,7 @@
 const targetRole = "target"
 
 // watchLeavingTargets passes on which targets the host list shows as leaving. While
-// the list can't be read, the last word stands.
+// the list can't be read, the last list read applies.
 func (h *Host) watchLeavingTargets(ctx context.Context) error {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
--- a/internal/target/callerror.go
+++ b/internal/target/callerror.go
@@ -51,7 +51,7 @@
 }
 
 // parseRejection reports what an error response says about the run. Only a whole
-// body with an error status counts as the target's word.
+// body with an error status counts as the target's own statement.
 func parseRejection(status int, body []byte) (notRun, draining bool, message string) {
 	var r rejectionBody
 	if status < http.StatusBadRequest || json.Unmarshal(body, &r) != nil {
--- a/policy/routing/router.go
+++ b/policy/routing/router.go
@@ -38,7 +38,7 @@
 	hash         uint64
 	network      float64
 	far          bool
-	// A target leaves by the configuration, the host list, or its own word.
+	// A target leaves by the configuration, the host list, or its own report.
 	configLeaving, listLeaving, draining bool
 	// drainingSince is when the target said itself that it leaves; older load reports
 	// don't take that back.
@@ -274,7 +274,7 @@
 	}
 }
 
-// SetDraining records a target's own word that it leaves.
+// SetDraining records a target's own report that it leaves.
 func (r *Router) SetDraining(id string, now time.Time) {
 	if p := r.byID[id]; p != nil {
 		p.draining, p.drainingSince = true, now
