Send the fields of a member under short names

Cause: structs are no longer packed as arrays, and a config.Member that a probe leaves out was still sent with the names of its empty fields, since omitempty leaves out a struct only if each of its fields may be left out.

Change: the fields of a member have short msgpack names and are left out when empty. JSON, and with it the store, is unchanged.

--- a/policy/config/document.go
+++ b/policy/config/document.go
@@ -62,15 +62,15 @@
 // restarted host has a new incarnation and is not a member until a revision
 // lists that incarnation.
 type Member struct {
-	HostID        string `json:"host_id"`
-	Incarnation   string `json:"incarnation"`
-	Zone          string `json:"zone"`
-	Region        string `json:"region"`
-	InnerAddress  string `json:"inner_address"`
-	CallerAddress string `json:"caller_address"`
-	AdminAddress  string `json:"admin_address"`
+	HostID        string `json:"host_id" msgpack:"h,omitempty"`
+	Incarnation   string `json:"incarnation" msgpack:"i,omitempty"`
+	Zone          string `json:"zone" msgpack:"z,omitempty"`
+	Region        string `json:"region" msgpack:"r,omitempty"`
+	InnerAddress  string `json:"inner_address" msgpack:"n,omitempty"`
+	CallerAddress string `json:"caller_address" msgpack:"c,omitempty"`
+	AdminAddress  string `json:"admin_address" msgpack:"a,omitempty"`
 	// Weight scales the host's share in placement; zero means 1.
-	Weight float64 `json:"weight,omitempty"`
+	Weight float64 `json:"weight,omitempty" msgpack:"w,omitempty"`
 }
 
 // Account is a client account with its limits over the whole fleet.
