--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/freshness"
+	"github.com/sequoiaroad/sequoiaroad/policy/gossip"
 )
 
 // frameBytes is the length of a frame without its body.
@@ -85,7 +86,7 @@
 			f := benchmarkFleet(b, hosts)
 			probes, replies := make([][]byte, hosts), make([][]byte, hosts)
 			for i := range hosts {
-				probes[i] = packed(b, &probe{Sender: benchmarkMember(i)})
+				probes[i] = packed(b, &probe{Sender: benchmarkMember(i), Known: gossip.MemberHash(f.self)})
 				replies[i] = packed(b, benchmarkReply(i))
 			}
 			ctx, sent := context.Background(), 0
@@ -93,7 +94,8 @@
 			for b.Loop() {
 				sent = 0
 				for i, target := range f.probeTargets() {
-					sent += len(packed(b, &probe{Sender: f.self})) + frameBytes
+					message, _, _ := f.newProbe(target)
+					sent += len(packed(b, message)) + frameBytes
 					reply := &probeReply{}
 					unpack(b, replies[i+1], reply)
 					f.observe(reply, f.now())
