policy/limit, internal/quota: hand over shares when the member list changes

Cause: a host that gained a share of an account waited freshness deadline + grant lifetime + drift margin (about 4.5 s) after each change of the member list and started empty.

Change: a host raises its share at once when every earlier home whose share becomes smaller has confirmed the revision. The home with the largest gain also gets the released level and counts the released grants as held until they lapse. Other gaining homes wait until these grants have lapsed (at most about 1 s), since the receiver may not have raised its share yet or may lack the capacity to count them all. A confirmation also says whether the member list before is settled; without that a host of a still earlier list could hold a share, so the ordinary wait stays. A planned stop keeps the host answering until all gaining homes have asked, at most for the ordinary wait.

Ruled out: adding the whole released level. The receiver now takes no more than the capacity it gains.

--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -70,6 +70,7 @@
 		h.logger.Warn("planned stop ends with requests still running", "requests", h.stop.running.Load())
 	}
 	h.leave(stopCtx)
+	h.waitForHandover(stopCtx)
 	sleep(stopCtx, refusalLinger)
 	return nil
 }
@@ -96,6 +97,18 @@
 	return true
 }
 
+// waitForHandover keeps the host answering until the new homes of its client accounts
+// have asked for its shares, or no longer need them.
+func (h *Host) waitForHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.limiter.TakeoverWait())
+	defer cancel()
+	for !h.limiter.HandedOver() {
+		if !sleep(ctx, pollInterval) {
+			return
+		}
+	}
+}
+
 // leave gives grants back and removes this host from the member list, so that its
 // accounts move to other hosts at once. It does what it can within stopTimeout: a
 // member that stays listed is removed by the others.
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -19,13 +19,15 @@
 type account struct {
 	id string
 
-	mu      sync.Mutex
-	state   *limit.Account
-	homes   []config.Member // the owner first
-	waiters []*waiter       // in order of arrival
-	timer   *time.Timer     // calls serve when refill should reach the first waiter
-	asking  bool
-	removed bool // from the configuration
+	mu    sync.Mutex
+	state *limit.Account
+	homes []config.Member // the owner first
+	// previous are the homes before the revision of the handover under way.
+	previous []config.Member
+	waiters  []*waiter   // in order of arrival
+	timer    *time.Timer // calls serve when refill should reach the first waiter
+	asking   bool
+	removed  bool // from the configuration
 	// askAfter is the earliest time of the next request for shortNeed tokens or
 	// more, as far as the homes have said.
 	askAfter  time.Time
@@ -89,7 +91,7 @@
 // hopeless reports whether neither the host's own pool nor the other homes can be
 // expected to provide the tokens before the deadline.
 func (l *FleetLimiter) hopeless(a *account, now time.Time, tokens int64, deadline time.Time) bool {
-	if a.asking || a.askAfter.Before(deadline) && l.hasOtherHomes(a) {
+	if a.takingOver(now) || a.asking || a.askAfter.Before(deadline) && l.hasOtherHomes(a) {
 		return false
 	}
 	own, ok := l.ownWait(a, now, tokens)
@@ -183,7 +185,7 @@
 // use: the homes cannot be asked or have just taken over.
 func (l *FleetLimiter) homesUnable(a *account, now time.Time) bool {
 	if a.state.Role().Rank == 0 {
-		return !a.state.Pool().Started(now)
+		return !a.state.Pool().Started(now) || a.takingOver(now)
 	}
 	return a.homesOut || len(a.homes) == 0
 }
@@ -242,6 +244,9 @@
 			go l.ask(a)
 		}
 	}
+	if a.takingOver(now) {
+		next = min(next, retryPause)
+	}
 	if a.timer != nil {
 		a.timer.Stop()
 	}
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -62,6 +62,9 @@
 			return GrantAnswer{Status: GrantIssued, Epoch: id.Epoch, Number: id.Number, Tokens: tokens}
 		}
 	}
+	if a.takingOver(now) {
+		return GrantAnswer{Status: GrantStarting}
+	}
 	return GrantAnswer{Status: GrantShort, RetryAfterMillis: wait.Milliseconds() + 1}
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -92,6 +92,7 @@
 	l.SetMaxWait(o.MaxWait)
 	o.Registry.Handle(wire.TypeGrantRequest, l.handleGrantRequest)
 	o.Registry.Handle(wire.TypeGrantReturn, l.handleGrantReturn)
+	o.Registry.Handle(wire.TypeHandoverRequest, l.handleHandoverRequest)
 	l.view.Subscribe(l.sync)
 	return l
 }
@@ -241,6 +242,7 @@
 			Revision:     next.Revision,
 			Limits:       limit.Limits{Rate: float64(c.RateTokensPerSecond), Burst: float64(c.BurstTokens)},
 			Rank:         -1,
+			Self:         homeID(self),
 			Continuous:   change.continuous,
 			NewAccount:   a == nil && change.sameMembers,
 			FirstMembers: change.firstMembers,
@@ -252,6 +254,7 @@
 		for rank, n := range placement.Homes(c.ID, nodes) {
 			m := members[n.ID]
 			homes = append(homes, m)
+			role.Assigned = append(role.Assigned, homeID(m))
 			if m.HostID == self.HostID && m.Incarnation == self.Incarnation {
 				role.Rank = rank
 			}
@@ -259,8 +262,12 @@
 		role.Homes = len(homes)
 		a.mu.Lock()
 		now := l.clock()
+		previous := a.homes
 		a.homes = homes
 		a.state.Apply(now, role)
+		if revision, _, ok := a.state.Awaiting(now); ok && revision == role.Revision {
+			a.previous = previous
+		}
 		l.serve(a, now)
 		a.mu.Unlock()
 		accounts[c.ID] = a
@@ -273,6 +280,7 @@
 		}
 	}
 	l.accounts, l.applied = accounts, index
+	l.startHandovers(next.Revision)
 }
 
 // revisionChange is what the step between two applied revisions is known to keep.
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -12,7 +12,7 @@
 	// GrantShort means that the pool holds too few tokens.
 	GrantShort
 	// GrantStarting means that the home still waits for its predecessor's time to
-	// end.
+	// end or for its handover.
 	GrantStarting
 	// GrantNotHome means that the host is no home of the account in its revision.
 	GrantNotHome
@@ -86,3 +86,40 @@
 
 // WireType implements wire.Message.
 func (*GrantReturnAck) WireType() wire.Type { return wire.TypeAck }
+
+// HandoverRequest asks a home whose share becomes smaller under a revision to confirm
+// that it has applied it.
+type HandoverRequest struct {
+	Revision uint64 `msgpack:"r"`
+	// HostID and Incarnation name the home. A later incarnation at its address knows
+	// nothing of what the home had granted.
+	HostID      string   `msgpack:"h"`
+	Incarnation string   `msgpack:"i"`
+	Accounts    []string `msgpack:"a"`
+}
+
+// WireType implements wire.Message.
+func (*HandoverRequest) WireType() wire.Type { return wire.TypeHandoverRequest }
+
+// HandoverAnswer answers for one account.
+type HandoverAnswer struct {
+	// Confirmed says that the home applied the revision and knows what it released.
+	Confirmed bool `msgpack:"c"`
+	// Settled says that no host holds more than its share of the member list before
+	// the revision.
+	Settled bool `msgpack:"s"`
+	// Level and Outstanding are the tokens that go to the sender of the request.
+	Level       int64 `msgpack:"l,omitempty"`
+	Outstanding int64 `msgpack:"o,omitempty"`
+	// LapseMicros says how long grants that were released may still be spent.
+	LapseMicros int64 `msgpack:"m,omitempty"`
+}
+
+// HandoverReply answers a HandoverRequest in the order of its accounts; it has no
+// answers if the request was for another host or incarnation.
+type HandoverReply struct {
+	Answers []HandoverAnswer `msgpack:"a"`
+}
+
+// WireType implements wire.Message.
+func (*HandoverReply) WireType() wire.Type { return wire.TypeHandoverReply }
--- a/internal/wire/contract.go
+++ b/internal/wire/contract.go
@@ -26,6 +26,8 @@
 	TypeDigest
 	TypeSnapshotRequest
 	TypeSnapshotPart
+	TypeHandoverRequest
+	TypeHandoverReply
 )
 
 // Message is a body that can be sent in a frame.
--- a/policy/limit/account.go
+++ b/policy/limit/account.go
@@ -9,6 +9,9 @@
 	// Rank is 0 for the owner, below Homes for a home and negative otherwise.
 	Rank  int
 	Homes int
+	// Self is this host, and Assigned the homes, the owner first.
+	Self     HomeID
+	Assigned []HomeID
 	// Continuous says that no member list between the previously applied revision
 	// and this one is unknown to the host. Without it another host may have been
 	// home in between.
@@ -27,6 +30,16 @@
 	role   Role
 	pool   *Pool // nil if the host is no home
 	holder *Holder
+
+	// settledAt is when no host holds more than its share of the assignment that the
+	// host applied with settledRevision.
+	settledAt       time.Time
+	settledRevision uint64
+	// grantsKnownAt is when the grants of a pool that the host no longer knows have
+	// lapsed: that of a deleted account or one dropped over a skipped member list.
+	grantsKnownAt time.Time
+	handover      *handover // nil unless the host gains a share
+	releases      []release
 }
 
 // NewAccount returns the state of an account without a role.
@@ -35,9 +48,11 @@
 }
 
 // Apply gives the host its role under a new revision. The role must not be older
-// than the present one. A host that becomes a home starts empty after the time in
-// which the previous home may still spend.
+// than the present one. A host that becomes a home or gains a share gets it after the
+// time in which the previous home may still spend, or earlier by a handover.
 func (a *Account) Apply(now time.Time, role Role) {
+	a.finishHandover(now)
+	a.startHandover(now, role)
 	share := Share(role.Rank, role.Homes)
 	switch {
 	case share == 0:
--- a/policy/limit/property_test.go
+++ b/policy/limit/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 	})
 }
 
-const seededHistories = 20_000
+const seededHistories = 60_000
 
 // findViolation runs seeded histories until one violates the limits.
 func findViolation(f fault) (violation string, histories int) {
@@ -53,6 +54,11 @@
 		"outstanding grants are not counted":  outstandingNotCounted,
 		"grant expires from the reply":        grantExpiresFromReply,
 		"a home's share is raised at once":    shareRaisedAtOnce,
+		"one confirmation is missing":         confirmationMissing,
+		"two homes get one release":           releaseGivenTwice,
+		"a release is applied twice":          releaseAppliedTwice,
+		"released grants are not counted":     releasedGrantsNotCounted,
+		"earlier member list is not settled":  earlierListUnsettled,
 	}
 	for name, f := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -95,6 +101,93 @@
 	g.Expect(history(skippedMembersIgnored)).NotTo(BeEmpty())
 }
 
+// leavingOwner runs a history in which the owner leaves: it has lent or spent some
+// tokens, asking lets homes ask it, and all hosts then spend what they have.
+func leavingOwner(f fault, lent, spent int64, asking func(s *simulation, homes []*process)) string {
+	s := &simulation{choose: func(n int) int { return min(1, n-1) }, fault: f}
+	for _, h := range simulatedHosts {
+		s.processes = append(s.processes, s.newProcess(h))
+	}
+	s.revisions = []revision{{limits: Limits{1000, 1000}, members: s.processes}}
+	applyAll := func(k int) {
+		for _, p := range s.processes {
+			s.apply(p, k)
+		}
+		s.renewAll()
+	}
+	applyAll(0)
+	s.now += 10 * time.Second
+	s.renewAll()
+	owner := s.homes(0)[0]
+	last := revision{limits: s.revisions[0].limits, membersRevision: 1}
+	for _, p := range s.processes {
+		if p != owner {
+			last.members = append(last.members, p)
+		}
+	}
+	s.revisions = append(s.revisions, last)
+	both := append(s.homes(0), s.homes(1)...)
+	holder := s.processes[slices.IndexFunc(s.processes, func(p *process) bool { return !slices.Contains(both, p) })]
+	s.answer(owner, holder, 0, lent, lent, s.clock(holder))
+	s.deliver()
+	s.reserve(owner, max(1, spent))
+	s.revisions[1].committed = s.now
+	applyAll(1)
+	asking(s, s.homes(1))
+	for _, p := range s.processes {
+		s.reserve(p, 0)
+	}
+	return s.violation
+}
+
+// Guards against a release that reaches two homes: the tokens that it holds would be
+// spent twice.
+func TestReleaseGoesToOneHome(t *testing.T) {
+	history := func(f fault) string {
+		return leavingOwner(f, 0, 400, func(s *simulation, homes []*process) {
+			for _, p := range homes {
+				s.askForHandover(p)
+				s.deliver()
+				s.deliver()
+			}
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(history(noFault)).To(BeEmpty())
+	g.Expect(history(releaseGivenTwice)).NotTo(BeEmpty())
+}
+
+// Guards against a home that raises its share while the released grants may still be
+// spent and the receiver, whose request was lost, does not count them.
+func TestOtherHomesWaitForReleasedGrants(t *testing.T) {
+	history := func(f fault) string {
+		return leavingOwner(f, 866, 0, func(s *simulation, homes []*process) {
+			s.askForHandover(homes[2])
+			s.deliver()
+			s.deliver()
+			s.now += 950 * time.Millisecond
+			s.renewAll()
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(history(noFault)).To(BeEmpty())
+	g.Expect(history(otherGainersDoNotWait)).NotTo(BeEmpty())
+}
+
+// Guards against a generator whose histories have no handovers.
+func TestHistoriesContainHandovers(t *testing.T) {
+	const histories = 1000
+	handovers := 0
+	for seed := range uint64(histories) {
+		r := rand.New(rand.NewPCG(seed, 20261204))
+		s := &simulation{choose: r.IntN}
+		s.run()
+		handovers += s.handovers
+	}
+	t.Logf("%d handovers in %d histories", handovers, histories)
+	NewWithT(t).Expect(handovers).To(BeNumerically(">", histories/2))
+}
+
 // Guards against an account that is deleted and created again while its grants are
 // still outstanding, and that then has a second burst.
 func TestRecreatedAccountWaitsForItsGrants(t *testing.T) {
--- a/policy/limit/simulation_test.go
+++ b/policy/limit/simulation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/policy/placement"
@@ -26,6 +28,12 @@
 	shareRaisedAtOnce
 	newAccountDoesNotWait
 	returnedGrantIsReused
+	confirmationMissing
+	releaseGivenTwice
+	releaseAppliedTwice
+	releasedGrantsNotCounted
+	otherGainersDoNotWait
+	earlierListUnsettled
 )
 
 var simulationTerms = NewTerms(3 * time.Second)
@@ -42,6 +50,7 @@
 // process is one incarnation of a host.
 type process struct {
 	host       string
+	id         HomeID
 	terms      Terms
 	rate       float64 // of its clock
 	dead       bool
@@ -79,6 +88,9 @@
 	messages  []message
 	spent     []*spending
 	violation string
+
+	incarnations int
+	handovers    int // shares raised after confirmations
 }
 
 var simulatedHosts = []string{"a", "b", "c", "d", "e"}
@@ -86,6 +98,11 @@
 // simulate runs one history and returns the first violation, or "".
 func simulate(choose chooser, f fault) string {
 	s := &simulation{choose: choose, fault: f}
+	s.run()
+	return s.violation
+}
+
+func (s *simulation) run() {
 	for _, h := range simulatedHosts {
 		s.processes = append(s.processes, s.newProcess(h))
 	}
@@ -94,12 +111,11 @@
 	for _, p := range s.processes {
 		s.apply(p, 0)
 	}
-	s.now += time.Duration(choose(8)) * time.Second
-	steps := 40 + choose(120)
+	s.now += time.Duration(s.choose(8)) * time.Second
+	steps := 40 + s.choose(120)
 	for i := 0; i < steps && s.violation == ""; i++ {
 		s.step()
 	}
-	return s.violation
 }
 
 func (s *simulation) newProcess(host string) *process {
@@ -108,7 +124,9 @@
 		terms.FreshnessDeadline = -terms.GrantHold()
 	}
 	drift := float64(s.choose(3)-1) * MaxClockDrift
-	return &process{host: host, rate: 1 + drift, applied: -1, terms: terms}
+	s.incarnations++
+	id := HomeID{host, strconv.Itoa(s.incarnations)}
+	return &process{host: host, id: id, rate: 1 + drift, applied: -1, terms: terms}
 }
 
 // clock returns the process's monotonic time.
@@ -121,7 +139,7 @@
 	if homes := s.homes(len(s.revisions) - 1); len(homes) > 0 && s.choose(2) == 0 {
 		p = homes[s.choose(len(homes))] // the hosts that matter most; it may be dead
 	}
-	switch s.choose(23) {
+	switch s.choose(29) {
 	case 0, 1:
 		s.pass()
 	case 2:
@@ -153,7 +171,18 @@
 		for _, p := range s.processes {
 			s.reserve(p, 0)
 		}
-	case 19:
+	case 19, 20:
+		s.askForHandover(p)
+	case 21, 22:
+		for _, p := range s.processes {
+			s.askForHandover(p)
+		}
+		for range 3 + s.choose(8) {
+			s.deliver()
+		}
+	case 23:
+		s.changeMember(p)
+	case 24:
 		for _, p := range s.processes {
 			s.apply(p, s.newer(p))
 		}
@@ -196,6 +225,46 @@
 	s.revisions = append(s.revisions, r)
 }
 
+// changeMember lets a host leave or join the member list, as with a planned stop or a
+// start, and lets the others hand over. Any step may be left out or come late.
+func (s *simulation) changeMember(p *process) {
+	k := len(s.revisions)
+	last := s.revisions[k-1]
+	r := revision{limits: last.limits, membersRevision: k, committed: s.now}
+	for _, m := range last.members {
+		if m.host != p.host {
+			r.members = append(r.members, m)
+		}
+	}
+	if !slices.Contains(last.members, p) {
+		r.members = append(r.members, p)
+	}
+	s.revisions = append(s.revisions, r)
+	for _, p := range s.processes {
+		switch s.choose(10) {
+		case 0:
+			continue
+		case 1:
+			s.pass()
+		case 2:
+			s.reserve(p, int64(s.choose(100)))
+		}
+		s.apply(p, s.newer(p))
+	}
+	s.renewAll()
+	for range 1 + s.choose(3) {
+		for _, p := range s.processes {
+			s.askForHandover(p)
+		}
+		for range 3 + s.choose(10) {
+			s.deliver()
+		}
+		if s.choose(4) == 0 {
+			s.pass()
+		}
+	}
+}
+
 // restart replaces a process; the old one is gone with its memory.
 func (s *simulation) restart(p *process) {
 	for i := range s.processes {
@@ -261,8 +330,9 @@
 
 func (s *simulation) role(p *process, k int) Role {
 	homes := s.homes(k)
-	role := Role{Revision: uint64(k), Limits: s.revisions[k].limits, Rank: -1, Homes: len(homes)}
+	role := Role{Revision: uint64(k), Limits: s.revisions[k].limits, Rank: -1, Homes: len(homes), Self: p.id}
 	for i, h := range homes {
+		role.Assigned = append(role.Assigned, h.id)
 		if h == p {
 			role.Rank = i
 		}
@@ -308,6 +378,75 @@
 	s.send(home, func(home *process) { s.answer(home, p, k, need, want, sent) })
 }
 
+// askForHandover asks each home that the process waits for; the host of a home that
+// has restarted gets the question too.
+func (s *simulation) askForHandover(p *process) {
+	if p.dead || p.account == nil {
+		return
+	}
+	revision, homes, ok := p.account.Awaiting(s.clock(p))
+	if !ok {
+		return
+	}
+	for _, id := range slices.Clone(homes) {
+		for _, home := range s.processes {
+			if home.host == id.HostID {
+				s.send(home, func(home *process) { s.confirm(home, p, id, revision) })
+			}
+		}
+	}
+}
+
+func (s *simulation) confirm(home, p *process, id HomeID, revision uint64) {
+	if home.id != id || home.account == nil {
+		return
+	}
+	to := p.id
+	if s.fault == releaseGivenTwice {
+		for _, r := range home.account.releases {
+			if r.revision == revision {
+				to = r.receiver
+			}
+		}
+	}
+	c, ok := home.account.Confirm(s.clock(home), revision, to)
+	if !ok {
+		return
+	}
+	switch s.fault {
+	case releasedGrantsNotCounted:
+		c.Outstanding, c.Lapse = 0, 0
+	case otherGainersDoNotWait:
+		if c.Outstanding == 0 {
+			c.Lapse = 0
+		}
+	case earlierListUnsettled:
+		c.Settled = true
+	}
+	s.send(p, func(p *process) {
+		if p.account == nil {
+			return
+		}
+		h := p.account.handover
+		switch {
+		case h == nil:
+		case s.fault == releaseGivenTwice:
+			h.receiver = true
+		case s.fault == confirmationMissing && len(h.awaited) > 1:
+			h.awaited = h.awaited[:1]
+			if !slices.Contains(h.awaited, id) {
+				h.awaited[0] = id
+			}
+		case s.fault == releaseAppliedTwice && !slices.Contains(h.awaited, id):
+			h.awaited = append(h.awaited, id)
+		}
+		p.account.Confirmed(s.clock(p), revision, id, c)
+		if h != nil && p.account.handover == nil {
+			s.handovers++
+		}
+	})
+}
+
 func (s *simulation) answer(home, p *process, k int, need, want int64, sent time.Time) {
 	if home.applied != k || !s.fresh(home) || home.account.Pool() == nil {
 		return
