--- a/internal/quota/handover_test.go
+++ b/internal/quota/handover_test.go
@@ -10,7 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/refusal"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/policy/limit"
 )
 
 // admissions records when requests of one account were admitted or refused.
@@ -125,4 +127,48 @@
 				}
 			}),
 	)
+
+	// Guards against a share that is raised although a home that loses it has not
+	// applied the revision or is gone, and against a later incarnation that confirms
+	// in the name of an earlier one.
+	DescribeTable("waits without a confirmation", func(lose func(f *testFleet, owner *testHost)) {
+		f := newTestFleet(4, Options{MaxWait: 10 * time.Millisecond})
+		d := f.settled(club)
+		ranked := f.ranked(club.ID)
+		owner, next := ranked[0], ranked[1]
+		lose(f, owner)
+		applyInTurn(withMembers(d, without(d.Members, owner.member)), ranked[1:]...)
+		time.Sleep(200 * time.Millisecond)
+		_, err := reserve(next, 1000)
+		refused(err, refusal.RateLimited)
+		Expect(next.limiter.RefusedWithinRate()).To(Equal(int64(1)))
+		Expect(statusOf(next).BurstTokens).To(BeNumerically("<=", 200))
+		f.advance(next.limiter.TakeoverWait())
+		Expect(statusOf(next).BurstTokens).To(Equal(int64(2600)))
+	},
+		Entry("of a home that still applies the earlier revision", func(*testFleet, *testHost) {}),
+		Entry("of a dead home", func(_ *testFleet, owner *testHost) { owner.down.Store(true) }),
+		Entry("of a home that restarted", func(f *testFleet, owner *testHost) {
+			f.add(owner.member.HostID, "2", Options{})
+		}),
+	)
+
+	// Guards against a stop that ends before the new homes have the shares, and against
+	// a release that any other host can collect.
+	It("hands over to the gaining homes only", func() {
+		f := newTestFleet(4, Options{})
+		d := f.settled(club)
+		ranked := f.ranked(club.ID)
+		owner := ranked[0]
+		Expect(owner.limiter.HandedOver()).To(BeTrue())
+		next := withMembers(d, without(d.Members, owner.member))
+		applyInTurn(next, owner)
+		Expect(owner.limiter.HandedOver()).To(BeFalse())
+		stranger := owner.limiter.confirm(club.ID, next.Revision, limit.HomeID{HostID: "x", Incarnation: "1"})
+		Expect(stranger).To(Equal(HandoverAnswer{Confirmed: true, Settled: true}))
+		applyInTurn(next, ranked[1:]...)
+		Eventually(owner.limiter.HandedOver).Should(BeTrue())
+		Eventually(func() int64 { return statusOf(ranked[1]).Level }).Should(Equal(int64(2600)))
+		Expect(statusOf(ranked[3]).Level).To(BeNumerically("<=", 200))
+	})
 })
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -164,7 +164,7 @@
 		f := newTestFleet(1, Options{})
 		f.settled(club)
 		h := f.ranked(club.ID)[0]
-		for _, t := range []wire.Type{wire.TypeGrantRequest, wire.TypeGrantReturn} {
+		for _, t := range []wire.Type{wire.TypeGrantRequest, wire.TypeGrantReturn, wire.TypeHandoverRequest} {
 			_, err := h.handlers[t](context.Background(), wire.Peer{HostID: "x"}, wire.Request{Type: t, Body: []byte{0xc1}})
 			Expect(err).To(MatchError(ContainSubstring("host x")))
 		}
