policy/limit, internal/quota: bound a handover and forward returned tokens

A home that was cut off while the burst was lowered released its level of before; a receiver that had applied a later, higher burst added it. 3. Found while adding the returns: those of a grant that lapsed before the receiver raised its share were credited although other homes had raised theirs by then.

Change: a release lists its grants one by one. The receiver counts them under ids of its own pool and asks every 200 ms for 2 s which of them the holders reported and what they returned; it credits that like returns of its own grants. A gain is bounded by the limits of the revision of the handover. A grant that lapsed before the raise counts as spent, and so do all grants if they exceed the gain. A home that has restarted is not asked again.

Ruled out: one sum for all grants with a total of the returns. A refund is bounded by the headroom since the lapse of its own grant, which the sum loses.

--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -84,10 +84,8 @@
 		if err != nil {
 			continue
 		}
-		if pool := a.state.Pool(); pool != nil {
-			pool.Return(now, limit.GrantID{Epoch: r.Epoch, Number: r.Number}, r.Total)
-			l.serve(a, now)
-		}
+		a.state.Return(now, limit.GrantID{Epoch: r.Epoch, Number: r.Number}, r.Total)
+		l.serve(a, now)
 		a.mu.Unlock()
 	}
 }
--- a/internal/quota/handover.go
+++ b/internal/quota/handover.go
@@ -21,9 +21,19 @@
 	lastHandoverPause  = 320 * time.Millisecond
 )
 
+// collectPause is the time between two requests for the returns of released grants.
+const collectPause = 200 * time.Millisecond
+
+// maxHandoverAccounts bounds the accounts in a request, so that the reply with all
+// their grants stays far below the largest frame.
+const maxHandoverAccounts = 16
+
 // handoverTimeout bounds one request for a confirmation.
 const handoverTimeout = 500 * time.Millisecond
 
+// errOtherIncarnation says that a home has restarted. It can no longer confirm.
+var errOtherIncarnation = errors.New("another incarnation responded")
+
 func homeID(m config.Member) limit.HomeID {
 	return limit.HomeID{HostID: m.HostID, Incarnation: m.Incarnation}
 }
@@ -55,32 +65,47 @@
 }
 
 // takeOver asks a home for confirmations until it has given all or the ordinary wait
-// is over.
+// is over, and then for the returns of the grants that it released.
 func (l *FleetLimiter) takeOver(home config.Member, revision uint64) {
 	for pause := firstHandoverPause; ; pause = min(2*pause, lastHandoverPause) {
-		accounts := l.awaitingHome(home, revision)
+		accounts, collecting := l.concernedWith(home, revision)
 		if len(accounts) == 0 {
 			return
 		}
-		if err := l.askForConfirmation(home, revision, accounts); err != nil {
-			l.log.Debug("handover request failed", "host", home.HostID, "revision", revision, "error", err)
+		for part := range slices.Chunk(accounts, maxHandoverAccounts) {
+			err := l.askForConfirmation(home, revision, part)
+			if err != nil {
+				l.log.Debug("handover request failed", "host", home.HostID, "revision", revision, "error", err)
+			}
+			if errors.Is(err, errOtherIncarnation) {
+				return
+			}
+		}
+		if collecting {
+			time.Sleep(min(pause, collectPause))
+			continue
 		}
 		time.Sleep(pause)
 	}
 }
 
-// awaitingHome returns the accounts that need a confirmation of the home.
-func (l *FleetLimiter) awaitingHome(home config.Member, revision uint64) []*account {
-	var accounts []*account
+// concernedWith returns the accounts that need a confirmation of the home or collect
+// returns from it, and whether any collects.
+func (l *FleetLimiter) concernedWith(home config.Member, revision uint64) (accounts []*account, collecting bool) {
 	for _, a := range l.all() {
 		a.mu.Lock()
-		awaited, homes, ok := a.state.Awaiting(l.clock())
-		if ok && awaited == revision && slices.Contains(homes, homeID(home)) {
+		now := l.clock()
+		awaited, homes, awaits := a.state.Awaiting(now)
+		awaits = awaits && awaited == revision && slices.Contains(homes, homeID(home))
+		handedOver, from, collects := a.state.Collecting(now)
+		collects = collects && handedOver == revision && slices.Contains(from, homeID(home))
+		a.mu.Unlock()
+		if awaits || collects {
 			accounts = append(accounts, a)
 		}
-		a.mu.Unlock()
+		collecting = collecting || collects
 	}
-	return accounts
+	return accounts, collecting
 }
 
 func (l *FleetLimiter) askForConfirmation(home config.Member, revision uint64, accounts []*account) error {
@@ -94,6 +119,9 @@
 	if err := l.caller.Call(ctx, home.InnerAddress, request, &reply); err != nil {
 		return errors.Wrapf(err, "ask host %s for a handover", home.HostID)
 	}
+	if len(reply.Answers) == 0 {
+		return errors.WithMessagef(errOtherIncarnation, "ask host %s for a handover", home.HostID)
+	}
 	if len(reply.Answers) != len(accounts) {
 		return errors.Errorf("host %s answered for %d of %d accounts", home.HostID, len(reply.Answers), len(accounts))
 	}
@@ -109,10 +137,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := l.clock()
-	a.state.Confirmed(now, revision, homeID(home), limit.Confirmation{
-		Settled: answer.Settled, Level: float64(answer.Level), Outstanding: float64(answer.Outstanding),
-		Lapse: time.Duration(answer.LapseMicros) * time.Microsecond,
-	})
+	awaited := a.takingOver(now)
+	c := limit.Confirmation{
+		Settled: answer.Settled, Level: float64(answer.Level), Lapse: time.Duration(answer.LapseMicros) * time.Microsecond,
+	}
+	for _, g := range answer.Grants {
+		c.Grants = append(c.Grants, limit.ReleasedGrant{
+			ID: limit.GrantID{Epoch: g.Epoch, Number: g.Number}, Tokens: g.Tokens,
+			Lapse: time.Duration(g.LapseMicros) * time.Microsecond, Reported: g.Reported, Returned: g.Returned,
+		})
+	}
+	a.state.Confirmed(now, revision, homeID(home), c)
+	if awaited && !a.takingOver(now) {
+		l.log.Debug("share is handed over", "account", a.id, "revision", revision)
+	}
 	l.serve(a, now)
 }
 
@@ -143,10 +181,16 @@
 	if !ok {
 		return HandoverAnswer{}
 	}
-	return HandoverAnswer{
-		Confirmed: true, Settled: c.Settled, Level: int64(c.Level), Outstanding: int64(c.Outstanding),
-		LapseMicros: lapseMicros(c.Lapse),
+	answer := HandoverAnswer{
+		Confirmed: true, Settled: c.Settled, Level: int64(c.Level), LapseMicros: lapseMicros(c.Lapse),
+	}
+	for _, g := range c.Grants {
+		answer.Grants = append(answer.Grants, ReleasedGrant{
+			Epoch: g.ID.Epoch, Number: g.ID.Number, Tokens: g.Tokens, LapseMicros: lapseMicros(g.Lapse),
+			Reported: g.Reported, Returned: g.Returned,
+		})
 	}
+	return answer
 }
 
 // HandedOver reports whether all hosts that take over shares of this host have asked
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -108,11 +108,23 @@
 	// Settled says that no host holds more than its share of the member list before
 	// the revision.
 	Settled bool `msgpack:"s"`
-	// Level and Outstanding are the tokens that go to the sender of the request.
-	Level       int64 `msgpack:"l,omitempty"`
-	Outstanding int64 `msgpack:"o,omitempty"`
 	// LapseMicros says how long grants that were released may still be spent.
 	LapseMicros int64 `msgpack:"m,omitempty"`
+	// Level and Grants are the tokens that go to the sender of the request.
+	Level  int64           `msgpack:"l,omitempty"`
+	Grants []ReleasedGrant `msgpack:"g,omitempty"`
+}
+
+// ReleasedGrant is a grant that the receiver of a handover counts as outstanding.
+type ReleasedGrant struct {
+	Epoch       uint64 `msgpack:"e"`
+	Number      uint64 `msgpack:"n"`
+	Tokens      int64  `msgpack:"t"`
+	LapseMicros int64  `msgpack:"m,omitempty"`
+	// Reported says that the holder spends no more of the grant, and Returned counts
+	// the tokens that it returned so far.
+	Reported bool  `msgpack:"s,omitempty"`
+	Returned int64 `msgpack:"r,omitempty"`
 }
 
 // HandoverReply answers a HandoverRequest in the order of its accounts; it has no
--- a/policy/limit/account.go
+++ b/policy/limit/account.go
@@ -40,6 +40,7 @@
 	grantsKnownAt time.Time
 	handover      *handover // nil unless the host gains a share
 	releases      []release
+	received      received
 }
 
 // NewAccount returns the state of an account without a role.
--- a/policy/limit/handover.go
+++ b/policy/limit/handover.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -49,12 +50,33 @@
 	// Settled says that no host holds more than its share of the member list before
 	// the revision.
 	Settled bool
-	// Level and Outstanding are the tokens that the home released: available ones, and
-	// granted ones that may be spent for as long as Lapse. They are zero for all hosts
-	// but the receiver.
-	Level       float64
-	Outstanding float64
-	Lapse       time.Duration
+	// Lapse is how long some released grant may still be spent.
+	Lapse time.Duration
+	// Level and Grants are the tokens that the home released, available and granted
+	// ones. They are zero for all hosts but the receiver.
+	Level  float64
+	Grants []ReleasedGrant
+}
+
+// ReleasedGrant is the part of an outstanding grant that a home released.
+type ReleasedGrant struct {
+	ID     GrantID
+	Tokens int64
+	// Lapse is how long the holder may still spend the grant.
+	Lapse time.Duration
+	// Reported says that the holder spends no more of the grant, and Returned counts
+	// the tokens of this part that it returned so far.
+	Reported bool
+	Returned int64
+
+	kept     int64 // the part that the home still counts itself
+	lapsesAt time.Time
+}
+
+// report takes the total that the holder returned. The home's own part comes first.
+func (g *ReleasedGrant) report(total int64) {
+	g.Reported = true
+	g.Returned = max(g.Returned, min(total-g.kept, g.Tokens))
 }
 
 // release is what a home gave up under a revision.
@@ -64,27 +86,55 @@
 	// gaining are the homes that have not asked yet.
 	gaining []HomeID
 	// settledAt is when the preceding assignment is settled.
-	settledAt   time.Time
-	level       float64
-	outstanding float64
-	lapsesAt    time.Time
-	keepUntil   time.Time
+	settledAt time.Time
+	level     float64
+	grants    map[GrantID]*ReleasedGrant
+	lapsesAt  time.Time
+	keepUntil time.Time
 }
 
 // handover is the wait of a home that gains a share under a revision.
 type handover struct {
 	revision uint64
 	receiver bool
+	// gain is the capacity that the host gains under the limits of the revision. A
+	// later revision may allow more, but the account had no more tokens before it.
+	gain float64
 	// settledAt is when the preceding assignment is settled.
 	settledAt time.Time
 	shrinking []HomeID
 	awaited   []HomeID // those of shrinking that have not confirmed
 	level     float64
-	grants    []*issuedGrant // the outstanding tokens of each confirmation
-	lapsesAt  time.Time      // of all grants of the shrinking homes
-	endsAt    time.Time      // the end of the ordinary wait
+	grants    []receivedGrant
+	lapsesAt  time.Time // of all grants of the shrinking homes
+	endsAt    time.Time // the end of the ordinary wait
 }
 
+// foreignGrant names a released grant by its issuer.
+type foreignGrant struct {
+	issuer HomeID
+	id     GrantID
+}
+
+// receivedGrant is a released grant that the receiver is to count.
+type receivedGrant struct {
+	name foreignGrant
+	ReleasedGrant
+}
+
+// received are the grants that the host counts since a handover, with their ids in
+// its own pool.
+type received struct {
+	revision uint64
+	from     []HomeID
+	grants   map[foreignGrant]GrantID
+	endsAt   time.Time
+}
+
+// collectTime is how long the receiver asks for the returns of released grants: until
+// the last one lapses, and as long again for requests that were running then.
+const collectTime = 2 * DefaultGrantLifetime
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
@@ -124,11 +174,12 @@
 			revision: role.Revision, receiver: receiverOf(before, after), gaining: gainingHomes(before, after),
 			settledAt: previousSettledAt, keepUntil: now.Add(a.terms.TakeoverWait()),
 		}
-		r.level, r.outstanding, r.lapsesAt = a.pool.release(now, role.Limits, share)
+		r.level, r.grants, r.lapsesAt = a.pool.release(now, role.Limits, share)
 		a.releases = append(a.currentReleases(now), r)
 	case share > old:
 		a.handover = &handover{
 			revision: role.Revision, receiver: receiverOf(before, after) == role.Self,
+			gain:      role.Limits.scaled(share - old).Burst,
 			settledAt: previousSettledAt, shrinking: shrinkingHomes(before, after),
 			awaited: shrinkingHomes(before, after),
 			endsAt:  now.Add(a.terms.TakeoverWait()),
@@ -156,13 +207,37 @@
 	c := Confirmation{Settled: !now.Before(r.settledAt), Lapse: max(0, r.lapsesAt.Sub(now))}
 	if to == r.receiver {
 		c.Level = r.level
-		if c.Lapse > 0 {
-			c.Outstanding = r.outstanding
+		for _, g := range r.grants {
+			answer := *g
+			answer.Lapse = max(0, g.lapsesAt.Sub(now))
+			c.Grants = append(c.Grants, answer)
 		}
+		slices.SortFunc(c.Grants, func(x, y ReleasedGrant) int { return cmp.Compare(x.ID.Number, y.ID.Number) })
 	}
 	return c, true
 }
 
+// Return takes the report of a holder about a grant of this host. See Pool.Return.
+func (a *Account) Return(now time.Time, id GrantID, total int64) {
+	for _, r := range a.currentReleases(now) {
+		if g := r.grants[id]; g != nil {
+			g.report(total)
+		}
+	}
+	if a.pool != nil {
+		a.pool.Return(now, id, total)
+	}
+}
+
+// Collecting returns the revision of the last handover to this host and the homes
+// that may still get returns of released grants, and false if there are none.
+func (a *Account) Collecting(now time.Time) (revision uint64, homes []HomeID, ok bool) {
+	if !now.Before(a.received.endsAt) {
+		a.received = received{}
+	}
+	return a.received.revision, a.received.from, len(a.received.from) > 0
+}
+
 // Unconfirmed reports whether a home that gains from this host has not asked for its
 // confirmation yet.
 func (a *Account) Unconfirmed(now time.Time) bool {
@@ -186,6 +261,7 @@
 // Confirmed takes the confirmation of a home. What it released counts once, however
 // often it is repeated.
 func (a *Account) Confirmed(now time.Time, revision uint64, from HomeID, c Confirmation) {
+	a.collect(now, revision, from, c)
 	h := a.handover
 	if h == nil || h.revision != revision || !slices.Contains(h.shrinking, from) {
 		return
@@ -195,20 +271,54 @@
 	}
 	if slices.Contains(h.awaited, from) {
 		h.awaited = slices.DeleteFunc(h.awaited, func(id HomeID) bool { return id == from })
-		h.add(now, c)
+		h.add(now, from, c)
 	}
 	a.finishHandover(now)
 }
 
+// startCollecting takes the returns that came with the confirmations and waits for
+// more. Grants that exceed the gain belong in part to other homes, or to earlier and
+// higher limits; all of them then count as spent at their lapse.
+func (a *Account) startCollecting(now time.Time, h *handover, ids map[foreignGrant]GrantID) {
+	var granted int64
+	for _, g := range h.grants {
+		granted += g.Tokens
+	}
+	if float64(granted) > h.gain {
+		return
+	}
+	a.received = received{revision: h.revision, from: h.shrinking, grants: ids, endsAt: now.Add(collectTime)}
+	for _, g := range h.grants {
+		if g.Reported {
+			a.Return(now, ids[g.name], g.Returned)
+		}
+	}
+}
+
+// collect takes the returns of released grants that the host counts already.
+func (a *Account) collect(now time.Time, revision uint64, from HomeID, c Confirmation) {
+	if a.received.revision != revision {
+		return
+	}
+	for _, g := range c.Grants {
+		if id, ok := a.received.grants[foreignGrant{from, g.ID}]; ok && g.Reported {
+			a.Return(now, id, g.Returned)
+		}
+	}
+}
+
 // add counts what a home released.
-func (h *handover) add(now time.Time, c Confirmation) {
+func (h *handover) add(now time.Time, from HomeID, c Confirmation) {
 	h.level += max(0, c.Level)
 	lapsesAt := now.Add(c.Lapse)
 	if c.Lapse > 0 && lapsesAt.After(h.lapsesAt) {
 		h.lapsesAt = lapsesAt
 	}
-	if c.Outstanding > 0 {
-		h.grants = append(h.grants, &issuedGrant{tokens: int64(math.Ceil(c.Outstanding)), lapsesAt: lapsesAt})
+	for _, g := range c.Grants {
+		if g.Lapse > 0 && g.Tokens > 0 {
+			g.lapsesAt = now.Add(g.Lapse)
+			h.grants = append(h.grants, receivedGrant{foreignGrant{from, g.ID}, g})
+		}
 	}
 }
 
@@ -229,9 +339,12 @@
 	a.handover = nil
 	at := now
 	if h.receiver {
+		// A lapsed grant counts as spent: other homes may have raised their shares since.
+		h.grants = slices.DeleteFunc(h.grants, func(g receivedGrant) bool { return !g.lapsesAt.After(now) })
 		before := a.pool.capacity(now)
 		a.pool.raiseAtOnce(now, now)
-		a.pool.receive(now, a.pool.capacity(now)-before, h.level, h.grants)
+		ids := a.pool.receive(now, min(h.gain, a.pool.capacity(now)-before), h.level, h.grants)
+		a.startCollecting(now, h, ids)
 		if a.pool.bucket.held > a.pool.Burst() && h.lapsesAt.After(now) {
 			at = h.lapsesAt
 		}
@@ -247,9 +360,9 @@
 }
 
 // release takes out what a smaller share cannot hold: granted tokens first, those
-// that lapse first, and then available ones. Reports about a grant that was taken out
-// give back only the part that stayed.
-func (p *Pool) release(now time.Time, limits Limits, share float64) (level, outstanding float64, lapsesAt time.Time) {
+// that lapse first, and then available ones. A grant may be taken out in part.
+func (p *Pool) release(now time.Time, limits Limits, share float64) (level float64, grants map[GrantID]*ReleasedGrant, lapsesAt time.Time) {
+	grants = map[GrantID]*ReleasedGrant{}
 	p.advance(now)
 	b := &p.bucket
 	b.history.record(b.headroom())
@@ -264,14 +377,15 @@
 		n := min(g.tokens, int64(math.Ceil(b.held-capacity)))
 		g.tokens -= n
 		b.held -= float64(n)
-		outstanding += float64(n)
 		lapsesAt = g.lapsesAt
+		id := GrantID{Epoch: p.epoch, Number: g.number}
+		grants[id] = &ReleasedGrant{ID: id, Tokens: n, kept: g.tokens, lapsesAt: g.lapsesAt}
 	}
 	if rest := max(0, capacity-b.held); b.level > rest {
 		level = b.level - rest
 		b.level = rest
 	}
-	return level, outstanding, lapsesAt
+	return level, grants, lapsesAt
 }
 
 // raiseAtOnce moves the start and a due raise of the share forward to at.
@@ -297,10 +411,15 @@
 
 // receive adds what the earlier homes released, but no more than the capacity that
 // the raise gained: the rest of it belongs to other homes, which may have filled
-// their parts already.
-func (p *Pool) receive(now time.Time, gained, level float64, grants []*issuedGrant) {
+// their parts already. It returns the ids of the grants in this pool.
+func (p *Pool) receive(now time.Time, gained, level float64, grants []receivedGrant) map[foreignGrant]GrantID {
 	b := &p.bucket
-	for _, g := range grants {
+	ids := map[foreignGrant]GrantID{}
+	for _, released := range grants {
+		p.nextNumber++
+		ids[released.name] = GrantID{Epoch: p.epoch, Number: p.nextNumber}
+		g := &issuedGrant{number: p.nextNumber, tokens: released.Tokens, lapsesAt: released.lapsesAt}
+		p.issued[g.number] = g
 		i, _ := slices.BinarySearchFunc(p.outstanding, g, func(x, y *issuedGrant) int {
 			return x.lapsesAt.Compare(y.lapsesAt)
 		})
@@ -310,4 +429,5 @@
 	}
 	b.level = min(b.level+min(level, max(0, gained)), b.limits.Burst-b.held)
 	p.advance(now)
+	return ids
 }
--- a/policy/limit/simulation_test.go
+++ b/policy/limit/simulation_test.go
@@ -385,6 +385,9 @@
 		return
 	}
 	revision, homes, ok := p.account.Awaiting(s.clock(p))
+	if !ok {
+		revision, homes, ok = p.account.Collecting(s.clock(p))
+	}
 	if !ok {
 		return
 	}
@@ -415,9 +418,9 @@
 	}
 	switch s.fault {
 	case releasedGrantsNotCounted:
-		c.Outstanding, c.Lapse = 0, 0
+		c.Grants, c.Lapse = nil, 0
 	case otherGainersDoNotWait:
-		if c.Outstanding == 0 {
+		if len(c.Grants) == 0 {
 			c.Lapse = 0
 		}
 	case earlierListUnsettled:
@@ -515,8 +518,8 @@
 		for _, issuer := range s.processes {
 			if issuer.host == r.Issuer {
 				s.send(issuer, func(to *process) {
-					if to.account != nil && to.account.Pool() != nil {
-						to.account.Pool().Return(s.clock(to), r.ID, r.Total)
+					if to.account != nil {
+						to.account.Return(s.clock(to), r.ID, r.Total)
 					}
 				})
 			}
