--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -72,6 +72,7 @@
 	}
 	h.recordOutcomes(stopCtx)
 	h.leave(stopCtx)
+	h.waitForHandover(stopCtx)
 	clock.Sleep(stopCtx, refusalLinger)
 	return nil
 }
@@ -97,6 +98,18 @@
 	}
 }
 
+// waitForHandover keeps the host answering until the new homes of its client accounts
+// have asked for its shares, or no longer need them.
+func (h *Host) waitForHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.limiter.TakeoverWait())
+	defer cancel()
+	for !h.limiter.HandedOver() {
+		if !clock.Sleep(ctx, pollInterval) {
+			return
+		}
+	}
+}
+
 // leave gives grants back and removes this host from the member list, so that its
 // accounts move to other hosts at once. It does what it can within stopTimeout: a
 // member that stays listed is removed by the others.
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -62,6 +62,9 @@
 			return GrantAnswer{Status: GrantIssued, Epoch: id.Epoch, Number: id.Number, Tokens: tokens}
 		}
 	}
+	if a.takingOver(now) {
+		return GrantAnswer{Status: GrantStarting}
+	}
 	return GrantAnswer{Status: GrantShort, RetryAfterMillis: wait.Milliseconds() + 1}
 }
 
@@ -81,10 +84,8 @@
 		if err != nil {
 			continue
 		}
-		if pool := a.state.Pool(); pool != nil {
-			pool.Return(now, limit.GrantID{Epoch: r.Epoch, Number: r.Number}, r.Total)
-			l.serve(a, now)
-		}
+		a.state.Return(now, limit.GrantID{Epoch: r.Epoch, Number: r.Number}, r.Total)
+		l.serve(a, now)
 		a.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/policy/limit/handover.go
@@ -0,0 +1,433 @@
+package limit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// HomeID names one incarnation of a host.
+type HomeID struct {
+	HostID      string
+	Incarnation string
+}
+
+// shareOf returns the share of a host among the homes, the owner first.
+func shareOf(homes []HomeID, id HomeID) float64 {
+	return Share(slices.Index(homes, id), len(homes))
+}
+
+// shrinkingHomes returns the earlier homes whose share becomes smaller, those that
+// are no longer homes included.
+func shrinkingHomes(before, after []HomeID) []HomeID {
+	var shrinking []HomeID
+	for _, h := range before {
+		if shareOf(after, h) < shareOf(before, h) {
+			shrinking = append(shrinking, h)
+		}
+	}
+	return shrinking
+}
+
+// receiverOf returns the home that gains the most; the first one of equals. It is
+// the only one that gets what the shrinking homes release, so that two hosts never
+// hold the same tokens.
+func receiverOf(before, after []HomeID) HomeID {
+	var receiver HomeID
+	var most float64
+	for _, h := range after {
+		if gain := shareOf(after, h) - shareOf(before, h); gain > most {
+			receiver, most = h, gain
+		}
+	}
+	return receiver
+}
+
+// Confirmation is the answer of a shrinking home that has applied a revision: from
+// then on it holds no more than its new share.
+type Confirmation struct {
+	// Settled says that no host holds more than its share of the member list before
+	// the revision.
+	Settled bool
+	// Lapse is how long some released grant may still be spent.
+	Lapse time.Duration
+	// Level and Grants are the tokens that the home released, available and granted
+	// ones. They are zero for all hosts but the receiver.
+	Level  float64
+	Grants []ReleasedGrant
+}
+
+// ReleasedGrant is the part of an outstanding grant that a home released.
+type ReleasedGrant struct {
+	ID     GrantID
+	Tokens int64
+	// Lapse is how long the holder may still spend the grant.
+	Lapse time.Duration
+	// Reported says that the holder spends no more of the grant, and Returned counts
+	// the tokens of this part that it returned so far.
+	Reported bool
+	Returned int64
+
+	kept     int64 // the part that the home still counts itself
+	lapsesAt time.Time
+}
+
+// report takes the total that the holder returned. The home's own part comes first.
+func (g *ReleasedGrant) report(total int64) {
+	g.Reported = true
+	g.Returned = max(g.Returned, min(total-g.kept, g.Tokens))
+}
+
+// release is what a home gave up under a revision.
+type release struct {
+	revision uint64
+	receiver HomeID
+	// gaining are the homes that have not asked yet.
+	gaining []HomeID
+	// settledAt is when the preceding assignment is settled.
+	settledAt time.Time
+	level     float64
+	grants    map[GrantID]*ReleasedGrant
+	lapsesAt  time.Time
+	keepUntil time.Time
+}
+
+// handover is the wait of a home that gains a share under a revision.
+type handover struct {
+	revision uint64
+	receiver bool
+	// gain is the capacity that the host gains under the limits of the revision. A
+	// later revision may allow more, but the account had no more tokens before it.
+	gain float64
+	// settledAt is when the preceding assignment is settled.
+	settledAt time.Time
+	shrinking []HomeID
+	awaited   []HomeID // those of shrinking that have not confirmed
+	level     float64
+	grants    []receivedGrant
+	lapsesAt  time.Time // of all grants of the shrinking homes
+	endsAt    time.Time // the end of the ordinary wait
+}
+
+// foreignGrant names a released grant by its issuer.
+type foreignGrant struct {
+	issuer HomeID
+	id     GrantID
+}
+
+// receivedGrant is a released grant that the receiver is to count.
+type receivedGrant struct {
+	name foreignGrant
+	ReleasedGrant
+}
+
+// received are the grants that the host counts since a handover, with their ids in
+// its own pool.
+type received struct {
+	revision uint64
+	from     []HomeID
+	grants   map[foreignGrant]GrantID
+	endsAt   time.Time
+}
+
+// collectTime is how long the receiver asks for the returns of released grants: until
+// the last one lapses, and as long again for requests that were running then.
+const collectTime = 2 * DefaultGrantLifetime
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// gainingHomes returns the homes whose share becomes larger.
+func gainingHomes(before, after []HomeID) []HomeID { return shrinkingHomes(after, before) }
+
+// startHandover records what the host releases or awaits under the role. It runs
+// before the pool takes the new share.
+func (a *Account) startHandover(now time.Time, role Role) {
+	before, after := a.role.Assigned, role.Assigned
+	previousSettledAt := a.settledAt
+	if !role.Continuous || a.grantsKnownAt.IsZero() {
+		a.grantsKnownAt = now.Add(a.terms.GrantHold())
+	}
+	if role.Continuous && slices.Equal(before, after) {
+		return
+	}
+	a.settledAt, a.settledRevision = now.Add(a.terms.TakeoverWait()), role.Revision
+	if role.FirstMembers && role.Continuous {
+		a.settledAt = now
+	}
+	old, share := shareOf(before, role.Self), shareOf(after, role.Self)
+	if !role.Continuous || old != share {
+		a.handover = nil
+	}
+	if !role.Continuous || len(before) == 0 || len(after) == 0 {
+		return
+	}
+	switch {
+	case share < old && a.pool != nil && !now.Before(a.grantsKnownAt):
+		r := release{
+			revision: role.Revision, receiver: receiverOf(before, after), gaining: gainingHomes(before, after),
+			settledAt: previousSettledAt, keepUntil: now.Add(a.terms.TakeoverWait()),
+		}
+		r.level, r.grants, r.lapsesAt = a.pool.release(now, role.Limits, share)
+		a.releases = append(a.currentReleases(now), r)
+	case share > old:
+		a.handover = &handover{
+			revision: role.Revision, receiver: receiverOf(before, after) == role.Self,
+			gain:      role.Limits.scaled(share - old).Burst,
+			settledAt: previousSettledAt, shrinking: shrinkingHomes(before, after),
+			awaited: shrinkingHomes(before, after),
+			endsAt:  now.Add(a.terms.TakeoverWait()),
+		}
+	}
+}
+
+// currentReleases drops the releases whose receivers have passed the ordinary wait.
+func (a *Account) currentReleases(now time.Time) []release {
+	a.releases = slices.DeleteFunc(a.releases, func(r release) bool { return !now.Before(r.keepUntil) })
+	return a.releases
+}
+
+// Confirm answers a home that gains a share under the revision. It reports false if
+// the host has not applied the revision right after the member list before it, or no
+// longer knows what it released.
+func (a *Account) Confirm(now time.Time, revision uint64, to HomeID) (Confirmation, bool) {
+	releases := a.currentReleases(now)
+	i := slices.IndexFunc(releases, func(r release) bool { return r.revision == revision })
+	if i < 0 {
+		return Confirmation{}, false
+	}
+	r := &releases[i]
+	r.gaining = slices.DeleteFunc(r.gaining, func(id HomeID) bool { return id == to })
+	c := Confirmation{Settled: !now.Before(r.settledAt), Lapse: max(0, r.lapsesAt.Sub(now))}
+	if to == r.receiver {
+		c.Level = r.level
+		for _, g := range r.grants {
+			answer := *g
+			answer.Lapse = max(0, g.lapsesAt.Sub(now))
+			c.Grants = append(c.Grants, answer)
+		}
+		slices.SortFunc(c.Grants, func(x, y ReleasedGrant) int { return cmp.Compare(x.ID.Number, y.ID.Number) })
+	}
+	return c, true
+}
+
+// Return takes the report of a holder about a grant of this host. See Pool.Return.
+func (a *Account) Return(now time.Time, id GrantID, total int64) {
+	for _, r := range a.currentReleases(now) {
+		if g := r.grants[id]; g != nil {
+			g.report(total)
+		}
+	}
+	if a.pool != nil {
+		a.pool.Return(now, id, total)
+	}
+}
+
+// Collecting returns the revision of the last handover to this host and the homes
+// that may still get returns of released grants, and false if there are none.
+func (a *Account) Collecting(now time.Time) (revision uint64, homes []HomeID, ok bool) {
+	if !now.Before(a.received.endsAt) {
+		a.received = received{}
+	}
+	return a.received.revision, a.received.from, len(a.received.from) > 0
+}
+
+// Unconfirmed reports whether a home that gains from this host has not asked for its
+// confirmation yet.
+func (a *Account) Unconfirmed(now time.Time) bool {
+	return slices.ContainsFunc(a.currentReleases(now), func(r release) bool { return len(r.gaining) > 0 })
+}
+
+// Awaiting returns the revision of the handover under way and the homes to ask, and
+// false if there is none. These are the homes that have not confirmed, or all if none
+// has said yet that the member list before the revision is settled.
+func (a *Account) Awaiting(now time.Time) (revision uint64, homes []HomeID, ok bool) {
+	a.finishHandover(now)
+	if a.handover == nil {
+		return 0, nil, false
+	}
+	if len(a.handover.awaited) == 0 {
+		return a.handover.revision, a.handover.shrinking, true
+	}
+	return a.handover.revision, a.handover.awaited, true
+}
+
+// Confirmed takes the confirmation of a home. What it released counts once, however
+// often it is repeated.
+func (a *Account) Confirmed(now time.Time, revision uint64, from HomeID, c Confirmation) {
+	a.collect(now, revision, from, c)
+	h := a.handover
+	if h == nil || h.revision != revision || !slices.Contains(h.shrinking, from) {
+		return
+	}
+	if c.Settled {
+		h.settledAt = earlier(h.settledAt, now)
+	}
+	if slices.Contains(h.awaited, from) {
+		h.awaited = slices.DeleteFunc(h.awaited, func(id HomeID) bool { return id == from })
+		h.add(now, from, c)
+	}
+	a.finishHandover(now)
+}
+
+// startCollecting takes the returns that came with the confirmations and waits for
+// more. Grants that exceed the gain belong in part to other homes, or to earlier and
+// higher limits; all of them then count as spent at their lapse.
+func (a *Account) startCollecting(now time.Time, h *handover, ids map[foreignGrant]GrantID) {
+	var granted int64
+	for _, g := range h.grants {
+		granted += g.Tokens
+	}
+	if float64(granted) > h.gain {
+		return
+	}
+	a.received = received{revision: h.revision, from: h.shrinking, grants: ids, endsAt: now.Add(collectTime)}
+	for _, g := range h.grants {
+		if g.Reported {
+			a.Return(now, ids[g.name], g.Returned)
+		}
+	}
+}
+
+// collect takes the returns of released grants that the host counts already.
+func (a *Account) collect(now time.Time, revision uint64, from HomeID, c Confirmation) {
+	if a.received.revision != revision {
+		return
+	}
+	for _, g := range c.Grants {
+		if id, ok := a.received.grants[foreignGrant{from, g.ID}]; ok && g.Reported {
+			a.Return(now, id, g.Returned)
+		}
+	}
+}
+
+// add counts what a home released.
+func (h *handover) add(now time.Time, from HomeID, c Confirmation) {
+	h.level += max(0, c.Level)
+	lapsesAt := now.Add(c.Lapse)
+	if c.Lapse > 0 && lapsesAt.After(h.lapsesAt) {
+		h.lapsesAt = lapsesAt
+	}
+	for _, g := range c.Grants {
+		if g.Lapse > 0 && g.Tokens > 0 {
+			g.lapsesAt = now.Add(g.Lapse)
+			h.grants = append(h.grants, receivedGrant{foreignGrant{from, g.ID}, g})
+		}
+	}
+}
+
+// finishHandover raises the share once all shrinking homes have confirmed and no
+// host acts on a member list before theirs. The receiver raises it at once, since it
+// counts the outstanding grants itself; others wait until these have lapsed.
+func (a *Account) finishHandover(now time.Time) {
+	h := a.handover
+	switch {
+	case h == nil:
+		return
+	case !now.Before(h.endsAt):
+		a.handover = nil
+		return
+	case len(h.awaited) > 0 || now.Before(h.settledAt):
+		return
+	}
+	a.handover = nil
+	at := now
+	if h.receiver {
+		// A lapsed grant counts as spent: other homes may have raised their shares since.
+		h.grants = slices.DeleteFunc(h.grants, func(g receivedGrant) bool { return !g.lapsesAt.After(now) })
+		before := a.pool.capacity(now)
+		a.pool.raiseAtOnce(now, now)
+		ids := a.pool.receive(now, min(h.gain, a.pool.capacity(now)-before), h.level, h.grants)
+		a.startCollecting(now, h, ids)
+		if a.pool.bucket.held > a.pool.Burst() && h.lapsesAt.After(now) {
+			at = h.lapsesAt
+		}
+	} else {
+		if h.lapsesAt.After(now) {
+			at = h.lapsesAt
+		}
+		a.pool.raiseAtOnce(now, at)
+	}
+	if h.revision == a.settledRevision {
+		a.settledAt = earlier(a.settledAt, at)
+	}
+}
+
+// release takes out what a smaller share cannot hold: granted tokens first, those
+// that lapse first, and then available ones. A grant may be taken out in part.
+func (p *Pool) release(now time.Time, limits Limits, share float64) (level float64, grants map[GrantID]*ReleasedGrant, lapsesAt time.Time) {
+	grants = map[GrantID]*ReleasedGrant{}
+	p.advance(now)
+	b := &p.bucket
+	b.history.record(b.headroom())
+	capacity := limits.scaled(min(share, p.share)).Burst
+	for _, g := range p.outstanding {
+		if b.held <= capacity {
+			break
+		}
+		if g.lapsed {
+			continue
+		}
+		n := min(g.tokens, int64(math.Ceil(b.held-capacity)))
+		g.tokens -= n
+		b.held -= float64(n)
+		lapsesAt = g.lapsesAt
+		id := GrantID{Epoch: p.epoch, Number: g.number}
+		grants[id] = &ReleasedGrant{ID: id, Tokens: n, kept: g.tokens, lapsesAt: g.lapsesAt}
+	}
+	if rest := max(0, capacity-b.held); b.level > rest {
+		level = b.level - rest
+		b.level = rest
+	}
+	return level, grants, lapsesAt
+}
+
+// raiseAtOnce moves the start and a due raise of the share forward to at.
+func (p *Pool) raiseAtOnce(now, at time.Time) {
+	p.advance(now)
+	if at.Before(p.start) {
+		p.start, p.bucket.updated = at, at
+	}
+	if p.nextShare > p.share && at.Before(p.raiseAt) {
+		p.raiseAt = at
+	}
+	p.advance(now)
+}
+
+// capacity returns the burst in force, zero before the start.
+func (p *Pool) capacity(now time.Time) float64 {
+	p.advance(now)
+	if !p.Started(now) {
+		return 0
+	}
+	return p.Burst()
+}
+
+// receive adds what the earlier homes released, but no more than the capacity that
+// the raise gained: the rest of it belongs to other homes, which may have filled
+// their parts already. It returns the ids of the grants in this pool.
+func (p *Pool) receive(now time.Time, gained, level float64, grants []receivedGrant) map[foreignGrant]GrantID {
+	b := &p.bucket
+	ids := map[foreignGrant]GrantID{}
+	for _, released := range grants {
+		p.nextNumber++
+		ids[released.name] = GrantID{Epoch: p.epoch, Number: p.nextNumber}
+		g := &issuedGrant{number: p.nextNumber, tokens: released.Tokens, lapsesAt: released.lapsesAt}
+		p.issued[g.number] = g
+		i, _ := slices.BinarySearchFunc(p.outstanding, g, func(x, y *issuedGrant) int {
+			return x.lapsesAt.Compare(y.lapsesAt)
+		})
+		p.outstanding = slices.Insert(p.outstanding, i, g)
+		b.held += float64(g.tokens)
+		gained -= float64(g.tokens)
+	}
+	b.level = min(b.level+min(level, max(0, gained)), b.limits.Burst-b.held)
+	p.advance(now)
+	return ids
+}
