Move the caller stand-in to standin/caller

Cause: the program that stands in for callers lived in a test file, and the seeded failure run reached into its fields. Change: standin/caller with exported types; no check changes.

--- a/test/scenario/caller_test.go
+++ b/standin/caller/caller.go
@@ -1,4 +1,6 @@
-package scenario
+// Package caller is a stand-in for a caller's program: it sends requests, follows the
+// locator, and compares each stream with the text that the engine stand-ins generate.
+package caller
 
 import (
 	"bufio"
@@ -18,10 +20,12 @@
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
 )
 
-// callerMain is a client program: "caller http METHOD URL", "caller stream ADDRESS" and
-// "caller load ADDRESS,ADDRESS" and
-// "caller flood ADDRESS,ADDRESS".
-func callerMain() {
+// retryInterval is the wait before another attempt.
+const retryInterval = 50 * time.Millisecond
+
+// Main is the program: "caller http METHOD URL", "caller stream ADDRESS", "caller load
+// ADDRESS,ADDRESS" and "caller flood ADDRESS,ADDRESS".
+func Main() {
 	if len(os.Args) < 2 {
 		fmt.Fprintln(os.Stderr, "usage: caller http|stream|load|flood ...")
 		os.Exit(2)
@@ -47,72 +51,85 @@
 	}
 }
 
-type headerFlags []string
+// Headers are lines of the form "Name: value"; it implements flag.Value.
+type Headers []string
+
+// String implements flag.Value.
+func (h *Headers) String() string { return strings.Join(*h, ",") }
+
+// Set implements flag.Value.
+func (h *Headers) Set(s string) error { *h = append(*h, s); return nil }
 
-func (h *headerFlags) String() string     { return strings.Join(*h, ",") }
-func (h *headerFlags) Set(s string) error { *h = append(*h, s); return nil }
+// Caller sends requests of one client account.
+type Caller struct {
+	// Key is the client key; empty sends none.
+	Key   string
+	Model string
+	// Weights is the weights version of the expected text, Tokens its length.
+	Weights string
+	Tokens  int
+	// Headers are sent with each request, as "Name: value".
+	Headers Headers
+	Client  *http.Client
 
-type caller struct {
-	key, model, prompt, body, weights string
-	tokens, workers                   int
-	status                            int
+	prompt, body    string
+	workers, status int
 	// resume makes a caller under load go on at other hosts after broken connections.
 	resume  bool
 	timeout time.Duration
 	// pause is the wait of a slow caller after each event.
 	pause   time.Duration
-	headers headerFlags
 	args    []string
-	client  *http.Client
 	located located
 }
 
-func parseCaller(args []string) *caller {
-	c := &caller{}
+func parseCaller(args []string) *Caller {
+	c := &Caller{}
 	set := flag.NewFlagSet("caller", flag.ContinueOnError)
-	set.StringVar(&c.key, "key", "", "client key")
-	set.StringVar(&c.model, "model", "m1", "model")
+	set.StringVar(&c.Key, "key", "", "client key")
+	set.StringVar(&c.Model, "model", "m1", "model")
 	set.StringVar(&c.prompt, "prompt", "Hello", "prompt")
 	set.StringVar(&c.body, "body", "", "request body")
-	set.StringVar(&c.weights, "weights", "1", "weights version of the expected text")
-	set.IntVar(&c.tokens, "tokens", 16, "tokens to generate")
+	set.StringVar(&c.Weights, "weights", "1", "weights version of the expected text")
+	set.IntVar(&c.Tokens, "tokens", 16, "tokens to generate")
 	set.IntVar(&c.workers, "workers", 4, "callers at once")
 	set.IntVar(&c.status, "status", 0, "expected HTTP status; zero means any 2xx")
 	set.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait")
 	set.BoolVar(&c.resume, "resume", false, "load: resume broken streams at other hosts")
 	set.DurationVar(&c.pause, "pause", 0, "wait after each event of a stream")
-	set.Var(&c.headers, "header", "Name: value")
+	set.Var(&c.Headers, "header", "Name: value")
 	if err := set.Parse(args); err != nil {
 		os.Exit(2)
 	}
 	c.args = set.Args()
-	c.client = &http.Client{Timeout: c.timeout}
+	c.Client = &http.Client{Timeout: c.timeout}
 	return c
 }
 
-func (c *caller) send(method, url, body string) (*http.Response, error) {
-	return c.sendWith(c.headers, method, url, body)
+// Send makes one request.
+func (c *Caller) Send(method, url, body string) (*http.Response, error) {
+	return c.sendWith(c.Headers, method, url, body)
 }
 
-func (c *caller) sendWith(headers headerFlags, method, url, body string) (*http.Response, error) {
+func (c *Caller) sendWith(headers Headers, method, url, body string) (*http.Response, error) {
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	if c.key != "" {
-		r.Header.Set("Authorization", "Bearer "+c.key)
+	if c.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Key)
 	}
 	r.Header.Set("Content-Type", "application/json")
 	for _, h := range headers {
 		name, value, _ := strings.Cut(h, ":")
 		r.Header.Set(name, strings.TrimSpace(value))
 	}
-	return c.client.Do(r)
+	return c.Client.Do(r)
 }
 
 // plain prints status and body of one request.
-func (c *caller) plain() error {
-	response, err := c.send(c.args[0], c.args[1], c.body)
+func (c *Caller) plain() error {
+	response, err := c.Send(c.args[0], c.args[1], c.body)
 	if err != nil {
 		return err
 	}
@@ -128,18 +145,18 @@
 	return fmt.Errorf("status %d", response.StatusCode)
 }
 
-// refusedError is a refusal of the router.
-type refusedError struct {
+// RefusedError is a refusal of the router.
+type RefusedError struct {
 	status int
 	code   string
 	run    string
 }
 
-func (e *refusedError) Error() string {
+func (e *RefusedError) Error() string {
 	return fmt.Sprintf("refused: %d %s run=%s", e.status, e.code, e.run)
 }
 
-func readRefusal(response *http.Response) *refusedError {
+func readRefusal(response *http.Response) *RefusedError {
 	var body struct {
 		Error struct {
 			Code string `json:"code"`
@@ -147,37 +164,37 @@
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(response.Body).Decode(&body)
-	return &refusedError{response.StatusCode, body.Error.Code, body.Error.Run}
+	return &RefusedError{response.StatusCode, body.Error.Code, body.Error.Run}
 }
 
 // stream checks that a streamed completion is whole and in order. With several
 // addresses it goes on at the next one, by Last-Event-ID, when the connection breaks.
-func (c *caller) stream(addresses, prompt string) error {
+func (c *Caller) stream(addresses, prompt string) error {
 	list := strings.Split(addresses, ",")
-	r := &streamReader{pause: c.pause}
+	r := &Stream{pause: c.pause}
 	for i := 0; ; i++ {
-		err := c.streamOnce(list[i%len(list)], prompt, r)
+		err := c.StreamOnce(list[i%len(list)], prompt, r)
 		if err == nil {
 			break
 		}
-		var broken *brokenError
+		var broken *BrokenError
 		if !errors.As(err, &broken) || i+1 >= maxReconnects*len(list) || len(list) == 1 {
-			c.checkPartial(prompt, r.text.String())
+			c.checkPartial(prompt, r.Text.String())
 			return err
 		}
 		fmt.Fprintf(os.Stderr, "reconnect after %q: %v\n", r.lastID, err)
 		time.Sleep(retryInterval)
 	}
-	if want := engine.Text([]byte(prompt), c.tokens, c.weights); r.text.String() != want {
-		return fmt.Errorf("the text is %q, not %q", r.text.String(), want)
+	if want := engine.Text([]byte(prompt), c.Tokens, c.Weights); r.Text.String() != want {
+		return fmt.Errorf("the text is %q, not %q", r.Text.String(), want)
 	}
-	fmt.Printf("stream of %d tokens is complete\n", c.tokens)
+	fmt.Printf("stream of %d tokens is complete\n", c.Tokens)
 	return nil
 }
 
 // checkPartial says whether the text of a failed stream is a part of the expected one.
-func (c *caller) checkPartial(prompt, text string) {
-	if strings.HasPrefix(engine.Text([]byte(prompt), c.tokens, c.weights), text) {
+func (c *Caller) checkPartial(prompt, text string) {
+	if strings.HasPrefix(engine.Text([]byte(prompt), c.Tokens, c.Weights), text) {
 		fmt.Fprintf(os.Stderr, "the %d bytes so far are right\n", len(text))
 		return
 	}
@@ -186,19 +203,19 @@
 
 // resumeAnywhere reads one stream to its end. It goes on at the next host after a
 // broken connection, by Last-Event-ID, and after a refusal that says not_run.
-func (c *caller) resumeAnywhere(addresses []string, first int, prompt string, ended chan struct{}) (int, error) {
+func (c *Caller) resumeAnywhere(addresses []string, first int, prompt string, ended chan struct{}) (int, error) {
 	deadline := time.Now().Add(c.timeout)
-	r := &streamReader{pause: c.pause}
+	r := &Stream{pause: c.pause}
 	for retries := 0; ; retries++ {
-		err := c.streamOnce(addresses[(first+retries)%len(addresses)], prompt, r)
+		err := c.StreamOnce(addresses[(first+retries)%len(addresses)], prompt, r)
 		if err == nil {
-			if want := engine.Text([]byte(prompt), c.tokens, c.weights); r.text.String() != want {
-				return retries, fmt.Errorf("the text is %q, not %q", r.text.String(), want)
+			if want := engine.Text([]byte(prompt), c.Tokens, c.Weights); r.Text.String() != want {
+				return retries, fmt.Errorf("the text is %q, not %q", r.Text.String(), want)
 			}
 			return retries, nil
 		}
-		var broken *brokenError
-		if !errors.As(err, &broken) && !safeToRepeat(err) || time.Now().After(deadline) {
+		var broken *BrokenError
+		if !errors.As(err, &broken) && !SafeToRepeat(err) || time.Now().After(deadline) {
 			return retries, err
 		}
 		select {
@@ -211,28 +228,30 @@
 
 const maxReconnects = 20
 
-// brokenError says that a connection could not be made or broke in the middle.
-type brokenError struct{ err error }
+// BrokenError says that a connection could not be made or broke in the middle.
+type BrokenError struct{ err error }
 
-func (e *brokenError) Error() string { return e.err.Error() }
-func (e *brokenError) Unwrap() error { return e.err }
+func (e *BrokenError) Error() string { return e.err.Error() }
+func (e *BrokenError) Unwrap() error { return e.err }
 
-// streamReader collects the text over all connections of one stream.
-type streamReader struct {
-	text   strings.Builder
+// Stream collects the text over all connections of one stream.
+type Stream struct {
+	Text   strings.Builder
 	lastID string
 	pause  time.Duration
 }
 
-func (c *caller) streamOnce(address, prompt string, r *streamReader) error {
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, c.model, prompt, c.tokens)
-	headers := c.headers
+// StreamOnce asks for a streamed completion over one connection. It goes on after the
+// last event that r has.
+func (c *Caller) StreamOnce(address, prompt string, r *Stream) error {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, c.Model, prompt, c.Tokens)
+	headers := c.Headers
 	if r.lastID != "" {
 		headers = append(headers[:len(headers):len(headers)], "Last-Event-ID: "+r.lastID)
 	}
 	response, err := c.sendWith(headers, http.MethodPost, "http://"+address+"/v1/completions", body)
 	if err != nil {
-		return &brokenError{err}
+		return &BrokenError{err}
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -243,7 +262,7 @@
 
 // read takes events until the end marker. An event counts, and its id becomes the last
 // one, only once the empty line after it has come: a connection may break inside it.
-func (r *streamReader) read(body io.Reader) error {
+func (r *Stream) read(body io.Reader) error {
 	lines := bufio.NewScanner(body)
 	id, data := "", ""
 	for lines.Scan() {
@@ -270,12 +289,12 @@
 		time.Sleep(r.pause)
 	}
 	if err := lines.Err(); err != nil {
-		return &brokenError{err}
+		return &BrokenError{err}
 	}
-	return &brokenError{errors.New("the stream ended without its end marker")}
+	return &BrokenError{errors.New("the stream ended without its end marker")}
 }
 
-func (r *streamReader) event(data string) error {
+func (r *Stream) event(data string) error {
 	var chunk struct {
 		Choices []struct {
 			Text string `json:"text"`
@@ -292,14 +311,14 @@
 		return fmt.Errorf("stream error %s run=%s", chunk.Error.Code, chunk.Error.Run)
 	}
 	for _, choice := range chunk.Choices {
-		r.text.WriteString(choice.Text)
+		r.Text.WriteString(choice.Text)
 	}
 	return nil
 }
 
 // flood sends whole completions from several workers to all addresses for a time and
 // prints how many were answered and refused.
-func (c *caller) flood() error {
+func (c *Caller) flood() error {
 	addresses := strings.Split(c.args[0], ",")
 	deadline := time.Now().Add(c.timeout)
 	var mu sync.Mutex
@@ -320,9 +339,9 @@
 	return nil
 }
 
-func (c *caller) floodOnce(address, prompt string) string {
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, c.model, prompt, c.tokens)
-	response, err := c.send(http.MethodPost, "http://"+address+"/v1/completions", body)
+func (c *Caller) floodOnce(address, prompt string) string {
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, c.Model, prompt, c.Tokens)
+	response, err := c.Send(http.MethodPost, "http://"+address+"/v1/completions", body)
 	if err != nil {
 		time.Sleep(retryInterval)
 		return "broken"
@@ -340,7 +359,7 @@
 // load sends streams from several workers until SIGTERM. Each worker uses the hosts that
 // the locator names in turn, goes to the next one on a refusal that says not_run or on a
 // refused connection, and counts any other failure as a lost request.
-func (c *caller) load() error {
+func (c *Caller) load() error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
 	ended := make(chan struct{})
@@ -390,7 +409,7 @@
 
 // locate asks any host which addresses to use, as callers must: a host that stops is
 // named no more, and goes on serving for longer than an answer may be kept.
-func (c *caller) locate(hosts []string) []string {
+func (c *Caller) locate(hosts []string) []string {
 	c.located.mu.Lock()
 	defer c.located.mu.Unlock()
 	if time.Now().Before(c.located.until) {
@@ -398,7 +417,7 @@
 	}
 	for _, host := range hosts {
 		asked := time.Now()
-		response, err := c.send(http.MethodGet, "http://"+host+"/v1/addresses?model="+c.model, "")
+		response, err := c.Send(http.MethodGet, "http://"+host+"/v1/addresses?model="+c.Model, "")
 		if err != nil {
 			continue
 		}
@@ -417,12 +436,12 @@
 	return hosts
 }
 
-func (c *caller) streamAnywhere(hosts []string, first int, prompt string, ended chan struct{}) (int, error) {
+func (c *Caller) streamAnywhere(hosts []string, first int, prompt string, ended chan struct{}) (int, error) {
 	deadline := time.Now().Add(c.timeout)
 	for retries := 0; ; retries++ {
 		addresses := c.locate(hosts)
 		err := c.stream(addresses[(first+retries)%len(addresses)], prompt)
-		if err == nil || !safeToRepeat(err) || time.Now().After(deadline) {
+		if err == nil || !SafeToRepeat(err) || time.Now().After(deadline) {
 			return retries, err
 		}
 		select {
@@ -433,8 +452,9 @@
 	}
 }
 
-func safeToRepeat(err error) bool {
-	if refused, ok := err.(*refusedError); ok {
+// SafeToRepeat reports whether a failed request is known not to have run.
+func SafeToRepeat(err error) bool {
+	if refused, ok := err.(*RefusedError); ok {
 		return refused.run == "not_run"
 	}
 	return strings.Contains(err.Error(), "connection refused")
--- a/test/scenario/failurerun_test.go
+++ b/test/scenario/failurerun_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/admin"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
+	"github.com/sequoiaroad/sequoiaroad/standin/caller"
 	"github.com/sequoiaroad/sequoiaroad/standin/engine"
 )
 
@@ -88,7 +89,7 @@
 	for _, address := range f.callers {
 		eventually(ts, "a stream through "+address, func() error {
 			c := f.caller(16)
-			return c.streamOnce(address, "recovered", &streamReader{})
+			return c.StreamOnce(address, "recovered", &caller.Stream{})
 		})
 	}
 	stop()
@@ -126,8 +127,8 @@
 	}
 }
 
-func (f *failureRun) caller(tokens int) *caller {
-	return &caller{key: f.key, model: "m1", weights: "1", tokens: tokens, client: f.client}
+func (f *failureRun) caller(tokens int) *caller.Caller {
+	return &caller.Caller{Key: f.key, Model: "m1", Weights: "1", Tokens: tokens, Client: f.client}
 }
 
 // streams reads streams one after the other, each at any host that goes on with it.
@@ -140,23 +141,23 @@
 
 func (f *failureRun) oneStream(random *rand.Rand, prompt string) {
 	c := f.caller(20 + random.IntN(200))
-	r := &streamReader{}
-	want := engine.Text([]byte(prompt), c.tokens, c.weights)
+	r := &caller.Stream{}
+	want := engine.Text([]byte(prompt), c.Tokens, c.Weights)
 	for first := random.IntN(len(f.callers)); f.ended.Err() == nil; first++ {
-		err := c.streamOnce(f.callers[first%len(f.callers)], prompt, r)
+		err := c.StreamOnce(f.callers[first%len(f.callers)], prompt, r)
 		if err == nil {
-			if r.text.String() != want {
-				f.violation("stream %q ended with [DONE] and %q, not %q", prompt, r.text.String(), want)
+			if r.Text.String() != want {
+				f.violation("stream %q ended with [DONE] and %q, not %q", prompt, r.Text.String(), want)
 			}
 			f.count("streams complete")
 			return
 		}
-		if !strings.HasPrefix(want, r.text.String()) {
-			f.violation("stream %q has the text %q, not a part of %q", prompt, r.text.String(), want)
+		if !strings.HasPrefix(want, r.Text.String()) {
+			f.violation("stream %q has the text %q, not a part of %q", prompt, r.Text.String(), want)
 			return
 		}
-		var broken *brokenError
-		if !errors.As(err, &broken) && !safeToRepeat(err) {
+		var broken *caller.BrokenError
+		if !errors.As(err, &broken) && !caller.SafeToRepeat(err) {
 			f.count("streams ended: " + err.Error())
 			return
 		}
@@ -224,9 +225,9 @@
 }
 
 func (f *failureRun) sendBooking(host int, id string) (int, []byte, error) {
-	c := &caller{key: f.key, client: f.client, headers: headerFlags{"Idempotency-Key: " + id}}
+	c := &caller.Caller{Key: f.key, Client: f.client, Headers: caller.Headers{"Idempotency-Key: " + id}}
 	url := "http://" + f.callers[host%len(f.callers)] + "/services/booking/bookings"
-	response, err := c.send(http.MethodPost, url, fmt.Sprintf(`{"booking_id":%q}`, id))
+	response, err := c.Send(http.MethodPost, url, fmt.Sprintf(`{"booking_id":%q}`, id))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -362,8 +363,8 @@
 	accepted, withdrawn := f.withdrawn[key]
 	f.mu.Unlock()
 	inForce := withdrawn && time.Since(accepted) > withdrawnWithin
-	c := &caller{key: key, client: f.client}
-	response, err := c.send(http.MethodPost, "http://"+address+"/v1/completions", `{"model":"m1","prompt":"x","max_tokens":1}`)
+	c := &caller.Caller{Key: key, Client: f.client}
+	response, err := c.Send(http.MethodPost, "http://"+address+"/v1/completions", `{"model":"m1","prompt":"x","max_tokens":1}`)
 	if err != nil {
 		return
 	}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/command"
 	"github.com/sequoiaroad/sequoiaroad/internal/ctl"
+	"github.com/sequoiaroad/sequoiaroad/standin/caller"
 	"github.com/sequoiaroad/sequoiaroad/standin/program"
 )
 
@@ -23,7 +24,7 @@
 		"engine-standin":   program.Engine,
 		"service-standin":  program.Service,
 		"network-standin":  program.Network,
-		"caller":           callerMain,
+		"caller":           caller.Main,
 	})
 }
 
