Halve the price of recomputation

Cause: with a weight of 2 a hot prefix waited at its warm target for 2 to 3 s before it spilled, and the queue then spilled at once: on Lanna the fleet fell into an overload in which targets recomputed what others had cached.

Change: 1 in ordinary (was 2), 1.5 in peak (was 3), 0.5 in maintenance (was 1).

Peak and maintenance follow the ratio and were not measured.

--- a/policy/preset/preset.go
+++ b/policy/preset/preset.go
@@ -13,10 +13,11 @@
 	// RecomputeWeight is added to the cost of computing tokens that are not cached, as
 	// a multiple of the time it takes. It stands for the work of others that the
 	// recomputation delays. Zero looks only at the request's own time to first token,
-	// which under load spills hot prefixes until each target computes all of them: on
-	// the stand-ins 0.5 recomputed 2.5 times as much as 2. Peak raises it, because at
-	// full load every recomputed token delays another request; maintenance lowers it,
-	// because the targets that remain must take the prefixes of those that leave.
+	// which under load spills hot prefixes until each target computes all of them. With
+	// 2, a hot prefix waited at its target for seconds, and the queue then spilled at
+	// once into an overload. Peak raises it, because at full load every recomputed token
+	// delays another request; maintenance lowers it, because the targets that remain must
+	// take the prefixes of those that leave.
 	RecomputeWeight float64
 	// TieShare is the share of the prefill time by which targets may differ and still
 	// count as equal, so that hosts agree on one by hashing despite different views of
@@ -81,7 +82,7 @@
 	k := ordinary()
 	switch p {
 	case config.PresetPeak:
-		k.RecomputeWeight = 3
+		k.RecomputeWeight = 1.5
 		k.TieShare = 0.15
 		k.RetryShare = 0.05
 		k.ReinstateOver = 20 * time.Second
@@ -90,7 +91,7 @@
 		k.LimitWaitFactor = 2
 		k.DefaultDeadline = 3 * time.Minute
 	case config.PresetMaintenance:
-		k.RecomputeWeight = 1
+		k.RecomputeWeight = 0.5
 		k.TieShare = 0.35
 		k.UncertainShare = 0.25
 		k.RetryShare = 0.25
@@ -105,7 +106,7 @@
 
 func ordinary() Knobs {
 	return Knobs{
-		RecomputeWeight: 2,
+		RecomputeWeight: 1,
 		TieShare:        0.25,
 		UncertainShare:  0.5,
 		RetryShare:      0.1,
