Use one loop for the periodic tasks of dispatcher and limiter

Cause: the same ticker loop stood in both packages. Change: internal/clock.Every. Ruled out: the loop over the host list, which runs at once before it waits and does more than one thing.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -17,3 +17,17 @@
 		return false
 	}
 }
+
+// Every calls f at each interval until ctx ends.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -16,3 +16,16 @@
 	cancel()
 	g.Expect(Sleep(ctx, time.Hour)).To(BeFalse())
 }
+
+// Guards against a periodic task that stops early or outlives its context.
+func TestEveryCallsUntilItsContextEnds(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	Every(ctx, time.Millisecond, func() {
+		if calls++; calls == 3 {
+			cancel()
+		}
+	})
+	g.Expect(calls).To(BeNumerically(">=", 3))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/target"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/prefix"
@@ -159,16 +160,8 @@
 
 // Run applies configuration changes and expires state until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(maintenanceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.maintain()
-		}
-	}
+	clock.Every(ctx, maintenanceInterval, d.maintain)
+	return nil
 }
 
 // maintain follows the configuration and drops what has run out.
--- a/internal/quota/grants.go
+++ b/internal/quota/grants.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/limit"
@@ -233,16 +234,8 @@
 
 // Run prefetches grants and returns unspent ones until ctx ends.
 func (l *FleetLimiter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			l.refresh()
-		}
-	}
+	clock.Every(ctx, refreshInterval, l.refresh)
+	return nil
 }
 
 // refresh starts one round of returns and prefetch per home that is concerned.
