--- /dev/null
+++ b/internal/command/route.go
@@ -0,0 +1,102 @@
+package command
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/entryhost"
+	"github.com/sequoiaroad/sequoiaroad/internal/logsink"
+	"github.com/sequoiaroad/sequoiaroad/internal/settings"
+	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/platform"
+)
+
+// routeCommand runs a host on the users' platform.
+func routeCommand(stdout io.Writer) *cobra.Command {
+	var s settings.Route
+	cmd := &cobra.Command{
+		Use:   "route",
+		Short: "Run a host on the users' platform; SIGTERM is a planned stop",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := settings.ApplyEnvironment(cmd.Flags()); err != nil {
+				return err
+			}
+			if err := s.Validate(); err != nil {
+				return err
+			}
+			return route(cmd.Context(), &s, stdout)
+		},
+	}
+	s.Register(cmd.Flags())
+	return cmd
+}
+
+func route(ctx context.Context, s *settings.Route, stdout io.Writer) error {
+	runtime.GOMAXPROCS(1)
+	deployment, err := platform.ReadSettings(s.NodeFile)
+	if err != nil {
+		return err
+	}
+	sink := logsink.New(stdout)
+	defer sink.Close()
+	tel, err := telemetry.New(ctx, telemetry.Options{
+		LogLevel: s.LogLevel, LogJSON: true, LogOutput: sink, LogExclude: sink.Exclude,
+		TraceExporter: s.TraceExporter, OTLPEndpoint: s.OTLPEndpoint, TraceOutput: stdout,
+	})
+	if err != nil {
+		return err
+	}
+	defer stopTelemetry(tel)
+	store := platform.NewStore(deployment.StoreAddress)
+	defer store.Close()
+	host, err := entryhost.New(entryhost.Options{
+		Deployment: *deployment, FleetSecret: s.FleetSecret, MetricsListen: s.MetricsListen,
+		LoadsAtOnce: s.LoadsAtOnce, Telemetry: tel,
+		Platform: entryhost.Platform{
+			Source: store, Store: store, Decoder: decoder(),
+			Codec: platform.Codec{}, Engines: platform.NewEngines(), CopyHeaders: platform.CopyAnswerHeaders,
+			Ready: platform.ReadyHandler, Locator: platform.LocatorHandler,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	go watchReload(ctx, s.NodeFile, tel.Logger)
+	return host.Run(ctx)
+}
+
+func decoder() view.Decoder {
+	return view.Decoder{
+		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
+		HistoryGone: platform.ErrHistoryGone, OperatorRow: platform.DecodeOperatorRow, Target: platform.DecodeTarget,
+	}
+}
+
+// watchReload checks the settings file at each SIGHUP. The addresses and bounds of a
+// running process do not change; a file that differs takes effect at the next start.
+func watchReload(ctx context.Context, path string, log hclog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		if _, err := platform.ReadSettings(path); err != nil {
+			log.Warn("settings file can't be used; the earlier settings hold", "error", err)
+			continue
+		}
+		log.Info("settings file was read again")
+	}
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/message"
+)
+
+// onceBody is a body that net/http can't rewind, so that the transport never sends a
+// request a second time by itself. Only the kind of the route decides that.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// outbound builds the request for a target: method, path, query and body as the
+// caller sent them.
+func (r *Router) outbound(ctx context.Context, c *call, p *plan) *http.Request {
+	u := &url.URL{
+		Scheme: "http", Host: p.target.Address, Path: c.in.URL.Path, RawPath: c.in.URL.RawPath,
+		RawQuery: c.in.URL.RawQuery, ForceQuery: c.in.URL.ForceQuery,
+	}
+	if uri := c.in.RequestURI; strings.HasPrefix(uri, "/") && !strings.HasPrefix(uri, "//") {
+		u.Opaque, u.RawQuery, u.ForceQuery = uri, "", false
+	}
+	out := &http.Request{
+		Method: c.in.Method, URL: u, Host: c.in.Host,
+		Header:        r.Codec.Outbound(c.in.Header, p.envelope),
+		Body:          onceBody{bytes.NewReader(c.body)},
+		ContentLength: int64(len(c.body)),
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	return out.WithContext(ctx)
+}
+
+// attempt sends the request to the planned target and relays its answer. It returns
+// nil once the caller has the final answer.
+func (r *Router) attempt(ctx context.Context, c *call, p *plan) *failure {
+	ctx, span := r.Tracer.Start(ctx, "attempt")
+	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.end(p)
+	c.sends++
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	resp, err := p.client.transport.RoundTrip(r.outbound(ctx, c, p))
+	if err != nil {
+		return r.unanswered(ctx, c, p, err, connected)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := r.Codec.Answer(resp)
+	r.clients.learnIdle(c.service.Name, answer.KeepAlive)
+	if answer.ID != c.meta.ID {
+		// The answer belongs to another request; the connection can't be trusted.
+		cancel()
+		c.runs++
+		c.tried[p.target.ID] = true
+		return &failure{status: http.StatusBadGateway, reason: "target answered another request", cause: errors.Errorf("target %s answered request %q", p.target.ID, answer.ID)}
+	}
+	if answer.NotRun {
+		return r.rejected(c, p, resp, &answer)
+	}
+	c.runs++
+	r.answered(p, &answer, resp.StatusCode)
+	if resp.StatusCode == http.StatusOK && c.route.Kind.Streams() {
+		return r.relayStream(ctx, c, p, resp)
+	}
+	return r.relayPlain(c, p, resp)
+}
+
+func (r *Router) end(p *plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.FirstEvent(p.target, p.reading)
+	r.balancer.End(p.target)
+}
+
+// unanswered handles a send without an answer.
+func (r *Router) unanswered(ctx context.Context, c *call, p *plan, err error, connected bool) *failure {
+	c.tried[p.target.ID] = true
+	cause := errors.Wrapf(err, "send to target %s at %s", p.target.ID, p.target.Address)
+	if ctx.Err() != nil {
+		f := &failure{status: http.StatusGatewayTimeout, reason: "the time limit passed before the target answered", cause: cause}
+		if connected {
+			c.runs++
+		}
+		f.proven = !connected
+		if f.proven {
+			f.status = http.StatusServiceUnavailable
+		}
+		return f
+	}
+	r.mu.Lock()
+	r.balancer.Failed(p.target, time.Now())
+	r.mu.Unlock()
+	if !connected {
+		return &failure{status: http.StatusServiceUnavailable, reason: "target was not reached", cause: cause, proven: true, unsent: true, retryAfter: noTargetRetry}
+	}
+	c.runs++
+	return &failure{status: http.StatusBadGateway, reason: "target did not answer", cause: cause}
+}
+
+// rejected handles an answer that says that the request was not run.
+func (r *Router) rejected(c *call, p *plan, resp *http.Response, a *message.Answer) *failure {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+	f := notRun(http.StatusServiceUnavailable, "target rejected the request", noTargetRetry)
+	f.cause = errors.Errorf("target %s answered %d, weights %d, instance %q", p.target.ID, resp.StatusCode, a.Weights, a.InstanceID)
+	c.tried[p.target.ID] = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	switch {
+	case a.WrongTarget && p.prompt != nil && (a.InstanceID == "" || a.InstanceID == p.target.ID):
+		f.reason = "target has other weights"
+		r.balancer.SawWeights(p.target, p.prompt.Model, max(a.Weights, p.prompt.Wanted))
+		delete(c.tried, p.target.ID)
+	case a.WrongTarget:
+		f.reason = "another target has the address"
+		r.balancer.Pause(p.target, now.Add(time.Second))
+	default:
+		r.balancer.Pause(p.target, now.Add(rejectedPause))
+	}
+	return f
+}
+
+// rejectedPause keeps requests from a target that has just rejected one.
+const rejectedPause = 150 * time.Millisecond
+
+func (r *Router) answered(p *plan, a *message.Answer, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if status < http.StatusInternalServerError {
+		r.balancer.Succeeded(p.target)
+	}
+	if p.prompt != nil && a.Weights > 0 {
+		r.balancer.SawWeights(p.target, p.prompt.Model, a.Weights)
+	}
+}
--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/peers"
+	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+// Describe fills in the load and use of a heartbeat.
+func (r *Router) Describe() peers.Heartbeat {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var h peers.Heartbeat
+	for id, l := range r.balancer.OwnLoads() {
+		h.Loads = append(h.Loads, peers.TargetLoad{ID: id, Running: l.Running, Reading: l.Reading})
+	}
+	for name, b := range r.buckets {
+		h.Use = append(h.Use, peers.AccountUse{Account: name, Total: b.Admitted()})
+	}
+	return h
+}
+
+// HeardFrom implements peers.Local.
+func (r *Router) HeardFrom(h *peers.Heartbeat) {
+	config := r.View.Snapshot().Config
+	_, silent := r.Fleet.Shares()
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	loads := make(map[string]balance.Load, len(h.Loads))
+	for _, l := range h.Loads {
+		loads[l.ID] = balance.Load{Running: l.Running, Reading: l.Reading}
+	}
+	r.balancer.PeerLoads(h.From.ID, loads, now)
+	if config == nil {
+		return
+	}
+	use := make(map[string]float64, len(h.Use))
+	for _, u := range h.Use {
+		use[u.Account] = u.Total
+	}
+	for _, a := range config.Accounts {
+		if total, ok := use[a.Name]; ok {
+			r.bucket(a, now).Report(h.From.Incarnation, total, now, silent)
+		}
+	}
+}
+
+// HeardSightings implements peers.Local.
+func (r *Router) HeardSightings(all []balance.Sighting) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range all {
+		r.balancer.Saw(s, now)
+	}
+}
+
+// HeardNotice implements peers.Local.
+func (r *Router) HeardNotice(n *peers.EngineNotice) {
+	t := r.View.Snapshot().Targets[n.TargetID]
+	if t == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.Version > 0 {
+		r.balancer.SawWeights(t, n.Model, n.Version)
+	}
+	r.balancer.Pause(t, time.Now().Add(time.Duration(n.PauseMs)*time.Millisecond))
+}
+
+// Weights returns the version of a model that a target is known to have, and the
+// requests of all hosts there.
+func (r *Router) Weights(t *topology.Target, model string) (version int64, running int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Weights(t, model), r.balancer.Running(t, time.Now())
+}
--- /dev/null
+++ b/internal/forward/plan.go
@@ -0,0 +1,128 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/message"
+	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+// retell is the age from which the use of a cached part is told to peers again.
+const retell = 3 * time.Second
+
+// plan is one sending of a request.
+type plan struct {
+	target   *topology.Target
+	envelope message.Envelope
+	client   *client
+	// reading is the prompt tokens that the target has to read.
+	reading int
+	prompt  *balance.Prompt
+}
+
+// plan chooses a target.
+func (r *Router) plan(c *call) (*plan, *failure) {
+	s := r.View.Snapshot()
+	targets := s.ByService[c.service.Name]
+	hosts, _ := r.Fleet.Shares()
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := &plan{envelope: message.Envelope{Priority: c.route.Priority, LastEventID: c.lastEventID}}
+	if c.account != nil {
+		p.envelope.Account = c.account.Name
+		if c.account.Priority != nil {
+			p.envelope.Priority = *c.account.Priority
+		}
+	}
+	if c.service.Engine != nil {
+		r.planPrompt(c, p, targets, now)
+	} else {
+		p.target = r.balancer.PickPlain(targets, c.tried, len(c.body), now)
+		p.envelope.Priority = message.NoPriority
+	}
+	if p.target == nil {
+		return nil, notRun(http.StatusServiceUnavailable, "no target is usable", noTargetRetry)
+	}
+	p.envelope.TargetID = p.target.ID
+	if left := r.left(c, now); left > 0 {
+		p.envelope.Deadline = left
+	}
+	p.client = r.clients.get(p.target, c.service.MaxConnections/max(1, hosts))
+	r.balancer.Begin(p.target, p.reading)
+	return p, nil
+}
+
+// left is the time that the caller and the route still give.
+func (r *Router) left(c *call, now time.Time) time.Duration {
+	if c.ends.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, c.ends.Sub(now))
+}
+
+func (r *Router) planPrompt(c *call, p *plan, targets []*topology.Target, now time.Time) {
+	p.prompt = r.prompt(c, now)
+	choice := r.balancer.Pick(p.prompt, targets, c.tried, now)
+	p.target = choice.Target
+	if p.target == nil {
+		return
+	}
+	p.reading = choice.Uncached
+	p.envelope.Weights = choice.Weights
+	p.envelope.CacheSalt = fmt.Sprintf("%d.%s", choice.Weights, p.prompt.Wall)
+	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
+	r.sight(p.prompt, &choice, now)
+	c.log.Info("target chosen", "route", c.route.Name, "target", p.target.ID, "cost_ms", int(choice.CostMs),
+		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "weights", choice.Weights, "wanted", p.prompt.Wanted)
+}
+
+func (r *Router) prompt(c *call, now time.Time) *balance.Prompt {
+	q := &balance.Prompt{Model: c.meta.Model, Bytes: len(c.body), Engine: c.service.Engine}
+	if c.account != nil && c.account.Isolated {
+		q.Wall = c.account.Name
+	}
+	for _, part := range c.meta.Parts {
+		q.Parts = append(q.Parts, balance.Part(part))
+	}
+	if w, ok := r.View.Snapshot().Wanted[q.Model]; ok {
+		q.Wanted, q.Age = w.Version, now.Sub(w.Since)
+	}
+	if store := c.config.Store(); store != nil {
+		q.StoreAddress, q.StoreZone = store.StoreAddress, store.StoreZone
+	}
+	return q
+}
+
+// sight notes what the target will have cached, and tells peers what they may not
+// know.
+func (r *Router) sight(q *balance.Prompt, choice *balance.Choice, now time.Time) {
+	keys := q.Keys(choice.Weights)
+	if len(keys) == 0 {
+		return
+	}
+	s := balance.Sighting{Keys: keys, TargetID: choice.Target.ID, Saved: choice.SaveTo != ""}
+	r.balancer.Saw(s, now)
+	r.sweepTold(now)
+	id := toldKey{keys[len(keys)-1], choice.Target.ID}
+	if !s.Saved && now.Sub(r.told[id]) < retell {
+		return
+	}
+	r.told[id] = now
+	r.Fleet.Tell(s)
+}
+
+func (r *Router) sweepTold(now time.Time) {
+	if now.Sub(r.swept) < retell {
+		return
+	}
+	r.swept = now
+	for id, at := range r.told {
+		if now.Sub(at) >= retell {
+			delete(r.told, id)
+		}
+	}
+}
--- a/internal/orders/lease.go
+++ b/internal/leaserow/leaserow.go
@@ -1,4 +1,5 @@
-package orders
+// Package leaserow keeps a lease in one row of the store.
+package leaserow
 
 import (
 	"context"
@@ -12,13 +13,19 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/lease"
 )
 
-// errHeld means that another process holds the lease.
-var errHeld = errors.New("the lease is held by another process")
+// ErrHeld means that another process holds the lease.
+var ErrHeld = errors.New("the lease is held by another process")
 
-// leaseRow is one lease row. Only one goroutine of the process uses it at a time:
+// Store is what a lease row needs of the table service.
+type Store interface {
+	Get(ctx context.Context, table, key string) (platform.Row, error)
+	Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (uint64, error)
+}
+
+// Row is one lease row. Only one goroutine of the process uses it at a time:
 // the local lock must be taken before.
-type leaseRow struct {
-	store    platform.Store
+type Row struct {
+	store    Store
 	table    string
 	key      string
 	self     string
@@ -27,14 +34,17 @@
 	observer lease.Observer
 }
 
-func (s *Service) newLeaseRow(table, key string) *leaseRow {
-	return &leaseRow{
-		store: s.options.Store, table: table, key: key, self: s.holder,
-		now: s.options.Clock, lock: make(chan struct{}, 1),
-	}
+// New returns the row with the key in the table, as used by the holder self. The clock
+// must not stand still while the holder is paused.
+func New(store Store, table, key, self string, now func() time.Time) *Row {
+	return &Row{store: store, table: table, key: key, self: self, now: now, lock: make(chan struct{}, 1)}
 }
 
-func (l *leaseRow) tryLock() bool {
+// String names the row.
+func (l *Row) String() string { return l.table + "/" + l.key }
+
+// TryLock takes the local lock; false if another goroutine has it.
+func (l *Row) TryLock() bool {
 	select {
 	case l.lock <- struct{}{}:
 		return true
@@ -43,9 +53,10 @@
 	}
 }
 
-func (l *leaseRow) unlock() { <-l.lock }
+// Unlock gives the local lock back.
+func (l *Row) Unlock() { <-l.lock }
 
-func (l *leaseRow) load(ctx context.Context) (*lease.Row, uint64, error) {
+func (l *Row) load(ctx context.Context) (*lease.Row, uint64, error) {
 	stored, err := l.store.Get(ctx, l.table, l.key)
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil, 0, nil
@@ -60,15 +71,15 @@
 	return row, stored.Version, nil
 }
 
-// tryTake reads the row and takes the lease if it may; errHeld if not.
-func (l *leaseRow) tryTake(ctx context.Context, p lease.Params) (lease.Held, error) {
+// TryTake reads the row and takes the lease if it may; ErrHeld if not.
+func (l *Row) TryTake(ctx context.Context, p lease.Params) (lease.Held, error) {
 	row, version, err := l.load(ctx)
 	if err != nil {
 		return lease.Held{}, err
 	}
 	l.observer.See(version, l.now())
 	if !l.observer.MayTake(row, l.self, l.now(), p) {
-		return lease.Held{}, errHeld
+		return lease.Held{}, ErrHeld
 	}
 	next := lease.Next(row, l.self, uuid.NewString())
 	sentAt := l.now()
@@ -79,7 +90,8 @@
 	return lease.Taken(row, next, version, sentAt, p), nil
 }
 
-func (l *leaseRow) renew(ctx context.Context, held lease.Held, p lease.Params) (lease.Held, error) {
+// Renew extends a lease that is held.
+func (l *Row) Renew(ctx context.Context, held lease.Held, p lease.Params) (lease.Held, error) {
 	row := held.Renewal(uuid.NewString())
 	sentAt := l.now()
 	version, err := l.put(ctx, row, held.Version)
@@ -89,7 +101,8 @@
 	return held.Renewed(row, version, sentAt, p), nil
 }
 
-func (l *leaseRow) release(ctx context.Context, held lease.Held) error {
+// Release ends a lease that is held.
+func (l *Row) Release(ctx context.Context, held lease.Held) error {
 	_, err := l.put(ctx, held.Release(uuid.NewString()), held.Version)
 	return err
 }
@@ -97,7 +110,7 @@
 // put writes the row conditionally; after a lost answer it reads the attempt id
 // back. A write that is still on its way counts as failed: if it arrives later,
 // the row shows a lease of this process on which nobody acts.
-func (l *leaseRow) put(ctx context.Context, row lease.Row, version uint64) (uint64, error) {
+func (l *Row) put(ctx context.Context, row lease.Row, version uint64) (uint64, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return 0, errors.WithMessage(err, "encode lease")
@@ -106,7 +119,7 @@
 		[]platform.Condition{{Table: l.table, Key: l.key, Version: version}},
 		[]platform.Write{{Table: l.table, Key: l.key, Value: value}})
 	if errors.Is(err, platform.ErrConflict) {
-		return 0, errHeld
+		return 0, ErrHeld
 	}
 	if !errors.Is(err, platform.ErrUnknownOutcome) {
 		return written, err
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,123 @@
+// Package message holds what a host reads from a caller's request, adds to it on the
+// way to a target, and reads from the target's answer, in the terms of the router.
+// The names on the wire belong to the codec.
+package message
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+// Part is one part of a prompt, as the caller names it.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what a caller's headers say.
+type Request struct {
+	ID string
+	// Deadline is how long the caller waits; zero if it does not say.
+	Deadline time.Duration
+	Key      string
+	Model    string
+	// Parts of the prompt in order; the last belongs to the request or its session.
+	Parts []Part
+	// Tokens are prompt tokens and the maximum of output tokens; HasTokens is false
+	// if the caller names none.
+	Tokens    int
+	HasTokens bool
+	// Resumes says that the caller continues a stream after an event.
+	Resumes bool
+}
+
+// NoPriority leaves the priority at the target's default.
+const NoPriority = -1
+
+// Envelope is what the host adds to a request for a target.
+type Envelope struct {
+	TargetID string
+	// Deadline is the time that is left; zero sends none.
+	Deadline time.Duration
+	Account  string
+	Priority int
+	// Weights is the version that the target must have; zero means any.
+	Weights int64
+	// CacheSalt separates cached parts that must not be shared.
+	CacheSalt string
+	// FetchFrom and SaveTo are addresses to copy cached parts from and to, or "".
+	FetchFrom, SaveTo string
+	// LastEventID makes a stream continue after an event, or "".
+	LastEventID string
+}
+
+// Answer is what a target's headers say.
+type Answer struct {
+	ID string
+	// NotRun says that the target did not run the request and never will.
+	NotRun bool
+	// WrongTarget says that another target or other weights answered.
+	WrongTarget bool
+	// InstanceID names the target that answered, if it says so.
+	InstanceID string
+	// Weights is the version that the answer was made on; zero if not stated.
+	Weights int64
+	// KeepAlive is how long the target keeps an idle connection; zero if not stated.
+	KeepAlive time.Duration
+}
+
+// Codec translates messages between the wire and the terms of the router.
+type Codec interface {
+	Request(h http.Header) Request
+	// Outbound returns the headers for a target: the caller's, without those that
+	// concern one connection or that only the host may set, and the envelope's.
+	Outbound(caller http.Header, e Envelope) http.Header
+	Answer(resp *http.Response) Answer
+}
+
+// WeightsOrder tells a target to load a weights version.
+type WeightsOrder struct {
+	Model   string
+	Version int64
+	Holder  string
+	Fence   uint64
+	// Sequence is the number of orders that the target must have accepted before.
+	Sequence int64
+}
+
+// OrderOutcome is what a target said of an order.
+type OrderOutcome uint8
+
+// The outcomes of an order. OrderUnknown also stands for no answer: the order may
+// be carried out later.
+const (
+	OrderUnknown OrderOutcome = iota
+	OrderAccepted
+	OrderHolds
+	OrderConflict
+	OrderFenced
+	OrderRefused
+)
+
+func (o OrderOutcome) String() string {
+	return [...]string{"unknown", "accepted", "holds", "conflict", "fenced", "refused"}[o]
+}
+
+// EngineState is a target's report, some hundred milliseconds old.
+type EngineState struct {
+	Busy     bool
+	Sequence int64
+	Running  int
+	Queued   int
+	Weights  map[string]int64
+	Started  int64
+}
+
+// Engines is the control interface of model engines.
+type Engines interface {
+	State(ctx context.Context, t *topology.Target) (EngineState, error)
+	Order(ctx context.Context, t *topology.Target, o WeightsOrder) (OrderOutcome, error)
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
+	"github.com/sequoiaroad/sequoiaroad/internal/leaserow"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 	"github.com/sequoiaroad/sequoiaroad/policy/lease"
@@ -140,10 +141,10 @@
 	options Options
 	holder  string
 	client  *http.Client
-	slots   []*leaseRow
+	slots   []*leaserow.Row
 
 	mu      sync.Mutex
-	targets map[string]*leaseRow
+	targets map[string]*leaserow.Row
 }
 
 // New returns a service.
@@ -159,7 +160,7 @@
 		options: o,
 		holder:  o.HostID + "/" + o.Incarnation,
 		client:  newHTTPClient(o.Transport),
-		targets: map[string]*leaseRow{},
+		targets: map[string]*leaserow.Row{},
 	}
 	for i := range LoadSlots {
 		s.slots = append(s.slots, s.newLeaseRow(SlotTable, slotKey(i)))
@@ -171,7 +172,11 @@
 
 // target returns the lease row of a target. The map is bounded by the targets of
 // the configuration, since unknown ids are refused before.
-func (s *Service) target(id string) *leaseRow {
+func (s *Service) newLeaseRow(table, key string) *leaserow.Row {
+	return leaserow.New(s.options.Store, table, key, s.holder, s.options.Clock)
+}
+
+func (s *Service) target(id string) *leaserow.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row := s.targets[id]
@@ -196,7 +201,7 @@
 			s.end(ctx, h)
 		}
 	}()
-	h, err := s.acquire(ctx, []*leaseRow{s.target(t.ID)}, s.targetParams(t), nil)
+	h, err := s.acquire(ctx, []*leaserow.Row{s.target(t.ID)}, s.targetParams(t), nil)
 	if err != nil {
 		return Result{}, s.notHeld(o, err)
 	}
@@ -258,7 +263,7 @@
 
 // hold is a lease held for one order.
 type hold struct {
-	row    *leaseRow
+	row    *leaserow.Row
 	held   lease.Held
 	params lease.Params
 	// unanswered leases are left to expire, so that the next holder settles.
@@ -267,7 +272,7 @@
 
 // acquire takes one of the rows, trying all of them until ctx ends. Meanwhile it
 // keeps the lease already held, which may be nil.
-func (s *Service) acquire(ctx context.Context, rows []*leaseRow, p lease.Params, held *hold) (*hold, error) {
+func (s *Service) acquire(ctx context.Context, rows []*leaserow.Row, p lease.Params, held *hold) (*hold, error) {
 	first := 0
 	if len(rows) > 1 {
 		// Hosts that start at different slots meet less often.
@@ -277,15 +282,15 @@
 		var last error
 		for i := range rows {
 			row := rows[(first+i)%len(rows)]
-			if !row.tryLock() {
-				last = errHeld
+			if !row.TryLock() {
+				last = leaserow.ErrHeld
 				continue
 			}
-			taken, err := row.tryTake(ctx, p)
+			taken, err := row.TryTake(ctx, p)
 			if err == nil {
 				return &hold{row: row, held: taken, params: p}, nil
 			}
-			row.unlock()
+			row.Unlock()
 			last = err
 		}
 		if err := s.keep(ctx, held); err != nil {
@@ -344,7 +349,7 @@
 }
 
 func (s *Service) renew(ctx context.Context, h *hold) error {
-	held, err := h.row.renew(ctx, h.held, h.params)
+	held, err := h.row.Renew(ctx, h.held, h.params)
 	if err == nil {
 		h.held = held
 	}
@@ -354,14 +359,14 @@
 // end releases a lease whose order was answered or never sent. One that did not
 // settle yet is left to expire: the next holder must still wait.
 func (s *Service) end(ctx context.Context, h *hold) {
-	defer h.row.unlock()
+	defer h.row.Unlock()
 	if h.unanswered || s.options.Clock().Before(h.held.ActFrom) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.options.OrderTimeout)
 	defer cancel()
-	if err := h.row.release(ctx, h.held); err != nil {
+	if err := h.row.Release(ctx, h.held); err != nil {
 		s.options.Logger.Warn("lease is left to expire",
-			"table", h.row.table, "key", h.row.key, "error", err)
+			"row", h.row.String(), "error", err)
 	}
 }
--- /dev/null
+++ b/internal/peers/messages.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+)
+
+// TargetLoad is what the sender has under way at a target.
+type TargetLoad struct {
+	ID      string `msgpack:"i"`
+	Running int    `msgpack:"r"`
+	Reading int    `msgpack:"k,omitempty"`
+}
+
+// AccountUse is the total that the sender has admitted for a client account.
+type AccountUse struct {
+	Account string  `msgpack:"a"`
+	Total   float64 `msgpack:"t"`
+}
+
+// Heartbeat tells a peer that the sender lives and what it knows.
+type Heartbeat struct {
+	From  view.Host `msgpack:"f"`
+	Ready bool      `msgpack:"y,omitempty"`
+	// Leaving says that the sender stops; callers must not be sent there.
+	Leaving bool `msgpack:"l,omitempty"`
+	// Operator and Targets are the newest row versions of the two tables.
+	Operator uint64       `msgpack:"o"`
+	Targets  uint64       `msgpack:"s"`
+	Loads    []TargetLoad `msgpack:"d,omitempty"`
+	Use      []AccountUse `msgpack:"u,omitempty"`
+}
+
+// WireType implements wire.Message.
+func (*Heartbeat) WireType() wire.Type { return wire.TypeHeartbeat }
+
+// HeartbeatReply names the hosts that the receiver knows, if the sender may know
+// fewer.
+type HeartbeatReply struct {
+	Hosts []view.Host `msgpack:"h,omitempty"`
+}
+
+// WireType implements wire.Message.
+func (*HeartbeatReply) WireType() wire.Type { return wire.TypeHeartbeatReply }
+
+// RowsRequest asks for the rows of a table above a version.
+type RowsRequest struct {
+	Table string `msgpack:"t"`
+	After uint64 `msgpack:"a"`
+}
+
+// WireType implements wire.Message.
+func (*RowsRequest) WireType() wire.Type { return wire.TypeRowsRequest }
+
+// Row is a row of the store.
+type Row struct {
+	Key     string `msgpack:"k"`
+	Value   []byte `msgpack:"v,omitempty"`
+	Version uint64 `msgpack:"n"`
+	Deleted bool   `msgpack:"d,omitempty"`
+}
+
+// RowsReply holds the rows that the receiver has.
+type RowsReply struct {
+	Rows []Row `msgpack:"r,omitempty"`
+}
+
+// WireType implements wire.Message.
+func (*RowsReply) WireType() wire.Type { return wire.TypeRowsReply }
+
+func packRows(rows []store.Row) []Row {
+	out := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, Row{r.Key, r.Value, r.Version, r.Deleted})
+	}
+	return out
+}
+
+func unpackRows(table string, rows []Row) []store.Row {
+	out := make([]store.Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, store.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	return out
+}
+
+// Sightings tell peers which targets read shared prefixes.
+type Sightings struct {
+	All []balance.Sighting `msgpack:"a"`
+}
+
+// WireType implements wire.Message.
+func (*Sightings) WireType() wire.Type { return wire.TypeSightings }
+
+// EngineNotice tells peers about an order to a target: requests pause before it, and
+// go on with the version after it.
+type EngineNotice struct {
+	TargetID string `msgpack:"i"`
+	Model    string `msgpack:"m"`
+	// Version is the weights version in place; zero while the order is in progress.
+	Version int64 `msgpack:"v,omitempty"`
+	// PauseMs is how long requests stay away; zero ends the pause.
+	PauseMs int64 `msgpack:"p,omitempty"`
+}
+
+// WireType implements wire.Message.
+func (*EngineNotice) WireType() wire.Type { return wire.TypeEngineNotice }
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,366 @@
+// Package peers exchanges what the hosts of the system know of each other: that they
+// live, their load, the use of client accounts, and rows of the store for hosts that
+// the store does not answer.
+package peers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+)
+
+const (
+	// heartbeatInterval is the age that loads and account use reach at peers.
+	heartbeatInterval = 250 * time.Millisecond
+	callTimeout       = 600 * time.Millisecond
+	// liveAge is the silence after which callers are no longer sent to a host.
+	liveAge = 1200 * time.Millisecond
+	// knownAge is the silence after which a host no longer shares limits.
+	knownAge = 10 * time.Second
+	// noticeRing bounds the messages that wait to be sent.
+	noticeRing = 256
+	// sightingsDelay joins sightings that come close together.
+	sightingsDelay = 10 * time.Millisecond
+	// lagTolerance is how long a host may lag behind a peer before it asks it for
+	// rows, so that the store is asked first.
+	lagTolerance = 300 * time.Millisecond
+	// maxReplyBytes keeps a reply below the limit of a frame.
+	maxReplyBytes = 512 << 10
+)
+
+// Local is what the rest of the host provides and receives.
+type Local interface {
+	// Describe fills in a heartbeat.
+	Describe() Heartbeat
+	// HeardFrom takes a peer's heartbeat.
+	HeardFrom(h *Heartbeat)
+	// HeardSightings takes a peer's sightings.
+	HeardSightings(all []balance.Sighting)
+	// HeardNotice takes the notice of an order to a target.
+	HeardNotice(n *EngineNotice)
+}
+
+// member is what is known of a peer.
+type member struct {
+	host    view.Host
+	heard   time.Time
+	ready   bool
+	leaving bool
+	// behindSince is when this host was first seen to lag behind the peer.
+	behindSince time.Time
+	asking      bool
+}
+
+// Peers runs the exchange.
+type Peers struct {
+	self   view.Host
+	seeds  []string
+	caller wire.Caller
+	view   *view.View
+	local  Local
+	log    hclog.Logger
+
+	sightings chan balance.Sighting
+
+	mu      sync.Mutex
+	members map[string]*member
+}
+
+// New returns peers without members.
+func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
+	return &Peers{
+		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log,
+		sightings: make(chan balance.Sighting, noticeRing),
+		members:   map[string]*member{},
+	}
+}
+
+// Register adds the handlers of requests from peers.
+func (p *Peers) Register(r wire.Registry) {
+	r.Handle(wire.TypeHeartbeat, func(ctx context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var h Heartbeat
+		if err := request.Decode(&h); err != nil {
+			return nil, err
+		}
+		return p.heard(ctx, &h), nil
+	})
+	r.Handle(wire.TypeRowsRequest, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var q RowsRequest
+		if err := request.Decode(&q); err != nil {
+			return nil, err
+		}
+		return p.rows(&q), nil
+	})
+	r.Handle(wire.TypeSightings, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var s Sightings
+		if err := request.Decode(&s); err != nil {
+			return nil, err
+		}
+		p.local.HeardSightings(s.All)
+		return &wire.Ack{}, nil
+	})
+	r.Handle(wire.TypeEngineNotice, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var n EngineNotice
+		if err := request.Decode(&n); err != nil {
+			return nil, err
+		}
+		p.local.HeardNotice(&n)
+		return &wire.Ack{}, nil
+	})
+}
+
+func (p *Peers) table(name string) *view.Table {
+	switch name {
+	case "operator":
+		return p.view.Operator
+	case "targets":
+		return p.view.Targets
+	}
+	return nil
+}
+
+func (p *Peers) rows(q *RowsRequest) *RowsReply {
+	t := p.table(q.Table)
+	if t == nil {
+		return &RowsReply{}
+	}
+	rows := packRows(t.After(q.After))
+	size := 0
+	for i, r := range rows {
+		if size += len(r.Key) + len(r.Value) + 32; size > maxReplyBytes {
+			return &RowsReply{Rows: rows[:i]}
+		}
+	}
+	return &RowsReply{Rows: rows}
+}
+
+// heard notes a heartbeat and replies with the hosts that the sender may lack.
+func (p *Peers) heard(ctx context.Context, h *Heartbeat) *HeartbeatReply {
+	p.local.HeardFrom(h)
+	p.mu.Lock()
+	m := p.members[h.From.ID]
+	fresh := m == nil || m.host.Incarnation != h.From.Incarnation
+	if fresh {
+		m = &member{}
+		p.members[h.From.ID] = m
+	}
+	if fresh || time.Since(m.heard) > liveAge {
+		p.log.Info("host heard", "host", h.From.ID, "incarnation", h.From.Incarnation, "address", h.From.InnerAddress)
+	}
+	m.host, m.heard, m.ready, m.leaving = h.From, time.Now(), h.Ready, h.Leaving
+	p.mu.Unlock()
+	p.compare(ctx, m, h)
+	if !fresh {
+		return &HeartbeatReply{}
+	}
+	return &HeartbeatReply{Hosts: p.known()}
+}
+
+// compare asks a peer for rows if this host lags behind it for some time.
+func (p *Peers) compare(ctx context.Context, m *member, h *Heartbeat) {
+	behind := h.Operator > p.view.Operator.Newest() || h.Targets > p.view.Targets.Newest()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !behind {
+		m.behindSince = time.Time{}
+		return
+	}
+	if m.behindSince.IsZero() {
+		m.behindSince = time.Now()
+	}
+	if m.asking || time.Since(m.behindSince) < lagTolerance && p.view.Snapshot().Config != nil {
+		return
+	}
+	m.asking = true
+	go p.ask(context.WithoutCancel(ctx), m, h)
+}
+
+func (p *Peers) ask(ctx context.Context, m *member, h *Heartbeat) {
+	defer func() {
+		p.mu.Lock()
+		m.asking = false
+		p.mu.Unlock()
+	}()
+	if h.Operator > p.view.Operator.Newest() {
+		p.askTable(ctx, h.From, "operator")
+	}
+	if h.Targets > p.view.Targets.Newest() {
+		p.askTable(ctx, h.From, "targets")
+	}
+}
+
+func (p *Peers) askTable(ctx context.Context, from view.Host, name string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t := p.table(name)
+	var reply RowsReply
+	if err := p.caller.Call(ctx, from.InnerAddress, &RowsRequest{Table: name, After: t.Newest()}, &reply); err != nil {
+		p.log.Warn("peer gave no rows", "host", from.ID, "table", name, "error", err)
+		return
+	}
+	p.view.Merge(t, unpackRows(name, reply.Rows))
+}
+
+// known lists the hosts of the store's table and those that were heard.
+func (p *Peers) known() []view.Host {
+	all := map[string]view.Host{}
+	for id, h := range p.view.Snapshot().Hosts {
+		all[id] = h
+	}
+	p.mu.Lock()
+	for id, m := range p.members {
+		all[id] = m.host
+	}
+	p.mu.Unlock()
+	delete(all, p.self.ID)
+	out := make([]view.Host, 0, len(all))
+	for _, h := range all {
+		out = append(out, h)
+	}
+	return out
+}
+
+// Live lists the hosts that callers may be sent to, without this one.
+func (p *Peers) Live() []view.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []view.Host
+	for _, m := range p.members {
+		if m.ready && !m.leaving && time.Since(m.heard) < liveAge {
+			out = append(out, m.host)
+		}
+	}
+	return out
+}
+
+// Shares returns the number of hosts that share limits, this one included, and the
+// part of them that has fallen silent.
+func (p *Peers) Shares() (hosts int, silent float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts = 1
+	quiet := 0
+	for id, m := range p.members {
+		age := time.Since(m.heard)
+		if age > knownAge || m.leaving && age > liveAge {
+			delete(p.members, id)
+			continue
+		}
+		hosts++
+		if age > liveAge {
+			quiet++
+		}
+	}
+	return hosts, float64(quiet) / float64(hosts)
+}
+
+// Run sends heartbeats and sightings until ctx ends.
+func (p *Peers) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	running.Go(func() { p.sendSightings(ctx) })
+	running.Go(func() { clock.Every(ctx, heartbeatInterval, func() { p.beat(ctx) }) })
+	running.Wait()
+	return nil
+}
+
+func (p *Peers) addresses() []string {
+	seen := map[string]bool{p.self.InnerAddress: true}
+	var out []string
+	add := func(address string) {
+		if address != "" && !seen[address] {
+			seen[address] = true
+			out = append(out, address)
+		}
+	}
+	for _, h := range p.known() {
+		add(h.InnerAddress)
+	}
+	if len(out) == 0 {
+		for _, address := range p.seeds {
+			add(address)
+		}
+	}
+	return out
+}
+
+func (p *Peers) beat(ctx context.Context) {
+	h := p.local.Describe()
+	h.From = p.self
+	h.Operator, h.Targets = p.view.Operator.Newest(), p.view.Targets.Newest()
+	for _, address := range p.addresses() {
+		go p.beatOne(ctx, address, &h)
+	}
+}
+
+func (p *Peers) beatOne(ctx context.Context, address string, h *Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply HeartbeatReply
+	if err := p.caller.Call(ctx, address, h, &reply); err != nil {
+		p.log.Debug("heartbeat was not answered", "address", address, "error", err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, host := range reply.Hosts {
+		if host.ID != p.self.ID && p.members[host.ID] == nil {
+			p.members[host.ID] = &member{host: host, heard: time.Now()}
+		}
+	}
+}
+
+// Broadcast sends a message to all live hosts and returns once each has answered or
+// the context ends.
+func (p *Peers) Broadcast(ctx context.Context, m wire.Message) {
+	var running sync.WaitGroup
+	for _, h := range p.Live() {
+		running.Go(func() {
+			if err := p.caller.Call(ctx, h.InnerAddress, m, &wire.Ack{}); err != nil {
+				p.log.Debug("host did not take a notice", "host", h.ID, "type", m.WireType(), "error", err)
+			}
+		})
+	}
+	running.Wait()
+}
+
+// Tell passes a sighting on to the peers; it is dropped if too many wait.
+func (p *Peers) Tell(s balance.Sighting) {
+	select {
+	case p.sightings <- s:
+	default:
+		p.log.Warn("sighting dropped; the ring is full", "target", s.TargetID)
+	}
+}
+
+func (p *Peers) sendSightings(ctx context.Context) {
+	for {
+		var batch Sightings
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-p.sightings:
+			batch.All = append(batch.All, s)
+		}
+		clock.Sleep(ctx, sightingsDelay)
+		for more := true; more; {
+			select {
+			case s := <-p.sightings:
+				batch.All = append(batch.All, s)
+			default:
+				more = false
+			}
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		go func() {
+			defer cancel()
+			p.Broadcast(callCtx, &batch)
+		}()
+	}
+}
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -51,6 +51,10 @@
 	}
 )
 
+func (r rowJSON) row() Row {
+	return Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version}
+}
+
 // Get reads a row.
 func (c *Client) Get(ctx context.Context, table, key string) (Row, error) {
 	k := call{step: "read row " + table + "/" + key, path: []string{"tables", table, "rows", key}}
@@ -58,7 +62,7 @@
 	if err := c.readJSON(ctx, k, &row); err != nil {
 		return Row{}, err
 	}
-	return Row(row), nil
+	return row.row(), nil
 }
 
 // Scan lists rows in version order. Rows of one transaction come in one answer,
@@ -74,7 +78,7 @@
 	}
 	rows := make([]Row, len(answer.Rows))
 	for i, r := range answer.Rows {
-		rows[i] = Row(r)
+		rows[i] = r.row()
 	}
 	return rows, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,8 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Deleted marks a row that a feed of changes reports as gone.
+	Deleted bool
 }
 
 // Condition holds if the row has exactly this version; 0 means absent.
--- /dev/null
+++ b/internal/settings/route.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+	"github.com/spf13/pflag"
+)
+
+// Route holds the settings of a host on the users' platform that are the router's
+// own. What the platform decides stands in Deployment.
+type Route struct {
+	NodeFile      string `flag:"node-file" validate:"required,file"`
+	FleetSecret   string `flag:"fleet-secret" secret:"true" validate:"required,min=16"`
+	MetricsListen string `flag:"metrics-listen" validate:"omitempty,addrport"`
+	LoadsAtOnce   int    `flag:"loads-at-once" validate:"min=1,max=64"`
+
+	TraceExporter string `flag:"trace-exporter" validate:"oneof=none stdout otlp"`
+	OTLPEndpoint  string `flag:"otlp-endpoint" validate:"required_if=TraceExporter otlp,omitempty,http_url"`
+	LogLevel      string `flag:"log-level" validate:"oneof=trace debug info warn error"`
+}
+
+// Register defines the flags on a flag set.
+func (s *Route) Register(flags *pflag.FlagSet) {
+	flags.StringVar(&s.NodeFile, "node-file", "", "path of the platform's settings file")
+	flags.StringVar(&s.FleetSecret, "fleet-secret", "", "secret of at least 16 characters shared by all hosts; better given in the environment than as a flag")
+	flags.StringVar(&s.MetricsListen, "metrics-listen", "", "IP:port of the metrics; empty serves none")
+	flags.IntVar(&s.LoadsAtOnce, "loads-at-once", 3, "engines that load weights at the same time")
+	flags.StringVar(&s.TraceExporter, "trace-exporter", "none", "none, stdout or otlp")
+	flags.StringVar(&s.OTLPEndpoint, "otlp-endpoint", "", "URL for traces when trace-exporter is otlp")
+	flags.StringVar(&s.LogLevel, "log-level", "info", "trace, debug, info, warn or error")
+}
+
+// Validate returns an *Error that lists every fault, or nil.
+func (s *Route) Validate() error { return validate(s) }
+
+// validate checks a struct and collects its faults in an *Error.
+func validate(s any) error {
+	v, err := newValidator()
+	if err != nil {
+		return errors.Wrap(err, "prepare validation")
+	}
+	err = v.Struct(s)
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return errors.Wrap(err, "validate settings")
+	}
+	e := &Error{}
+	for _, f := range invalid {
+		e.Faults = append(e.Faults, describe(f))
+	}
+	return e
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -34,6 +34,8 @@
 	LogJSON  bool
 	// LogOutput takes the log; nil discards it.
 	LogOutput io.Writer
+	// LogExclude drops lines for which it returns true; nil drops none.
+	LogExclude func(level hclog.Level, message string, args ...any) bool
 	// TraceExporter is none, stdout or otlp; empty means none.
 	TraceExporter string
 	OTLPEndpoint  string
@@ -68,6 +70,7 @@
 			Level:      hclog.LevelFromString(o.LogLevel),
 			Output:     o.LogOutput,
 			JSONFormat: o.LogJSON,
+			Exclude:    o.LogExclude,
 		}),
 		registry: prometheus.NewRegistry(),
 	}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,307 @@
+package view
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
+	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+const (
+	// followWait is how long the store holds a call without changes. It bounds the
+	// time until a silent connection is noticed.
+	followWait = 4 * time.Second
+	// followPause joins changes that come close together into one call.
+	followPause = 150 * time.Millisecond
+	// minRetry and maxRetry bound the pause after a failed call.
+	minRetry = 150 * time.Millisecond
+	maxRetry = time.Second
+	// returnGrace is how long a target whose entry lapsed while the store was away
+	// may take to write it again.
+	returnGrace = 2 * time.Second
+	// outageAge is the silence of the store from which on its entries may lapse.
+	outageAge = 1500 * time.Millisecond
+)
+
+// HostTable holds an entry for each host of the system.
+const HostTable = "sequoiaroad.hosts"
+
+// Source is the store as followed by a host.
+type Source interface {
+	List(ctx context.Context, table string) ([]store.Row, uint64, error)
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]store.Row, uint64, error)
+}
+
+// Decoder translates rows that the platform wrote.
+type Decoder struct {
+	OperatorTable, TargetTable string
+	// HistoryGone is the error of Changes that asks for a new listing.
+	HistoryGone error
+	OperatorRow func(key string, value []byte) (*topology.Config, *topology.WantedWeights, error)
+	Target      func(id string, value []byte) (*topology.Target, error)
+}
+
+// Host is the entry of a host.
+type Host struct {
+	ID            string `json:"id"`
+	Incarnation   string `json:"incarnation"`
+	Zone          string `json:"zone"`
+	Region        string `json:"region"`
+	InnerAddress  string `json:"inner_address"`
+	CallerAddress string `json:"caller_address"`
+}
+
+// Snapshot is what a host knows at a moment. It is immutable.
+type Snapshot struct {
+	// Config is nil until the first configuration is known.
+	Config    *topology.Config
+	Targets   map[string]*topology.Target
+	ByService map[string][]*topology.Target
+	Wanted    map[string]topology.WantedWeights
+	Hosts     map[string]Host
+}
+
+// View follows the tables of the store.
+type View struct {
+	source  Source
+	decoder Decoder
+	log     hclog.Logger
+
+	Operator, Targets, Hosts *Table
+
+	mu       sync.Mutex
+	config   *topology.Config
+	wanted   map[string]topology.WantedWeights
+	targets  map[string]*topology.Target
+	hosts    map[string]Host
+	regained time.Time
+	// lapsed holds targets whose removal waits until a time.
+	lapsed    map[string]time.Time
+	snapshot  atomic.Pointer[Snapshot]
+	listeners []func(*Snapshot)
+}
+
+// New returns a view that knows nothing.
+func New(source Source, decoder Decoder, log hclog.Logger) *View {
+	v := &View{
+		source: source, decoder: decoder, log: log,
+		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostTable),
+		wanted: map[string]topology.WantedWeights{}, targets: map[string]*topology.Target{},
+		hosts: map[string]Host{}, lapsed: map[string]time.Time{},
+	}
+	v.snapshot.Store(&Snapshot{})
+	return v
+}
+
+// OnChange adds a listener that is called with each new snapshot. It is called
+// before Run.
+func (v *View) OnChange(f func(*Snapshot)) { v.listeners = append(v.listeners, f) }
+
+// Snapshot returns what the host knows now.
+func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+
+// Run follows all tables until ctx ends.
+func (v *View) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	for _, t := range []*Table{v.Operator, v.Targets, v.Hosts} {
+		running.Go(func() { v.follow(ctx, t) })
+	}
+	running.Wait()
+	return nil
+}
+
+func (v *View) follow(ctx context.Context, t *Table) {
+	retry := minRetry
+	lost := false
+	for ctx.Err() == nil {
+		err := v.step(ctx, t)
+		switch {
+		case err == nil:
+			if lost {
+				v.log.Info("store answers again", "table", t.name)
+			}
+			lost, retry = false, minRetry
+		case errors.Is(err, v.decoder.HistoryGone):
+			v.log.Info("store dropped its history; listing again", "table", t.name)
+			t.relist()
+		default:
+			if !lost && ctx.Err() == nil {
+				v.log.Warn("store does not answer", "table", t.name, "error", err)
+			}
+			lost = true
+			clock.Sleep(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, maxRetry)
+		}
+	}
+}
+
+// step makes one call and applies its answer.
+func (v *View) step(ctx context.Context, t *Table) error {
+	cursor, listed := t.position()
+	if !listed {
+		rows, version, err := v.source.List(ctx, t.name)
+		if err != nil {
+			return err
+		}
+		v.noteContact(t)
+		v.take(t, t.applyList(rows, version, time.Now()))
+		return nil
+	}
+	rows, version, err := v.source.Changes(ctx, t.name, cursor, followWait)
+	if err != nil {
+		return err
+	}
+	v.noteContact(t)
+	if changed := t.applyChanges(rows, version, time.Now()); len(changed) > 0 {
+		v.take(t, changed)
+	}
+	if len(rows) > 0 {
+		clock.Sleep(ctx, followPause)
+	}
+	return nil
+}
+
+// noteContact notes the end of an outage, in which entries of targets may lapse.
+func (v *View) noteContact(t *Table) {
+	last := t.Contact()
+	if last.IsZero() || time.Since(last) < followWait+outageAge {
+		return
+	}
+	v.mu.Lock()
+	v.regained = time.Now()
+	v.mu.Unlock()
+}
+
+// Merge takes rows from another host.
+func (v *View) Merge(t *Table, rows []store.Row) {
+	if changed := t.ApplyPeer(rows); len(changed) > 0 {
+		v.log.Info("took rows from another host", "table", t.name, "rows", len(changed), "newest", t.Newest())
+		v.take(t, changed)
+	}
+}
+
+// take decodes changed rows and publishes a new snapshot.
+func (v *View) take(t *Table, rows []store.Row) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range rows {
+		switch t {
+		case v.Operator:
+			v.takeOperator(r)
+		case v.Targets:
+			v.takeTarget(r)
+		case v.Hosts:
+			v.takeHost(r)
+		}
+	}
+	v.publish()
+}
+
+func (v *View) takeOperator(r store.Row) {
+	if r.Deleted {
+		return
+	}
+	config, wanted, err := v.decoder.OperatorRow(r.Key, r.Value)
+	switch {
+	case err != nil:
+		v.log.Warn("operator's row is ignored", "key", r.Key, "row_version", r.Version, "error", err)
+	case config != nil && (v.config == nil || config.Version > v.config.Version):
+		v.config = config
+		v.log.Info("configuration in force", "version", config.Version, "row_version", r.Version,
+			"routes", len(config.Routes), "accounts", len(config.Accounts))
+	case wanted != nil && wanted.Version > v.wanted[wanted.Model].Version:
+		wanted.Since = time.Now()
+		v.wanted[wanted.Model] = *wanted
+		v.log.Info("weights named", "model", wanted.Model, "weights", wanted.Version)
+	}
+}
+
+func (v *View) takeTarget(r store.Row) {
+	if r.Deleted {
+		if until := v.regained.Add(returnGrace); time.Now().Before(until) && v.targets[r.Key] != nil {
+			v.lapsed[r.Key] = until
+			time.AfterFunc(time.Until(until), v.expire)
+			return
+		}
+		v.remove(r.Key, "entry removed")
+		return
+	}
+	t, err := v.decoder.Target(r.Key, r.Value)
+	if err != nil {
+		v.log.Warn("target's entry is ignored", "target", r.Key, "row_version", r.Version, "error", err)
+		return
+	}
+	t.Revision = r.Version
+	old := v.targets[r.Key]
+	if old == nil || !old.Same(t) || old.Leaving != t.Leaving {
+		v.log.Info("target changed", "target", t.ID, "address", t.Address, "leaving", t.Leaving,
+			"started", t.Started, "row_version", r.Version)
+	}
+	delete(v.lapsed, r.Key)
+	v.targets[r.Key] = t
+}
+
+func (v *View) remove(id, reason string) {
+	if v.targets[id] != nil {
+		v.log.Info("target gone", "target", id, "reason", reason)
+	}
+	delete(v.targets, id)
+	delete(v.lapsed, id)
+}
+
+// expire removes targets that did not come back after an outage of the store.
+func (v *View) expire() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	for id, until := range v.lapsed {
+		if !now.Before(until) {
+			v.remove(id, "entry did not come back after an outage of the store")
+		}
+	}
+	v.publish()
+}
+
+func (v *View) takeHost(r store.Row) {
+	if r.Deleted {
+		delete(v.hosts, r.Key)
+		return
+	}
+	var h Host
+	if err := json.Unmarshal(r.Value, &h); err != nil || h.ID != r.Key {
+		v.log.Warn("host's entry is ignored", "host", r.Key, "error", err)
+		return
+	}
+	v.hosts[r.Key] = h
+}
+
+func (v *View) publish() {
+	s := &Snapshot{
+		Config: v.config, Targets: make(map[string]*topology.Target, len(v.targets)),
+		ByService: map[string][]*topology.Target{}, Wanted: make(map[string]topology.WantedWeights, len(v.wanted)),
+		Hosts: make(map[string]Host, len(v.hosts)),
+	}
+	for id, t := range v.targets {
+		s.Targets[id] = t
+		s.ByService[t.Service] = append(s.ByService[t.Service], t)
+	}
+	for model, w := range v.wanted {
+		s.Wanted[model] = w
+	}
+	for id, h := range v.hosts {
+		s.Hosts[id] = h
+	}
+	v.snapshot.Store(s)
+	for _, f := range v.listeners {
+		f(s)
+	}
+}
--- a/internal/wire/contract.go
+++ b/internal/wire/contract.go
@@ -28,6 +28,12 @@
 	TypeSnapshotPart
 	TypeHandoverRequest
 	TypeHandoverReply
+	TypeHeartbeat
+	TypeHeartbeatReply
+	TypeRowsRequest
+	TypeRowsReply
+	TypeSightings
+	TypeEngineNotice
 )
 
 // Message is a body that can be sent in a frame.
--- /dev/null
+++ b/policy/balance/balance.go
@@ -0,0 +1,242 @@
+// Package balance chooses targets for requests from what the hosts tell each other:
+// requests in flight, prompts that are being read, and where shared parts of prompts
+// are cached. It does no I/O; the time is an argument.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+const (
+	// ejection is how long a target is avoided after failures in a row.
+	ejection = 2 * time.Second
+	// failuresToEject in a row mark a target as failing.
+	failuresToEject = 2
+	// peerLoadAge is the age up to which a peer's report of its load counts.
+	peerLoadAge = 1500 * time.Millisecond
+)
+
+// Load is what a host has under way at a target.
+type Load struct {
+	Running int
+	// Reading is the number of prompt tokens that the target has not yet answered
+	// with a first event.
+	Reading int
+}
+
+func (l Load) add(o Load) Load { return Load{l.Running + o.Running, l.Reading + o.Reading} }
+
+type peerLoad struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// targetState is what this host knows of one incarnation of a target.
+type targetState struct {
+	started  int64
+	own      Load
+	failures int
+	// ejectedUntil and pausedUntil bound the time in which other targets go first.
+	ejectedUntil time.Time
+	pausedUntil  time.Time
+	// weights holds versions that answers and peers showed, by model.
+	weights map[string]int64
+	hash    uint64
+}
+
+// Balancer is the state of all targets. It is not safe for concurrent use.
+type Balancer struct {
+	zone         string
+	regionOfZone map[string]string
+	targets      map[string]*targetState
+	peers        map[string]peerLoad
+	cache        *cacheMap
+}
+
+// New returns a balancer for a host in the zone.
+func New(zone string, regionOfZone map[string]string) *Balancer {
+	return &Balancer{
+		zone: zone, regionOfZone: regionOfZone,
+		targets: map[string]*targetState{}, peers: map[string]peerLoad{}, cache: newCacheMap(),
+	}
+}
+
+func (b *Balancer) state(t *topology.Target) *targetState {
+	s := b.targets[t.ID]
+	if s == nil || s.started != t.Started {
+		s = &targetState{started: t.Started, weights: map[string]int64{}, hash: xxhash.Sum64String(t.ID)}
+		b.targets[t.ID] = s
+	}
+	return s
+}
+
+// Retain drops the state of all targets that are not listed.
+func (b *Balancer) Retain(targets map[string]*topology.Target) {
+	for id, s := range b.targets {
+		if targets[id] == nil && s.own == (Load{}) {
+			delete(b.targets, id)
+		}
+	}
+}
+
+// Weights returns the newest version of the model that the target is known to have.
+// Versions of one incarnation only grow.
+func (b *Balancer) Weights(t *topology.Target, model string) int64 {
+	return max(t.Weights[model], b.state(t).weights[model])
+}
+
+// SawWeights notes a version that the target showed.
+func (b *Balancer) SawWeights(t *topology.Target, model string, version int64) {
+	s := b.state(t)
+	s.weights[model] = max(s.weights[model], version)
+}
+
+// Pause keeps requests from a target until a time. A zero time ends the pause.
+func (b *Balancer) Pause(t *topology.Target, until time.Time) { b.state(t).pausedUntil = until }
+
+// Paused reports whether the target takes no requests now.
+func (b *Balancer) Paused(t *topology.Target, now time.Time) bool {
+	return now.Before(b.state(t).pausedUntil)
+}
+
+// Begin counts a request that is sent to a target; End takes it away.
+func (b *Balancer) Begin(t *topology.Target, reading int) {
+	s := b.state(t)
+	s.own = s.own.add(Load{1, reading})
+}
+
+// FirstEvent takes the prompt of a request from the target's reading load.
+func (b *Balancer) FirstEvent(t *topology.Target, reading int) {
+	if s := b.targets[t.ID]; s != nil {
+		s.own.Reading = max(0, s.own.Reading-reading)
+	}
+}
+
+// End counts a request that has ended.
+func (b *Balancer) End(t *topology.Target) {
+	if s := b.targets[t.ID]; s != nil {
+		s.own.Running = max(0, s.own.Running-1)
+	}
+}
+
+// Succeeded and Failed note whether a target answered.
+func (b *Balancer) Succeeded(t *topology.Target) {
+	s := b.state(t)
+	s.failures, s.ejectedUntil = 0, time.Time{}
+}
+
+// Failed notes a target that did not answer a request.
+func (b *Balancer) Failed(t *topology.Target, now time.Time) {
+	s := b.state(t)
+	if s.failures++; s.failures >= failuresToEject {
+		s.ejectedUntil = now.Add(ejection)
+	}
+}
+
+// OwnLoads returns this host's load of each target that has any.
+func (b *Balancer) OwnLoads() map[string]Load {
+	out := map[string]Load{}
+	for id, s := range b.targets {
+		if s.own != (Load{}) {
+			out[id] = s.own
+		}
+	}
+	return out
+}
+
+// PeerLoads replaces what a peer has under way.
+func (b *Balancer) PeerLoads(peer string, loads map[string]Load, now time.Time) {
+	b.peers[peer] = peerLoad{loads, now}
+}
+
+// load is the sum over all hosts.
+func (b *Balancer) load(id string, s *targetState, now time.Time) Load {
+	sum := s.own
+	for peer, p := range b.peers {
+		if now.Sub(p.at) > peerLoadAge {
+			delete(b.peers, peer)
+			continue
+		}
+		sum = sum.add(p.loads[id])
+	}
+	return sum
+}
+
+// Running returns the requests of all hosts at a target.
+func (b *Balancer) Running(t *topology.Target, now time.Time) int {
+	return b.load(t.ID, b.state(t), now).Running
+}
+
+// exclusion ranks targets; those with the lowest rank are chosen from.
+type exclusion int
+
+const (
+	usable exclusion = iota
+	ejected
+	paused
+	unusable
+)
+
+func (b *Balancer) exclusion(t *topology.Target, tried map[string]bool, now time.Time) exclusion {
+	s := b.state(t)
+	switch {
+	case t.Leaving || tried[t.ID]:
+		return unusable
+	case now.Before(s.pausedUntil):
+		return paused
+	case now.Before(s.ejectedUntil):
+		return ejected
+	}
+	return usable
+}
+
+// distance is the cost in ms of sending bytes to a target in another zone or region.
+func (b *Balancer) distance(t *topology.Target, bytes int) float64 {
+	kilobytes := float64(bytes) / 1000
+	switch {
+	case t.Zone == b.zone:
+		return 0
+	case b.regionOfZone[t.Zone] == b.regionOfZone[b.zone]:
+		return crossZoneMs + crossZoneMsPerKB*kilobytes
+	default:
+		return crossRegionMs + crossRegionMsPerKB*kilobytes
+	}
+}
+
+const (
+	crossZoneMs        = 2
+	crossZoneMsPerKB   = 0.3
+	crossRegionMs      = 16
+	crossRegionMsPerKB = 1.5
+	// busySlotMs is what a further request costs those that run beside it.
+	busySlotMs = 1.5
+	// waitingMs is the mean time that a request waits for each one ahead of it.
+	waitingMs = 30
+)
+
+// PickPlain returns the target of a plain service with the least load, or nil.
+func (b *Balancer) PickPlain(targets []*topology.Target, tried map[string]bool, bytes int, now time.Time) *topology.Target {
+	var best *topology.Target
+	bestRank, bestCost := unusable, math.Inf(1)
+	for _, t := range targets {
+		rank := b.exclusion(t, tried, now)
+		if rank == unusable || rank > bestRank {
+			continue
+		}
+		load := b.load(t.ID, b.state(t), now)
+		slots := max(1, t.Slots)
+		cost := b.distance(t, bytes) + waitingMs*float64(load.Running)/float64(slots)
+		if load.Running >= slots {
+			cost += waitingMs * float64(load.Running-slots+1)
+		}
+		if rank < bestRank || cost < bestCost {
+			best, bestRank, bestCost = t, rank, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/policy/balance/cachemap.go
@@ -0,0 +1,93 @@
+package balance
+
+import "time"
+
+const (
+	// holdTime is how long after its last use a part counts as cached: engines evict
+	// the least recently used parts within tens of seconds.
+	holdTime = 12 * time.Second
+	// maxKeys bounds the memory of the map.
+	maxKeys = 20_000
+	// storeID stands for the KV store among the holders.
+	storeID = "\x00store"
+)
+
+// Key names a shared prefix of a prompt under one wall and one weights version.
+type Key uint64
+
+// cacheMap notes where shared prefixes were last read or used.
+type cacheMap struct {
+	holders map[Key]map[string]time.Time
+	swept   time.Time
+}
+
+func newCacheMap() *cacheMap { return &cacheMap{holders: map[Key]map[string]time.Time{}} }
+
+func (m *cacheMap) holds(key Key, holder string, now time.Time) bool {
+	at, ok := m.holders[key][holder]
+	return ok && now.Sub(at) < holdTime
+}
+
+func (m *cacheMap) used(key Key, holder string, now time.Time) {
+	m.sweep(now)
+	h := m.holders[key]
+	if h == nil {
+		if len(m.holders) >= maxKeys {
+			return
+		}
+		h = map[string]time.Time{}
+		m.holders[key] = h
+	}
+	h[holder] = now
+}
+
+// sweep forgets what is no longer held, once in a while.
+func (m *cacheMap) sweep(now time.Time) {
+	if now.Sub(m.swept) < holdTime/4 {
+		return
+	}
+	m.swept = now
+	for key, h := range m.holders {
+		for holder, at := range h {
+			if now.Sub(at) >= holdTime {
+				delete(h, holder)
+			}
+		}
+		if len(h) == 0 {
+			delete(m.holders, key)
+		}
+	}
+}
+
+// drop forgets all that a holder had.
+func (m *cacheMap) drop(holder string) {
+	for _, h := range m.holders {
+		delete(h, holder)
+	}
+}
+
+// Sighting says that a target reads or uses shared prefixes.
+type Sighting struct {
+	Keys     []Key
+	TargetID string
+	Saved    bool
+}
+
+// Keys returns the keys of the shared prefixes of a prompt under a version.
+func (p *Prompt) Keys(version int64) []Key { return p.keys(version) }
+
+// Saw notes a sighting, of this host or of a peer.
+func (b *Balancer) Saw(s Sighting, now time.Time) {
+	for _, key := range s.Keys {
+		b.cache.used(key, s.TargetID, now)
+		if s.Saved {
+			b.cache.used(key, storeID, now)
+		}
+	}
+}
+
+// Lost forgets the cached parts of a target whose memory is gone.
+func (b *Balancer) Lost(targetID string) { b.cache.drop(targetID) }
+
+// LostStore forgets what the KV store held.
+func (b *Balancer) LostStore() { b.cache.drop(storeID) }
--- /dev/null
+++ b/policy/balance/prompt.go
@@ -0,0 +1,266 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+const (
+	// readMsPerToken is the time that an engine takes to read a prompt token.
+	readMsPerToken = 0.0115
+	// rereadMsPerToken is the price of reading a shared token that some target has
+	// cached: it takes the memory of other cached parts and the time of all requests
+	// that the engine runs.
+	rereadMsPerToken = 0.05
+	// fetchSetupMs is the fixed time of a transfer of cached parts.
+	fetchSetupMs = 5
+	// crossZoneTransfer and crossRegionTransfer are how much longer transfers take
+	// between zones and regions.
+	crossZoneTransfer   = 2
+	crossRegionTransfer = 10
+	// oldWeightsMs is the cost of an answer on weights that are no longer the newest,
+	// once they are older than oldWeightsAfter; it grows to the whole answer.
+	oldWeightsMs    = 120
+	oldWeightsAfter = 1500 * time.Millisecond
+	// notHomeMs is the advantage of the target that all hosts agree on for a prompt.
+	notHomeMs = 25
+	// overloadMs is the wait above which the agreed target is passed over.
+	overloadMs = 300
+)
+
+// Part is a part of a prompt in order.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is a request that reads a prompt.
+type Prompt struct {
+	Model string
+	// Wall separates cached parts: an isolated account's name, or "".
+	Wall  string
+	Parts []Part
+	Bytes int
+	// Wanted is the newest weights version, named Age ago; zero means none is known.
+	Wanted int64
+	Age    time.Duration
+	// MustHave is the version that the target must have; zero means any.
+	MustHave int64
+	Engine   *topology.Engine
+	// Store is the address and zone of the KV store; empty without one.
+	StoreAddress, StoreZone string
+}
+
+// Shared returns the tokens that other requests may share.
+func (p *Prompt) Shared() int {
+	sum := 0
+	for i := 0; i+1 < len(p.Parts); i++ {
+		sum += p.Parts[i].Tokens
+	}
+	return sum
+}
+
+// Total returns all tokens.
+func (p *Prompt) Total() int {
+	sum := 0
+	for _, part := range p.Parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// keys returns a key for each shared prefix of the prompt under a weights version.
+func (p *Prompt) keys(version int64) []Key {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	keys := make([]Key, 0, len(p.Parts)-1)
+	digest := xxhash.NewWithSeed(uint64(version))
+	for i := 0; i+1 < len(p.Parts); i++ {
+		for _, s := range [...]string{p.Model, p.Wall, p.Parts[i].ID, "\x00"} {
+			_, _ = digest.WriteString(s) // xxhash never fails
+		}
+		keys = append(keys, Key(digest.Sum64()))
+	}
+	return keys
+}
+
+// Choice is a target for a prompt and where cached parts come from and go to.
+type Choice struct {
+	Target  *topology.Target
+	Weights int64
+	// Uncached is the number of tokens that the target is expected to read.
+	Uncached int
+	// FetchFrom and SaveTo are addresses, or "".
+	FetchFrom, SaveTo string
+	// Key is the longest shared prefix; zero if the prompt shares nothing.
+	Key Key
+	// Reads says that the target reads shared parts that no other holds.
+	Reads bool
+	// CostMs is the estimate that decided.
+	CostMs float64
+}
+
+// source is where a target could copy a shared prefix from.
+type source struct {
+	address string
+	ms      float64
+}
+
+// Pick returns the choice with the least cost; Target is nil if no target is usable.
+func (b *Balancer) Pick(p *Prompt, targets []*topology.Target, tried map[string]bool, now time.Time) Choice {
+	best := Choice{CostMs: math.Inf(1)}
+	bestRank := unusable
+	keysOf := map[int64][]Key{}
+	homes := map[int64]*topology.Target{}
+	for _, t := range targets {
+		rank := b.exclusion(t, tried, now)
+		version := b.Weights(t, p.Model)
+		if rank >= paused || rank > bestRank || p.MustHave != 0 && version != p.MustHave {
+			continue
+		}
+		keys, seen := keysOf[version]
+		if !seen {
+			keys = p.keys(version)
+			keysOf[version] = keys
+			homes[version] = b.home(p, keys, version, targets, tried, now)
+		}
+		c := b.consider(p, t, version, keys, homes[version], targets, now)
+		if rank < bestRank || c.CostMs < best.CostMs {
+			best, bestRank = c, rank
+		}
+	}
+	return best
+}
+
+// home is the target that all hosts agree on for a prompt: the highest hash of the
+// first shared part among the targets with the version that are not overloaded.
+func (b *Balancer) home(p *Prompt, keys []Key, version int64, targets []*topology.Target, tried map[string]bool, now time.Time) *topology.Target {
+	if len(keys) == 0 {
+		return nil
+	}
+	var home *topology.Target
+	var top uint64
+	for _, t := range targets {
+		if b.exclusion(t, tried, now) != usable || b.Weights(t, p.Model) != version {
+			continue
+		}
+		s := b.state(t)
+		if b.waitMs(p, b.load(t.ID, s, now)) > overloadMs {
+			continue
+		}
+		if score := mix(uint64(keys[0]) ^ s.hash); home == nil || score > top {
+			home, top = t, score
+		}
+	}
+	return home
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// waitMs estimates how long a request waits at a target with the load.
+func (b *Balancer) waitMs(p *Prompt, l Load) float64 {
+	slots := 16
+	if p.Engine != nil && p.Engine.Slots > 0 {
+		slots = p.Engine.Slots
+	}
+	wait := float64(l.Reading)*readMsPerToken + busySlotMs*float64(l.Running)
+	if l.Running >= slots {
+		wait += waitingMs * float64(l.Running-slots+1)
+	}
+	return wait
+}
+
+func (b *Balancer) consider(p *Prompt, t *topology.Target, version int64, keys []Key, home *topology.Target, targets []*topology.Target, now time.Time) Choice {
+	c := Choice{Target: t, Weights: version}
+	shared := p.Shared()
+	cached := 0
+	held := 0
+	for i, key := range keys {
+		held += p.Parts[i].Tokens
+		if b.cache.holds(key, t.ID, now) {
+			cached = held
+		}
+	}
+	missing := shared - cached
+	cost := b.waitMs(p, b.load(t.ID, b.state(t), now)) + b.distance(t, p.Bytes)
+	if len(keys) > 0 {
+		c.Key = keys[len(keys)-1]
+	}
+	if missing > 0 {
+		from := b.source(p, t, keys, missing, targets, now)
+		if from.address != "" && from.ms < float64(missing)*(readMsPerToken+rereadMsPerToken) {
+			c.FetchFrom = from.address
+			cost += from.ms
+			missing = 0
+		} else {
+			c.Reads = true
+			cost += float64(missing) * (readMsPerToken + rereadMsPerToken)
+		}
+	} else if shared > 0 && p.StoreAddress != "" && t.Zone == p.StoreZone && b.cache.holds(c.Key, storeID, now) {
+		// The target may have evicted what it held.
+		c.FetchFrom = p.StoreAddress
+	}
+	if c.Reads && p.StoreAddress != "" && !b.cache.holds(c.Key, storeID, now) {
+		c.SaveTo = p.StoreAddress
+	}
+	c.Uncached = missing + p.Total() - shared
+	cost += float64(c.Uncached) * readMsPerToken
+	if home != nil && t != home {
+		cost += notHomeMs
+	}
+	if version < p.Wanted && p.Age > oldWeightsAfter {
+		cost += oldWeightsMs * (1 + p.Age.Seconds())
+	}
+	c.CostMs = cost
+	return c
+}
+
+// source returns the quickest place to copy the missing tokens to a target from.
+func (b *Balancer) source(p *Prompt, t *topology.Target, keys []Key, missing int, targets []*topology.Target, now time.Time) source {
+	best := source{ms: math.Inf(1)}
+	key := keys[len(keys)-1]
+	base := b.transferMs(p, missing)
+	for _, holder := range targets {
+		if holder == t || !b.cache.holds(key, holder.ID, now) || b.exclusion(holder, nil, now) == ejected {
+			continue
+		}
+		if ms := fetchSetupMs + base*b.transferFactor(holder.Zone, t.Zone); ms < best.ms {
+			best = source{holder.Address, ms}
+		}
+	}
+	if p.StoreAddress != "" && b.cache.holds(key, storeID, now) {
+		if ms := fetchSetupMs + base*b.transferFactor(p.StoreZone, t.Zone); ms < best.ms {
+			best = source{p.StoreAddress, ms}
+		}
+	}
+	return best
+}
+
+func (b *Balancer) transferMs(p *Prompt, tokens int) float64 {
+	if p.Engine == nil || p.Engine.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(p.Engine.TokenBytes) * 8
+	return bits / (p.Engine.LinkMbps * 1000)
+}
+
+func (b *Balancer) transferFactor(from, to string) float64 {
+	switch {
+	case from == to:
+		return 1
+	case b.regionOfZone[from] == b.regionOfZone[to]:
+		return crossZoneTransfer
+	default:
+		return crossRegionTransfer
+	}
+}
--- /dev/null
+++ b/policy/rollout/rollout.go
@@ -0,0 +1,80 @@
+// Package rollout decides which engines load new weights next. It does no I/O; the
+// time is an argument.
+package rollout
+
+import (
+	"sort"
+	"time"
+)
+
+// Engine is one engine that serves the model.
+type Engine struct {
+	ID string
+	// Version is the weights version that it is known to have.
+	Version int64
+	// Running is the number of requests there; they finish before it loads.
+	Running int
+	// Busy engines carry out an order.
+	Busy bool
+	// NotBefore is when the engine may be tried again after a failed order.
+	NotBefore time.Time
+}
+
+// Terms bound a roll-out.
+type Terms struct {
+	// AtOnce is the number of engines that load at the same time. Loads slow each
+	// other down, and each takes an engine from the callers.
+	AtOnce int
+	// Floor is the part of all engines that keeps serving.
+	Floor float64
+}
+
+// Next returns the engines that start to load the wanted version now: those with the
+// oldest weights first, since old weights have a time limit, then those with the
+// fewest requests.
+func Next(engines []Engine, wanted int64, terms Terms, now time.Time) []string {
+	busy := 0
+	var behind []Engine
+	for _, e := range engines {
+		switch {
+		case e.Busy:
+			busy++
+		case e.Version < wanted && !now.Before(e.NotBefore):
+			behind = append(behind, e)
+		}
+	}
+	sort.Slice(behind, func(i, j int) bool {
+		a, b := behind[i], behind[j]
+		if a.Version != b.Version {
+			return a.Version < b.Version
+		}
+		if a.Running != b.Running {
+			return a.Running < b.Running
+		}
+		return a.ID < b.ID
+	})
+	mayLeave := max(1, int(float64(len(engines))*(1-terms.Floor)))
+	free := max(0, min(terms.AtOnce, mayLeave)-busy)
+	var out []string
+	for _, e := range behind[:min(free, len(behind))] {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+// Behind reports whether an engine has weights older than the wanted version.
+func Behind(engines []Engine, wanted int64) bool {
+	for _, e := range engines {
+		if e.Version < wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// LeaseTurn returns how long the host at a position among the live hosts, from 0,
+// waits for others to make progress before it reads the lease.
+func LeaseTurn(position int) time.Duration {
+	const step = 700 * time.Millisecond
+	return time.Duration(position) * step
+}
