Finish requests in progress at a planned stop

Cause: http.Server.Serve returns as soon as Shutdown begins. The run group took that for the end of an actor and closed all servers 2.5 s after SIGTERM, with requests in progress.

Ruled out: the grace of 8 s, which the cut requests had not used up.

--- a/internal/command/route.go
+++ b/internal/command/route.go
@@ -15,7 +15,6 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/logsink"
 	"github.com/sequoiaroad/sequoiaroad/internal/settings"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
-	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/platform"
 )
 
@@ -56,16 +55,11 @@
 		return err
 	}
 	defer stopTelemetry(tel)
-	store := platform.NewStore(deployment.StoreAddress)
-	defer store.Close()
+	adapter, closeAdapter := platform.Adapter(deployment)
+	defer closeAdapter()
 	host, err := entryhost.New(entryhost.Options{
 		Deployment: *deployment, FleetSecret: s.FleetSecret, MetricsListen: s.MetricsListen,
-		LoadsAtOnce: s.LoadsAtOnce, Telemetry: tel,
-		Platform: entryhost.Platform{
-			Source: store, Store: store, Decoder: decoder(),
-			Codec: platform.Codec{}, Engines: platform.NewEngines(), CopyHeaders: platform.CopyAnswerHeaders,
-			Ready: platform.ReadyHandler, Locator: platform.LocatorHandler,
-		},
+		LoadsAtOnce: s.LoadsAtOnce, Telemetry: tel, Platform: adapter,
 	})
 	if err != nil {
 		return err
@@ -74,13 +68,6 @@
 	return host.Run(ctx)
 }
 
-func decoder() view.Decoder {
-	return view.Decoder{
-		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
-		HistoryGone: platform.ErrHistoryGone, OperatorRow: platform.DecodeOperatorRow, Target: platform.DecodeTarget,
-	}
-}
-
 // watchReload checks the settings file at each SIGHUP. The addresses and bounds of a
 // running process do not change; a file that differs takes effect at the next start.
 func watchReload(ctx context.Context, path string, log hclog.Logger) {
--- a/internal/entryhost/serve.go
+++ b/internal/entryhost/serve.go
@@ -38,24 +38,31 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
+	closed   chan struct{}
 }
 
+// serve returns after close. During a planned stop http.Server.Serve returns while
+// requests are still in progress; the group that runs the servers must not end then.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", s.name)
 	}
-	return errors.Wrapf(err, "serve %s", s.name)
+	<-s.closed
+	return nil
 }
 
-func (s *server) close() { _ = s.http.Close() }
+func (s *server) close() {
+	_ = s.http.Close()
+	close(s.closed)
+}
 
 func newServer(name, address string, handler http.Handler, logger hclog.Logger) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s on %s", name, address)
 	}
-	return &server{name: name, listener: listener, http: &http.Server{
+	return &server{name: name, listener: listener, closed: make(chan struct{}), http: &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout, ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog: log.New(logger.StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}), "", 0),
 	}}, nil
--- /dev/null
+++ b/test/site/fleet_test.go
@@ -0,0 +1,229 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
+)
+
+// Guards against a planned stop that cuts a stream in progress: http.Server.Serve
+// returns as soon as the stop begins, and the host must not end with it.
+func TestPlannedStopFinishesStreams(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.replica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, Events: 30, EventGap: 150 * time.Millisecond})
+	s.change(func(c object) {
+		for _, r := range c["routes"].([]any) {
+			r.(object)["timeout_ms"] = 8000
+		}
+	})
+	h := s.host("host-1")
+	got := make(chan result, 1)
+	q := prompt("/brief/1")
+	q.header["X-Deadline-Ms"] = "8000"
+	go func() { got <- s.send(h, q) }()
+	time.Sleep(500 * time.Millisecond)
+	h.stop()
+	s.g.Eventually(h.isReady, "1s", "20ms").ShouldNot(Equal(http.StatusOK))
+	r := <-got
+	s.g.Expect(r.err).NotTo(HaveOccurred())
+	s.g.Expect(r.body).To(Equal(events(30)))
+}
+
+// Guards against a withdrawn key that works on at a host that the store does not answer:
+// it learns the configuration from the other hosts.
+func TestWithdrawnKeyReachesHostWithoutStore(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	one, two := s.host("host-1"), s.host("host-2")
+	status := func(h *host, key string) func() int {
+		return func() int { return s.send(h, request{method: "GET", uri: "/status/1", key: key}).status }
+	}
+	s.g.Expect(status(two, clubKey)()).To(Equal(http.StatusOK))
+	two.gate.closed.Store(true)
+	s.change(func(c object) { c["tenants"].([]any)[0].(object)["api_keys"] = []any{"new-key"} })
+	s.g.Eventually(status(one, clubKey), "2500ms", "50ms").Should(Equal(http.StatusUnauthorized))
+	s.g.Eventually(status(two, clubKey), "6s", "50ms").Should(Equal(http.StatusUnauthorized))
+	s.g.Expect(status(two, "new-key")()).To(Equal(http.StatusOK))
+}
+
+// Guards against a host that stops serving, or goes back, when the store is down or
+// holds documents that can't be read.
+func TestStoreOutageAndBrokenDocuments(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	h := s.host("host-1")
+	status := func() int { return s.send(h, request{method: "GET", uri: "/status/1", key: clubKey}).status }
+	s.store.Put("servers", "forged-1", []byte(`{"service":7}`))
+	s.store.Put("servers", "forged-2", []byte(`{"service":"desk","address":"127.0.0.1:1","zone":"zone-a","state":"shiny"}`))
+	s.store.Put("op", "config", []byte(`{"version":9,"routes":[{"name":"x","kind":"unheard"}]}`))
+	time.Sleep(400 * time.Millisecond)
+	for range 5 {
+		s.g.Expect(status()).To(Equal(http.StatusOK))
+	}
+	s.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	s.g.Expect(status()).To(Equal(http.StatusOK))
+	s.store.SetDown(false)
+	s.store.DropHistory()
+	s.change(func(c object) {
+		c["version"] = 11
+		c["routes"] = c["routes"].([]any)[2:]
+	})
+	s.g.Eventually(status, "3s", "50ms").Should(Equal(http.StatusNotFound))
+}
+
+// Guards against requests to a target that leaves, and against an address that another
+// target has taken over.
+func TestLeavingTargets(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	one, address := s.replica(standin.ReplicaOptions{ID: "desk-1", Service: deskService})
+	two := s.desk("desk-2")
+	h := s.host("host-1")
+	s.g.Expect(one.Register(s.store, address, "draining")).To(Succeed())
+	time.Sleep(time.Second)
+	before := len(one.Runs())
+	for range 10 {
+		s.g.Expect(s.send(h, request{method: "POST", uri: "/order/1", key: clubKey}).status).To(Equal(http.StatusOK))
+	}
+	s.g.Expect(one.Runs()).To(HaveLen(before))
+	s.g.Expect(len(two.Runs())).To(BeNumerically(">=", 10))
+	stranger := standin.NewReplica(standin.ReplicaOptions{ID: "stranger", Service: "other"})
+	strangerAddress, stop, err := standin.Serve(stranger)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(stop)
+	s.g.Expect(two.Register(s.store, strangerAddress, "ready")).To(Succeed())
+	time.Sleep(400 * time.Millisecond)
+	s.g.Expect(s.send(h, request{method: "POST", uri: "/order/1", key: clubKey}).status).To(Equal(http.StatusServiceUnavailable))
+	s.g.Expect(stranger.Runs()).To(BeEmpty())
+}
+
+// Guards against weights that are not brought to the engines, orders without a fencing
+// number, two holders with one number, and requests that expect the wrong version.
+func TestNamedWeightsReachAllEngines(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	var engines []*standin.Replica
+	for i := range 4 {
+		engines = append(engines, s.engine(fmt.Sprintf("engine-%d", i), 2))
+	}
+	one, two := s.host("host-1"), s.host("host-2")
+	name := func(version int) {
+		value, err := json.Marshal(object{"model": model, "version": version})
+		s.g.Expect(err).NotTo(HaveOccurred())
+		s.store.Put("op", "version/"+model, value)
+	}
+	atVersion := func(version int64) func() int {
+		return func() int {
+			n := 0
+			for _, e := range engines {
+				if e.Version() == version {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	name(2)
+	for range 20 {
+		s.g.Expect(s.send(one, prompt("/query/1")).status).To(Equal(http.StatusOK))
+		s.g.Expect(s.send(two, prompt("/query/1")).status).To(Equal(http.StatusOK))
+	}
+	s.g.Eventually(atVersion(2), "8s", "20ms").Should(Equal(4))
+	first := engines[0].Orders()
+	s.g.Expect(first).To(HaveLen(1))
+	s.g.Expect(first[0]).To(BeNumerically(">", 0))
+	s.g.Expect(s.store.Rows("sequoiaroad.duties")).To(HaveKey("weights"))
+	// The holder stops; the other host takes over with a higher number.
+	var holder struct{ Holder string }
+	s.g.Expect(json.Unmarshal(s.store.Rows("sequoiaroad.duties")["weights"], &holder)).To(Succeed())
+	stopped, other := one, two
+	if holder.Holder == "host-2" {
+		stopped, other = two, one
+	}
+	stopped.stop()
+	s.g.Eventually(stopped.done, "10s").Should(Receive())
+	stopped.done <- nil
+	name(3)
+	s.g.Eventually(atVersion(3), "10s", "20ms").Should(Equal(4))
+	second := engines[0].Orders()
+	s.g.Expect(second[len(second)-1]).To(BeNumerically(">", first[0]))
+	s.g.Expect(s.send(other, prompt("/query/1")).status).To(Equal(http.StatusOK))
+}
+
+// Guards against an account that gets its burst once from each host, and against
+// refusals within the limit.
+func TestLimitHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	const rate, burst, cost = 1000.0, 3000.0, 100.0
+	s.change(func(c object) {
+		account := c["tenants"].([]any)[0].(object)
+		account["rate_per_s"], account["burst"] = rate, burst
+	})
+	one, two := s.host("host-1"), s.host("host-2")
+	time.Sleep(600 * time.Millisecond)
+	started := time.Now()
+	admitted, within := 0.0, true
+	for i := range 160 {
+		h := one
+		if i%2 == 1 {
+			h = two
+		}
+		got := s.send(h, request{method: "POST", uri: "/order/1", key: clubKey})
+		allowed := burst + rate*time.Since(started).Seconds()
+		switch got.status {
+		case http.StatusOK:
+			admitted += cost
+		case http.StatusTooManyRequests:
+			s.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			within = within && admitted > 0.9*burst
+		default:
+			t.Fatalf("status %d: %s", got.status, got.body)
+		}
+		s.g.Expect(admitted).To(BeNumerically("<=", 1.1*allowed+1000))
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.g.Expect(within).To(BeTrue())
+	s.g.Expect(admitted).To(BeNumerically("<", 160*cost))
+}
+
+// Guards against a locator that names hosts that are gone, and one that names none while
+// the store is down.
+func TestLocatorNamesLiveHosts(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	one, two := s.host("host-1"), s.host("host-2")
+	addresses := func() []string {
+		resp, err := http.Get("http://" + one.locator + "/api/resolve?name=x&region=north&zone=zone-a")
+		if err != nil {
+			return nil
+		}
+		defer func() { _ = resp.Body.Close() }()
+		var a struct {
+			Addresses []string `json:"addresses"`
+			TTL       float64  `json:"ttl_s"`
+		}
+		if json.NewDecoder(resp.Body).Decode(&a) != nil || a.TTL <= 0 {
+			return nil
+		}
+		return a.Addresses
+	}
+	s.g.Eventually(addresses, "3s", "50ms").Should(ConsistOf(one.callers, two.callers))
+	s.store.SetDown(true)
+	time.Sleep(500 * time.Millisecond)
+	s.g.Expect(addresses()).To(ConsistOf(one.callers, two.callers))
+	two.stop()
+	s.g.Eventually(addresses, "2s", "50ms").Should(ConsistOf(one.callers))
+}
