Use the KV store within its region, copy short parts, follow evictions

Saves to the KV store from another region take ten times as long and go one after another over its link, so that most later transfers never started.

Change: engines save to and fetch from the KV store in their own region only. Reading a shared token again is priced high enough that short parts are copied too. One host follows the cache events of each engine and tells the others about evicted parts that they know of; parts are keyed one by one for that.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/cachefeed"
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/forward"
 	"github.com/sequoiaroad/sequoiaroad/internal/leaserow"
@@ -83,6 +84,7 @@
 	router  *forward.Router
 	peers   *peers.Peers
 	duty    *weights.Duty
+	feed    *cachefeed.Feed
 	wire    *wire.Server
 	client  *wire.Client
 	leaving atomic.Bool
@@ -112,6 +114,7 @@
 	h.peers = peers.New(h.self, d.Seeds, h.client, h.view, (*local)(h), o.Telemetry.Logger.Named("peers"))
 	h.peers.Register(h.wire)
 	h.duty = weights.New(h.dutyOptions())
+	h.feed = cachefeed.New(h.self, h.view, h.peers, o.Platform.Engines, h.router, o.Telemetry.Logger.Named("cachefeed"))
 	return h, nil
 }
 
@@ -185,6 +188,7 @@
 	add("view", h.view.Run)
 	add("peers", h.peers.Run)
 	add("weights", h.duty.Run)
+	add("cachefeed", h.feed.Run)
 	add("entry", h.keepEntry)
 	if _, err := h.wire.Listen(h.options.Deployment.InnerListen); err != nil {
 		return err
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/peers"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
@@ -79,3 +80,24 @@
 	defer r.mu.Unlock()
 	return r.balancer.Weights(t, model), r.balancer.Running(t, time.Now())
 }
+
+// CacheEvents implements cachefeed.Sink: it notes what a holder evicted, and tells the
+// peers about parts that hosts know of.
+func (r *Router) CacheEvents(holder message.CacheHolder, events []message.CacheEvent, restarted bool) {
+	evicted := balance.Sighting{TargetID: holder.TargetID, Evicted: true}
+	now := time.Now()
+	r.mu.Lock()
+	if restarted {
+		r.balancer.Lost(holder.TargetID)
+	}
+	for _, e := range events {
+		if key := balance.PartKey(e.Model, e.Salt, e.PartID); !e.Stored && r.balancer.Knows(key, holder.TargetID, now) {
+			evicted.Keys = append(evicted.Keys, key)
+		}
+	}
+	r.balancer.Saw(evicted, now)
+	r.mu.Unlock()
+	if len(evicted.Keys) > 0 {
+		r.Fleet.Tell(evicted)
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -152,7 +152,9 @@
 	// relayed says that bytes of the answer went to the caller.
 	relayed     bool
 	lastEventID string
-	log         hclog.Logger
+	// firstEvent is how long the first event took.
+	firstEvent time.Duration
+	log        hclog.Logger
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -73,11 +72,11 @@
 	}
 	p.reading = choice.Uncached
 	p.envelope.Weights = choice.Weights
-	p.envelope.CacheSalt = fmt.Sprintf("%d.%s", choice.Weights, p.prompt.Wall)
+	p.envelope.CacheSalt = balance.Salt(choice.Weights, p.prompt.Wall)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
 	r.sight(p.prompt, &choice, now)
 	c.log.Info("target chosen", "route", c.route.Name, "target", p.target.ID, "cost_ms", int(choice.CostMs),
-		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "weights", choice.Weights, "wanted", p.prompt.Wanted)
+		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", uint64(choice.Key), "shared", p.prompt.Shared(), "total", p.prompt.Total(), "weights", choice.Weights, "wanted", p.prompt.Wanted)
 }
 
 func (r *Router) prompt(c *call, now time.Time) *balance.Prompt {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -179,11 +179,13 @@
 	r.balancer.FirstEvent(p.target, p.reading)
 	r.mu.Unlock()
 	p.reading = 0
-	r.measures.firstEvent(c, time.Since(c.started))
+	c.firstEvent = time.Since(c.started)
+	r.measures.firstEvent(c, c.firstEvent)
 }
 
 // done counts a request that was answered.
 func (r *Router) done(c *call, p *plan, status int) {
 	r.measures.answered(c, status, time.Since(c.started))
-	c.log.Debug("answered", "target", p.target.ID, "status", status, "elapsed_ms", time.Since(c.started).Milliseconds())
+	c.log.Info("answered", "target", p.target.ID, "status", status, "sends", c.sends,
+		"first_event_ms", c.firstEvent.Milliseconds(), "elapsed_ms", time.Since(c.started).Milliseconds())
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -116,8 +116,36 @@
 	Started  int64
 }
 
+// CacheHolder is an engine, or the KV store if TargetID is empty.
+type CacheHolder struct {
+	TargetID string
+	Address  string
+}
+
+// CacheEvent says that a holder stored or evicted a part of a prompt.
+type CacheEvent struct {
+	Stored bool
+	Salt   string
+	PartID string
+	Model  string
+	// Tokens of the part are stored now; an evicted part may keep some.
+	Tokens int
+}
+
+// CacheEvents are the events after a number.
+type CacheEvents struct {
+	// Epoch changes when the holder restarts.
+	Epoch int64
+	Next  int64
+	// Lost says that events before these are missing.
+	Lost   bool
+	Events []CacheEvent
+}
+
 // Engines is the control interface of model engines.
 type Engines interface {
 	State(ctx context.Context, t *topology.Target) (EngineState, error)
 	Order(ctx context.Context, t *topology.Target, o WeightsOrder) (OrderOutcome, error)
+	// CacheEvents waits up to wait for events from the number since on.
+	CacheEvents(ctx context.Context, holder CacheHolder, since int64, wait time.Duration) (CacheEvents, error)
 }
--- a/policy/balance/cachemap.go
+++ b/policy/balance/cachemap.go
@@ -12,7 +12,7 @@
 	storeID = "\x00store"
 )
 
-// Key names a shared prefix of a prompt under one wall and one weights version.
+// Key names a shared part of a prompt under one wall and one weights version.
 type Key uint64
 
 // cacheMap notes where shared prefixes were last read or used.
@@ -59,6 +59,14 @@
 	}
 }
 
+// evicted forgets that a holder has a part, and reports whether it was known.
+func (m *cacheMap) evicted(key Key, holder string) bool {
+	h := m.holders[key]
+	_, known := h[holder]
+	delete(h, holder)
+	return known
+}
+
 // drop forgets all that a holder had.
 func (m *cacheMap) drop(holder string) {
 	for _, h := range m.holders {
@@ -66,28 +74,48 @@
 	}
 }
 
-// Sighting says that a target reads or uses shared prefixes.
+// Sighting says that a target reads or uses shared parts, or has evicted them.
 type Sighting struct {
-	Keys     []Key
-	TargetID string
-	Saved    bool
+	Keys []Key `msgpack:"k"`
+	// TargetID is empty for the KV store.
+	TargetID string `msgpack:"t,omitempty"`
+	// Saved says that the parts go to the KV store too.
+	Saved   bool `msgpack:"s,omitempty"`
+	Evicted bool `msgpack:"e,omitempty"`
 }
 
-// Keys returns the keys of the shared prefixes of a prompt under a version.
-func (p *Prompt) Keys(version int64) []Key { return p.keys(version) }
+func (s *Sighting) holder() string {
+	if s.TargetID == "" {
+		return storeID
+	}
+	return s.TargetID
+}
 
 // Saw notes a sighting, of this host or of a peer.
 func (b *Balancer) Saw(s Sighting, now time.Time) {
 	for _, key := range s.Keys {
-		b.cache.used(key, s.TargetID, now)
+		switch {
+		case s.Evicted:
+			b.cache.evicted(key, s.holder())
+		default:
+			b.cache.used(key, s.holder(), now)
+		}
 		if s.Saved {
 			b.cache.used(key, storeID, now)
 		}
 	}
 }
 
-// Lost forgets the cached parts of a target whose memory is gone.
-func (b *Balancer) Lost(targetID string) { b.cache.drop(targetID) }
+// Knows reports whether a holder is believed to have a part; an empty target id
+// stands for the KV store.
+func (b *Balancer) Knows(key Key, targetID string, now time.Time) bool {
+	s := Sighting{TargetID: targetID}
+	return b.cache.holds(key, s.holder(), now)
+}
 
-// LostStore forgets what the KV store held.
-func (b *Balancer) LostStore() { b.cache.drop(storeID) }
+// Lost forgets the cached parts of a target whose memory is gone; an empty target id
+// stands for the KV store.
+func (b *Balancer) Lost(targetID string) {
+	s := Sighting{TargetID: targetID}
+	b.cache.drop(s.holder())
+}
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,7 +16,7 @@
 	// rereadMsPerToken is the price of reading a shared token that some target has
 	// cached: it takes the memory of other cached parts and the time of all requests
 	// that the engine runs.
-	rereadMsPerToken = 0.05
+	rereadMsPerToken = 0.3
 	// fetchSetupMs is the fixed time of a transfer of cached parts.
 	fetchSetupMs = 5
 	// crossZoneTransfer and crossRegionTransfer are how much longer transfers take
@@ -55,6 +56,18 @@
 	StoreAddress, StoreZone string
 }
 
+// cached returns the tokens of the leading parts that a holder has.
+func (p *Prompt) cached(m *cacheMap, keys []Key, holder string, now time.Time) int {
+	sum := 0
+	for i, key := range keys {
+		if !m.holds(key, holder, now) {
+			break
+		}
+		sum += p.Parts[i].Tokens
+	}
+	return sum
+}
+
 // Shared returns the tokens that other requests may share.
 func (p *Prompt) Shared() int {
 	sum := 0
@@ -73,18 +86,30 @@
 	return sum
 }
 
-// keys returns a key for each shared prefix of the prompt under a weights version.
-func (p *Prompt) keys(version int64) []Key {
+// Salt is the text that separates the cached parts of a weights version and a wall.
+func Salt(version int64, wall string) string {
+	return strconv.FormatInt(version, 10) + "." + wall
+}
+
+// PartKey returns the key of a part that is cached under a salt.
+func PartKey(model, salt, partID string) Key {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, s := range [...]string{model, "\x00", salt, "\x00", partID} {
+		_, _ = digest.WriteString(s) // xxhash never fails
+	}
+	return Key(digest.Sum64())
+}
+
+// Keys returns a key for each shared part of the prompt under a weights version.
+func (p *Prompt) Keys(version int64) []Key {
 	if len(p.Parts) < 2 {
 		return nil
 	}
 	keys := make([]Key, 0, len(p.Parts)-1)
-	digest := xxhash.NewWithSeed(uint64(version))
-	for i := 0; i+1 < len(p.Parts); i++ {
-		for _, s := range [...]string{p.Model, p.Wall, p.Parts[i].ID, "\x00"} {
-			_, _ = digest.WriteString(s) // xxhash never fails
-		}
-		keys = append(keys, Key(digest.Sum64()))
+	salt := Salt(version, p.Wall)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		keys = append(keys, PartKey(p.Model, salt, part.ID))
 	}
 	return keys
 }
@@ -125,7 +150,7 @@
 		}
 		keys, seen := keysOf[version]
 		if !seen {
-			keys = p.keys(version)
+			keys = p.Keys(version)
 			keysOf[version] = keys
 			homes[version] = b.home(p, keys, version, targets, tried, now)
 		}
@@ -183,15 +208,7 @@
 func (b *Balancer) consider(p *Prompt, t *topology.Target, version int64, keys []Key, home *topology.Target, targets []*topology.Target, now time.Time) Choice {
 	c := Choice{Target: t, Weights: version}
 	shared := p.Shared()
-	cached := 0
-	held := 0
-	for i, key := range keys {
-		held += p.Parts[i].Tokens
-		if b.cache.holds(key, t.ID, now) {
-			cached = held
-		}
-	}
-	missing := shared - cached
+	missing := shared - p.cached(b.cache, keys, t.ID, now)
 	cost := b.waitMs(p, b.load(t.ID, b.state(t), now)) + b.distance(t, p.Bytes)
 	if len(keys) > 0 {
 		c.Key = keys[len(keys)-1]
@@ -210,7 +227,7 @@
 		// The target may have evicted what it held.
 		c.FetchFrom = p.StoreAddress
 	}
-	if c.Reads && p.StoreAddress != "" && !b.cache.holds(c.Key, storeID, now) {
+	if c.Reads && p.StoreAddress != "" && b.sameRegion(t.Zone, p.StoreZone) && !b.cache.holds(c.Key, storeID, now) {
 		c.SaveTo = p.StoreAddress
 	}
 	c.Uncached = missing + p.Total() - shared
@@ -228,17 +245,17 @@
 // source returns the quickest place to copy the missing tokens to a target from.
 func (b *Balancer) source(p *Prompt, t *topology.Target, keys []Key, missing int, targets []*topology.Target, now time.Time) source {
 	best := source{ms: math.Inf(1)}
-	key := keys[len(keys)-1]
+	shared := p.Shared()
 	base := b.transferMs(p, missing)
 	for _, holder := range targets {
-		if holder == t || !b.cache.holds(key, holder.ID, now) || b.exclusion(holder, nil, now) == ejected {
+		if holder == t || p.cached(b.cache, keys, holder.ID, now) < shared || b.exclusion(holder, nil, now) == ejected {
 			continue
 		}
 		if ms := fetchSetupMs + base*b.transferFactor(holder.Zone, t.Zone); ms < best.ms {
 			best = source{holder.Address, ms}
 		}
 	}
-	if p.StoreAddress != "" && b.cache.holds(key, storeID, now) {
+	if p.StoreAddress != "" && b.sameRegion(t.Zone, p.StoreZone) && p.cached(b.cache, keys, storeID, now) == shared {
 		if ms := fetchSetupMs + base*b.transferFactor(p.StoreZone, t.Zone); ms < best.ms {
 			best = source{p.StoreAddress, ms}
 		}
@@ -246,6 +263,13 @@
 	return best
 }
 
+// sameRegion reports whether two zones are in one region. Transfers to and from the KV
+// store go one after another over its link, and one that crosses regions takes ten
+// times as long: a few of them keep all others from starting.
+func (b *Balancer) sameRegion(one, other string) bool {
+	return b.regionOfZone[one] == b.regionOfZone[other]
+}
+
 func (b *Balancer) transferMs(p *Prompt, tokens int) float64 {
 	if p.Engine == nil || p.Engine.LinkMbps <= 0 {
 		return 0
