Estimate reading times with attention; tell peers of long readings at once

Short ones ran on engines that were reading long prompts: the load of a target counted prompt tokens until the first event, as of the last heartbeat, and left out that attention makes long prompts cost more than their tokens.

Change: each target has a time until which it reads prompts, by estimates of token and attention time that first events correct. Readings of 15 ms and more are told to peers at once; heartbeats carry only the number of requests.

Ruled out: slots (80 of 224 in use) and the time on the hosts (0.04 cores).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -82,7 +82,6 @@
 func (r *Router) end(p *plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.FirstEvent(p.target, p.reading)
 	r.balancer.End(p.target)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -14,8 +14,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var h peers.Heartbeat
-	for id, l := range r.balancer.OwnLoads() {
-		h.Loads = append(h.Loads, peers.TargetLoad{ID: id, Running: l.Running, Reading: l.Reading})
+	for id, running := range r.balancer.OwnRunning() {
+		h.Loads = append(h.Loads, peers.TargetLoad{ID: id, Running: running})
 	}
 	for name, b := range r.buckets {
 		h.Use = append(h.Use, peers.AccountUse{Account: name, Total: b.Admitted()})
@@ -30,11 +30,11 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	loads := make(map[string]balance.Load, len(h.Loads))
+	running := make(map[string]int, len(h.Loads))
 	for _, l := range h.Loads {
-		loads[l.ID] = balance.Load{Running: l.Running, Reading: l.Reading}
+		running[l.ID] = l.Running
 	}
-	r.balancer.PeerLoads(h.From.ID, loads, now)
+	r.balancer.PeerRunning(h.From.ID, running, now)
 	if config == nil {
 		return
 	}
@@ -52,10 +52,14 @@
 // HeardSightings implements peers.Local.
 func (r *Router) HeardSightings(all []balance.Sighting) {
 	now := time.Now()
+	targets := r.View.Snapshot().Targets
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range all {
 		r.balancer.Saw(s, now)
+		if t := targets[s.TargetID]; t != nil && s.ReadMs > 0 {
+			r.balancer.Read(t, s.ReadMs, now)
+		}
 	}
 }
 
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -12,14 +12,18 @@
 // retell is the age from which the use of a cached part is told to peers again.
 const retell = 3 * time.Second
 
+// tellReading is the reading time in ms from which peers are told at once, so that
+// they don't send requests behind a long prompt.
+const tellReading = 15
+
 // plan is one sending of a request.
 type plan struct {
 	target   *topology.Target
 	envelope message.Envelope
 	client   *client
-	// reading is the prompt tokens that the target has to read.
-	reading int
-	prompt  *balance.Prompt
+	// read is when the target is expected to have read the prompt.
+	read   time.Time
+	prompt *balance.Prompt
 }
 
 // plan chooses a target.
@@ -51,7 +55,7 @@
 		p.envelope.Deadline = left
 	}
 	p.client = r.clients.get(p.target, c.service.MaxConnections/max(1, hosts))
-	r.balancer.Begin(p.target, p.reading)
+	r.balancer.Begin(p.target)
 	return p, nil
 }
 
@@ -70,7 +74,7 @@
 	if p.target == nil {
 		return
 	}
-	p.reading = choice.Uncached
+	p.read = r.balancer.Read(p.target, choice.ReadMs, now)
 	p.envelope.Weights = choice.Weights
 	p.envelope.CacheSalt = balance.Salt(choice.Weights, p.prompt.Wall)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
@@ -100,14 +104,14 @@
 // know.
 func (r *Router) sight(q *balance.Prompt, choice *balance.Choice, now time.Time) {
 	keys := q.Keys(choice.Weights)
-	if len(keys) == 0 {
-		return
-	}
 	s := balance.Sighting{Keys: keys, TargetID: choice.Target.ID, Saved: choice.SaveTo != ""}
+	if choice.ReadMs >= tellReading {
+		s.ReadMs = choice.ReadMs
+	}
 	r.balancer.Saw(s, now)
 	r.sweepTold(now)
-	id := toldKey{keys[len(keys)-1], choice.Target.ID}
-	if !s.Saved && now.Sub(r.told[id]) < retell {
+	id := toldKey{choice.Key, choice.Target.ID}
+	if s.ReadMs == 0 && !s.Saved && (len(keys) == 0 || now.Sub(r.told[id]) < retell) {
 		return
 	}
 	r.told[id] = now
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -176,9 +176,8 @@
 
 func (r *Router) firstEvent(c *call, p *plan) {
 	r.mu.Lock()
-	r.balancer.FirstEvent(p.target, p.reading)
+	r.balancer.HasRead(p.target, p.read, time.Now())
 	r.mu.Unlock()
-	p.reading = 0
 	c.firstEvent = time.Since(c.started)
 	r.measures.firstEvent(c, c.firstEvent)
 }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -11,7 +11,6 @@
 type TargetLoad struct {
 	ID      string `msgpack:"i"`
 	Running int    `msgpack:"r"`
-	Reading int    `msgpack:"k,omitempty"`
 }
 
 // AccountUse is the total that the sender has admitted for a client account.
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -19,28 +19,23 @@
 	failuresToEject = 2
 	// peerLoadAge is the age up to which a peer's report of its load counts.
 	peerLoadAge = 1500 * time.Millisecond
+	// maxCorrection bounds what one answer changes of the reading estimate.
+	maxCorrection = 300 * time.Millisecond
 )
 
-// Load is what a host has under way at a target.
-type Load struct {
-	Running int
-	// Reading is the number of prompt tokens that the target has not yet answered
-	// with a first event.
-	Reading int
-}
-
-func (l Load) add(o Load) Load { return Load{l.Running + o.Running, l.Reading + o.Reading} }
-
 type peerLoad struct {
-	loads map[string]Load
-	at    time.Time
+	running map[string]int
+	at      time.Time
 }
 
 // targetState is what this host knows of one incarnation of a target.
 type targetState struct {
 	started  int64
-	own      Load
+	running  int
 	failures int
+	// readUntil is when the target has read all prompts that hosts sent there, by
+	// the estimates of their reading times.
+	readUntil time.Time
 	// ejectedUntil and pausedUntil bound the time in which other targets go first.
 	ejectedUntil time.Time
 	pausedUntil  time.Time
@@ -78,7 +73,7 @@
 // Retain drops the state of all targets that are not listed.
 func (b *Balancer) Retain(targets map[string]*topology.Target) {
 	for id, s := range b.targets {
-		if targets[id] == nil && s.own == (Load{}) {
+		if targets[id] == nil && s.running == 0 {
 			delete(b.targets, id)
 		}
 	}
@@ -104,23 +99,35 @@
 	return now.Before(b.state(t).pausedUntil)
 }
 
-// Begin counts a request that is sent to a target; End takes it away.
-func (b *Balancer) Begin(t *topology.Target, reading int) {
+// Begin counts a request that is sent to a target.
+func (b *Balancer) Begin(t *topology.Target) { b.state(t).running++ }
+
+// Read adds the reading time of a prompt that some host sends to a target, and
+// returns when the target is expected to have read it.
+func (b *Balancer) Read(t *topology.Target, ms float64, now time.Time) time.Time {
 	s := b.state(t)
-	s.own = s.own.add(Load{1, reading})
+	if s.readUntil.Before(now) {
+		s.readUntil = now
+	}
+	s.readUntil = s.readUntil.Add(time.Duration(ms * float64(time.Millisecond)))
+	return s.readUntil
 }
 
-// FirstEvent takes the prompt of a request from the target's reading load.
-func (b *Balancer) FirstEvent(t *topology.Target, reading int) {
-	if s := b.targets[t.ID]; s != nil {
-		s.own.Reading = max(0, s.own.Reading-reading)
+// HasRead corrects the estimate once a prompt is read that was expected to be read at
+// a time.
+func (b *Balancer) HasRead(t *topology.Target, expected, now time.Time) {
+	s := b.targets[t.ID]
+	if s == nil || expected.IsZero() {
+		return
 	}
+	off := min(max(now.Sub(expected), -maxCorrection), maxCorrection)
+	s.readUntil = s.readUntil.Add(off / 2)
 }
 
 // End counts a request that has ended.
 func (b *Balancer) End(t *topology.Target) {
 	if s := b.targets[t.ID]; s != nil {
-		s.own.Running = max(0, s.own.Running-1)
+		s.running = max(0, s.running-1)
 	}
 }
 
@@ -138,38 +145,38 @@
 	}
 }
 
-// OwnLoads returns this host's load of each target that has any.
-func (b *Balancer) OwnLoads() map[string]Load {
-	out := map[string]Load{}
+// OwnRunning returns this host's requests at each target that has any.
+func (b *Balancer) OwnRunning() map[string]int {
+	out := map[string]int{}
 	for id, s := range b.targets {
-		if s.own != (Load{}) {
-			out[id] = s.own
+		if s.running > 0 {
+			out[id] = s.running
 		}
 	}
 	return out
 }
 
-// PeerLoads replaces what a peer has under way.
-func (b *Balancer) PeerLoads(peer string, loads map[string]Load, now time.Time) {
-	b.peers[peer] = peerLoad{loads, now}
+// PeerRunning replaces what a peer has under way.
+func (b *Balancer) PeerRunning(peer string, running map[string]int, now time.Time) {
+	b.peers[peer] = peerLoad{running, now}
 }
 
-// load is the sum over all hosts.
-func (b *Balancer) load(id string, s *targetState, now time.Time) Load {
-	sum := s.own
+// Running returns the requests of all hosts at a target.
+func (b *Balancer) Running(t *topology.Target, now time.Time) int {
+	sum := b.state(t).running
 	for peer, p := range b.peers {
 		if now.Sub(p.at) > peerLoadAge {
 			delete(b.peers, peer)
 			continue
 		}
-		sum = sum.add(p.loads[id])
+		sum += p.running[t.ID]
 	}
 	return sum
 }
 
-// Running returns the requests of all hosts at a target.
-func (b *Balancer) Running(t *topology.Target, now time.Time) int {
-	return b.load(t.ID, b.state(t), now).Running
+// readingMs is how long the target still reads prompts.
+func (s *targetState) readingMs(now time.Time) float64 {
+	return max(0, s.readUntil.Sub(now).Seconds()*1000)
 }
 
 // exclusion ranks targets; those with the lowest rank are chosen from.
@@ -228,11 +235,11 @@
 		if rank == unusable || rank > bestRank {
 			continue
 		}
-		load := b.load(t.ID, b.state(t), now)
+		running := b.Running(t, now)
 		slots := max(1, t.Slots)
-		cost := b.distance(t, bytes) + waitingMs*float64(load.Running)/float64(slots)
-		if load.Running >= slots {
-			cost += waitingMs * float64(load.Running-slots+1)
+		cost := b.distance(t, bytes) + waitingMs*float64(running)/float64(slots)
+		if running >= slots {
+			cost += waitingMs * float64(running-slots+1)
 		}
 		if rank < bestRank || cost < bestCost {
 			best, bestRank, bestCost = t, rank, cost
--- a/policy/balance/cachemap.go
+++ b/policy/balance/cachemap.go
@@ -82,6 +82,8 @@
 	// Saved says that the parts go to the KV store too.
 	Saved   bool `msgpack:"s,omitempty"`
 	Evicted bool `msgpack:"e,omitempty"`
+	// ReadMs is how long the target reads the prompt; zero for a short one.
+	ReadMs float64 `msgpack:"r,omitempty"`
 }
 
 func (s *Sighting) holder() string {
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -11,8 +11,13 @@
 )
 
 const (
-	// readMsPerToken is the time that an engine takes to read a prompt token.
-	readMsPerToken = 0.0115
+	// readMsPerToken is the time that an engine takes to read a prompt token, and
+	// attentionMs the time for each million pairs of a token read and one before it.
+	readMsPerToken = 0.0108
+	attentionMs    = 0.44
+	// disturbMs is the cost for each request that runs beside a prompt, for each
+	// second that the prompt is read: its events come late meanwhile.
+	disturbMs = 40
 	// rereadMsPerToken is the price of reading a shared token that some target has
 	// cached: it takes the memory of other cached parts and the time of all requests
 	// that the engine runs.
@@ -31,6 +36,8 @@
 	notHomeMs = 25
 	// overloadMs is the wait above which the agreed target is passed over.
 	overloadMs = 300
+	// defaultSlots holds for an engine that does not say how many it has.
+	defaultSlots = 16
 )
 
 // Part is a part of a prompt in order.
@@ -114,12 +121,20 @@
 	return keys
 }
 
+// readMs is how long an engine reads the last tokens of a prompt.
+func (p *Prompt) readMs(uncached int) float64 {
+	before := float64(p.Total()) - float64(uncached)/2
+	return float64(uncached)*readMsPerToken + attentionMs*float64(uncached)*before/1e6
+}
+
 // Choice is a target for a prompt and where cached parts come from and go to.
 type Choice struct {
 	Target  *topology.Target
 	Weights int64
-	// Uncached is the number of tokens that the target is expected to read.
+	// Uncached is the number of tokens that the target is expected to read, and
+	// ReadMs the time that it takes for them.
 	Uncached int
+	ReadMs   float64
 	// FetchFrom and SaveTo are addresses, or "".
 	FetchFrom, SaveTo string
 	// Key is the longest shared prefix; zero if the prompt shares nothing.
@@ -175,7 +190,7 @@
 			continue
 		}
 		s := b.state(t)
-		if b.waitMs(p, b.load(t.ID, s, now)) > overloadMs {
+		if b.waitMs(p, t, now) > overloadMs {
 			continue
 		}
 		if score := mix(uint64(keys[0]) ^ s.hash); home == nil || score > top {
@@ -192,15 +207,16 @@
 	return x ^ x>>31
 }
 
-// waitMs estimates how long a request waits at a target with the load.
-func (b *Balancer) waitMs(p *Prompt, l Load) float64 {
-	slots := 16
+// waitMs estimates how long a request waits at a target before its prompt is read.
+func (b *Balancer) waitMs(p *Prompt, t *topology.Target, now time.Time) float64 {
+	slots := defaultSlots
 	if p.Engine != nil && p.Engine.Slots > 0 {
 		slots = p.Engine.Slots
 	}
-	wait := float64(l.Reading)*readMsPerToken + busySlotMs*float64(l.Running)
-	if l.Running >= slots {
-		wait += waitingMs * float64(l.Running-slots+1)
+	running := b.Running(t, now)
+	wait := b.state(t).readingMs(now) + busySlotMs*float64(running)
+	if running >= slots {
+		wait += waitingMs * float64(running-slots+1)
 	}
 	return wait
 }
@@ -209,19 +225,19 @@
 	c := Choice{Target: t, Weights: version}
 	shared := p.Shared()
 	missing := shared - p.cached(b.cache, keys, t.ID, now)
-	cost := b.waitMs(p, b.load(t.ID, b.state(t), now)) + b.distance(t, p.Bytes)
+	cost := b.waitMs(p, t, now) + b.distance(t, p.Bytes)
 	if len(keys) > 0 {
 		c.Key = keys[len(keys)-1]
 	}
 	if missing > 0 {
 		from := b.source(p, t, keys, missing, targets, now)
-		if from.address != "" && from.ms < float64(missing)*(readMsPerToken+rereadMsPerToken) {
+		if from.address != "" && from.ms < p.readMs(missing)+float64(missing)*rereadMsPerToken {
 			c.FetchFrom = from.address
 			cost += from.ms
 			missing = 0
 		} else {
 			c.Reads = true
-			cost += float64(missing) * (readMsPerToken + rereadMsPerToken)
+			cost += float64(missing) * rereadMsPerToken
 		}
 	} else if shared > 0 && p.StoreAddress != "" && t.Zone == p.StoreZone && b.cache.holds(c.Key, storeID, now) {
 		// The target may have evicted what it held.
@@ -231,7 +247,8 @@
 		c.SaveTo = p.StoreAddress
 	}
 	c.Uncached = missing + p.Total() - shared
-	cost += float64(c.Uncached) * readMsPerToken
+	c.ReadMs = p.readMs(c.Uncached)
+	cost += c.ReadMs * (1 + float64(b.Running(t, now))*disturbMs/1000)
 	if home != nil && t != home {
 		cost += notHomeMs
 	}
