Learn at the start what engines have cached

Change: the first cache events that a host reads from a holder tell what the holder has; parts of 512 tokens and more are told to the peers.

What stays is evicted everywhere 5 to 10 s after its last use: the engines' memory holds 5 to 8 s of traffic.

--- a/internal/cachefeed/cachefeed.go
+++ b/internal/cachefeed/cachefeed.go
@@ -28,9 +28,9 @@
 
 // Sink takes the events.
 type Sink interface {
-	// CacheEvents takes the events of a holder; restarted says that it lost all
-	// that it held before them.
-	CacheEvents(holder message.CacheHolder, events []message.CacheEvent, restarted bool)
+	// CacheEvents takes the events of a holder. first says that they are all that
+	// the holder remembers, restarted that it lost all that it held before them.
+	CacheEvents(holder message.CacheHolder, events []message.CacheEvent, first, restarted bool)
 }
 
 // Fleet lists the other live hosts.
@@ -136,10 +136,11 @@
 		if restarted || got.Lost && !first {
 			f.log.Info("cache events have a gap", "target", holder.TargetID, "restarted", restarted, "lost", got.Lost)
 		}
-		first, epoch, since = false, got.Epoch, got.Next
+		epoch, since = got.Epoch, got.Next
 		if restarted || len(got.Events) > 0 {
-			f.sink.CacheEvents(holder, got.Events, restarted)
+			f.sink.CacheEvents(holder, got.Events, first, restarted)
 		}
+		first = false
 		clock.Sleep(ctx, pause)
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -85,23 +85,42 @@
 	return r.balancer.Weights(t, model), r.balancer.Running(t, time.Now())
 }
 
+// minRebuildTokens is the size of parts that a host which has just begun to follow a
+// holder tells its peers about.
+const minRebuildTokens = 512
+
 // CacheEvents implements cachefeed.Sink: it notes what a holder evicted, and tells the
-// peers about parts that hosts know of.
-func (r *Router) CacheEvents(holder message.CacheHolder, events []message.CacheEvent, restarted bool) {
-	evicted := balance.Sighting{TargetID: holder.TargetID, Evicted: true}
+// peers about parts that hosts know of. The first events after a start also show what
+// the holder has, so that hosts that lost their memory do not read it again.
+func (r *Router) CacheEvents(holder message.CacheHolder, events []message.CacheEvent, first, restarted bool) {
 	now := time.Now()
+	stored := map[balance.Key]bool{}
 	r.mu.Lock()
 	if restarted {
 		r.balancer.Lost(holder.TargetID)
 	}
 	for _, e := range events {
-		if key := balance.PartKey(e.Model, e.Salt, e.PartID); !e.Stored && r.balancer.Knows(key, holder.TargetID, now) {
+		key := balance.PartKey(e.Model, e.Salt, e.PartID)
+		known := r.balancer.Knows(key, holder.TargetID, now)
+		if known && !e.Stored || first && !known && e.Tokens >= minRebuildTokens {
+			stored[key] = e.Stored
+		}
+	}
+	has := balance.Sighting{TargetID: holder.TargetID}
+	evicted := balance.Sighting{TargetID: holder.TargetID, Evicted: true}
+	for key, is := range stored {
+		if is {
+			has.Keys = append(has.Keys, key)
+		} else {
 			evicted.Keys = append(evicted.Keys, key)
 		}
 	}
+	r.balancer.Saw(has, now)
 	r.balancer.Saw(evicted, now)
 	r.mu.Unlock()
-	if len(evicted.Keys) > 0 {
-		r.Fleet.Tell(evicted)
+	for _, s := range [...]balance.Sighting{has, evicted} {
+		if len(s.Keys) > 0 {
+			r.Fleet.Tell(s)
+		}
 	}
 }
