--- a/policy/usage/usage.go
+++ b/policy/usage/usage.go
@@ -6,6 +6,10 @@
 
 import "time"
 
+// firstReport is the time of use at the full rate that the first report of a process
+// counts for at most.
+const firstReport = 250 * time.Millisecond
+
 // Terms are an account's limits. A Rate of zero means no limit.
 type Terms struct {
 	Rate, Burst float64
@@ -81,11 +85,16 @@
 // Report notes the total that another process has admitted since its start. The
 // reporter is the process, not the host: a restarted host counts from zero.
 func (b *Bucket) Report(reporter string, total float64, now time.Time, silentShare float64) {
-	delta := total - b.reported[reporter]
-	if delta <= 0 {
+	before, known := b.reported[reporter]
+	delta := total - before
+	if known && delta <= 0 {
 		return
 	}
 	b.reported[reporter] = total
+	if !known {
+		// The total may be from long before this bucket began.
+		delta = min(delta, firstReport.Seconds()*b.terms.Rate)
+	}
 	if b.terms.Rate > 0 {
 		b.refill(now, silentShare)
 		b.level -= delta
