Leave targets that take no connections

Change: a request without a sign of an answer after half of its objective, or 150 ms after its prompt should be read, checks whether the target takes a new connection. If not, it is avoided, peers are told, and repeatable requests are sent elsewhere within the retry budget.

Ruled out: leaving a target without that check.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,11 +50,16 @@
 	defer cancel()
 	defer r.end(p)
 	c.sends++
+	patience := r.await(c, p, cancel)
+	defer patience.stop()
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
 	resp, err := p.client.transport.RoundTrip(r.outbound(ctx, c, p))
+	if err != nil && patience.ended() {
+		return r.overdue(c, p)
+	}
 	if err != nil {
 		return r.unanswered(ctx, c, p, err, connected)
 	}
@@ -74,8 +79,9 @@
 	c.runs++
 	r.answered(p, &answer, resp.StatusCode)
 	if resp.StatusCode == http.StatusOK && c.route.Kind.Streams() {
-		return r.relayStream(ctx, c, p, resp)
+		return r.relayStream(ctx, c, p, resp, patience)
 	}
+	patience.stop()
 	return r.relayPlain(c, p, resp)
 }
 
@@ -93,6 +99,7 @@
 		f := &failure{status: http.StatusGatewayTimeout, reason: "the time limit passed before the target answered", cause: cause}
 		if connected {
 			c.runs++
+			r.failed(p)
 		}
 		f.proven = !connected
 		if f.proven {
@@ -100,16 +107,30 @@
 		}
 		return f
 	}
-	r.mu.Lock()
-	r.balancer.Failed(p.target, time.Now())
-	r.mu.Unlock()
+	r.failed(p)
 	if !connected {
+		r.unreachable(p)
 		return &failure{status: http.StatusServiceUnavailable, reason: "target was not reached", cause: cause, proven: true, unsent: true, retryAfter: noTargetRetry}
 	}
 	c.runs++
 	return &failure{status: http.StatusBadGateway, reason: "target did not answer", cause: cause}
 }
 
+// failed notes that a target did not answer a request.
+func (r *Router) failed(p *plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Failed(p.target, time.Now())
+}
+
+// unreachable notes that no connection to a target could be opened.
+func (r *Router) unreachable(p *plan) {
+	r.clients.drop(p.target)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Silent(p.target, time.Now())
+}
+
 // rejected handles an answer that says that the request was not run.
 func (r *Router) rejected(c *call, p *plan, resp *http.Response, a *message.Answer) *failure {
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
@@ -119,6 +140,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	r.balancer.Heard(p.target, now)
 	switch {
 	case a.WrongTarget && p.prompt != nil && (a.InstanceID == "" || a.InstanceID == p.target.ID):
 		f.reason = "target has other weights"
@@ -139,6 +161,7 @@
 func (r *Router) answered(p *plan, a *message.Answer, status int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.balancer.Heard(p.target, time.Now())
 	if status < http.StatusInternalServerError {
 		r.balancer.Succeeded(p.target)
 	}
--- a/internal/forward/clients.go
+++ b/internal/forward/clients.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	dialTimeout = 700 * time.Millisecond
+	dialTimeout = 350 * time.Millisecond
 	// initialIdle is how long an idle connection is kept before the target has said
 	// how long it keeps one.
 	initialIdle = 900 * time.Millisecond
@@ -92,6 +92,16 @@
 	}
 }
 
+// drop closes the idle connections to a target that shows no sign of life, so that the
+// next request finds out by a new one.
+func (c *clients) drop(t *topology.Target) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if have := c.byID[t.ID]; have != nil {
+		have.transport.CloseIdleConnections()
+	}
+}
+
 // retain drops the clients of targets that are gone.
 func (c *clients) retain(targets map[string]*topology.Target) {
 	c.mu.Lock()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -17,6 +17,7 @@
 	for id, running := range r.balancer.OwnRunning() {
 		h.Loads = append(h.Loads, peers.TargetLoad{ID: id, Running: running})
 	}
+	h.Suspects = r.balancer.Suspects(time.Now())
 	for name, b := range r.buckets {
 		h.Use = append(h.Use, peers.AccountUse{Account: name, Total: b.Admitted()})
 	}
@@ -25,7 +26,8 @@
 
 // HeardFrom implements peers.Local.
 func (r *Router) HeardFrom(h *peers.Heartbeat) {
-	config := r.View.Snapshot().Config
+	snapshot := r.View.Snapshot()
+	config := snapshot.Config
 	_, silent := r.Fleet.Shares()
 	now := time.Now()
 	r.mu.Lock()
@@ -35,6 +37,11 @@
 		running[l.ID] = l.Running
 	}
 	r.balancer.PeerRunning(h.From.ID, running, now)
+	for _, id := range h.Suspects {
+		if t := snapshot.Targets[id]; t != nil {
+			r.balancer.Suspected(t, now)
+		}
+	}
 	if config == nil {
 		return
 	}
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -19,6 +19,8 @@
 	cause  error
 	// proven says that no target ran the request and none will.
 	proven bool
+	// paid says that the repetition was already taken from the retry budget.
+	paid bool
 	// unsent says that no byte of this attempt reached a target.
 	unsent bool
 	// answered says that a target ran the request and answered with a failure.
@@ -42,17 +44,19 @@
 	if !f.proven && (!c.route.Kind.Repeatable() || c.runs >= c.route.MaxAttempts) {
 		return false
 	}
-	if f.unsent {
-		return true
-	}
+	return f.unsent || f.paid || r.payRepeat(c, f.reason)
+}
+
+// payRepeat takes one repetition from the retry budget.
+func (r *Router) payRepeat(c *call, reason string) bool {
 	hosts, _ := r.Fleet.Shares()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.budget(c.service.Name).Allow(time.Now(), hosts) {
-		c.log.Info("retry budget is used up", "service", c.service.Name, "after", f.reason)
-		return false
+	if r.budget(c.service.Name).Allow(time.Now(), hosts) {
+		return true
 	}
-	return true
+	c.log.Info("retry budget is used up", "service", c.service.Name, "after", reason)
+	return false
 }
 
 // finish gives the caller the final answer of a request that no target answered with
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -23,6 +23,7 @@
 	client   *client
 	// read is when the target is expected to have read the prompt.
 	read   time.Time
+	sent   time.Time
 	prompt *balance.Prompt
 }
 
@@ -34,7 +35,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := &plan{envelope: message.Envelope{Priority: c.route.Priority, LastEventID: c.lastEventID}}
+	p := &plan{sent: now, envelope: message.Envelope{Priority: c.route.Priority, LastEventID: c.lastEventID}}
 	if c.account != nil {
 		p.envelope.Account = c.account.Name
 		if c.account.Priority != nil {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -122,13 +122,17 @@
 
 // relayStream relays a stream event by event. Nothing is relayed before the first
 // whole event, so that a target that fails before it can be replaced.
-func (r *Router) relayStream(ctx context.Context, c *call, p *plan, resp *http.Response) *failure {
+func (r *Router) relayStream(ctx context.Context, c *call, p *plan, resp *http.Response, patience *patience) *failure {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	control := http.NewResponseController(c.w)
 	first := true
 	for {
 		event, err := readEvent(reader)
 		if first {
+			patience.stop()
+			if err != nil && patience.ended() {
+				return r.overdue(c, p)
+			}
 			r.firstEvent(c, p)
 			first = false
 		}
@@ -146,6 +150,7 @@
 		if !c.relayed {
 			r.startStream(c, resp)
 		}
+		r.heard(p)
 		if id := eventID(event); id != "" {
 			c.lastEventID = id
 		}
@@ -168,6 +173,12 @@
 	return f
 }
 
+func (r *Router) heard(p *plan) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.balancer.Heard(p.target, time.Now())
+}
+
 func (r *Router) startStream(c *call, resp *http.Response) {
 	r.copyHeader(c, resp.Header)
 	c.w.WriteHeader(resp.StatusCode)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -30,6 +30,8 @@
 	Targets  uint64       `msgpack:"s"`
 	Loads    []TargetLoad `msgpack:"d,omitempty"`
 	Use      []AccountUse `msgpack:"u,omitempty"`
+	// Suspects are targets that the sender avoids after failures.
+	Suspects []string `msgpack:"x,omitempty"`
 }
 
 // WireType implements wire.Message.
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// ejection is how long a target is avoided after failures in a row.
-	ejection = 2 * time.Second
+	// ejection is how long a target is avoided after failures in a row. It doubles
+	// with each further failure up to maxEjection.
+	ejection    = time.Second
+	maxEjection = 4 * time.Second
+	// suspicion is how long a target is avoided that a peer found silent.
+	suspicion = 600 * time.Millisecond
 	// failuresToEject in a row mark a target as failing.
 	failuresToEject = 2
 	// peerLoadAge is the age up to which a peer's report of its load counts.
@@ -36,6 +40,8 @@
 	// readUntil is when the target has read all prompts that hosts sent there, by
 	// the estimates of their reading times.
 	readUntil time.Time
+	// heard is when the target last showed a sign of life.
+	heard time.Time
 	// ejectedUntil and pausedUntil bound the time in which other targets go first.
 	ejectedUntil time.Time
 	pausedUntil  time.Time
@@ -131,7 +137,15 @@
 	}
 }
 
-// Succeeded and Failed note whether a target answered.
+// Heard notes a sign of life of a target: an answer or an event.
+func (b *Balancer) Heard(t *topology.Target, now time.Time) { b.state(t).heard = now }
+
+// SilentSince reports whether a target has shown no sign of life since a time.
+func (b *Balancer) SilentSince(t *topology.Target, since time.Time) bool {
+	return b.state(t).heard.Before(since)
+}
+
+// Succeeded notes that a target answered a request.
 func (b *Balancer) Succeeded(t *topology.Target) {
 	s := b.state(t)
 	s.failures, s.ejectedUntil = 0, time.Time{}
@@ -141,7 +155,41 @@
 func (b *Balancer) Failed(t *topology.Target, now time.Time) {
 	s := b.state(t)
 	if s.failures++; s.failures >= failuresToEject {
-		s.ejectedUntil = now.Add(ejection)
+		s.eject(now)
+	}
+}
+
+// Silent notes a target that shows no sign of life, or to which no connection can be
+// opened. One such failure is enough: it took its whole time limit, and others would
+// do so too.
+func (b *Balancer) Silent(t *topology.Target, now time.Time) {
+	s := b.state(t)
+	s.failures = max(s.failures+1, failuresToEject)
+	s.eject(now)
+}
+
+func (s *targetState) eject(now time.Time) {
+	period := min(ejection<<min(s.failures-failuresToEject, 4), maxEjection)
+	s.ejectedUntil = now.Add(period)
+}
+
+// Suspects returns the targets that this host avoids after failures.
+func (b *Balancer) Suspects(now time.Time) []string {
+	var out []string
+	for id, s := range b.targets {
+		if s.failures >= failuresToEject && now.Before(s.ejectedUntil) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Suspected notes a target that a peer avoids. It is avoided here too, unless it has
+// just shown a sign of life.
+func (b *Balancer) Suspected(t *topology.Target, now time.Time) {
+	s := b.state(t)
+	if until := now.Add(suspicion); now.Sub(s.heard) > suspicion/2 && s.ejectedUntil.Before(until) {
+		s.ejectedUntil = until
 	}
 }
 
