--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -29,9 +29,12 @@
 	crossZoneTransfer   = 2
 	crossRegionTransfer = 10
 	// oldWeightsMs is the cost of an answer on weights that are no longer the newest,
-	// once they are older than oldWeightsAfter; it grows to the whole answer.
-	oldWeightsMs    = 120
-	oldWeightsAfter = 1500 * time.Millisecond
+	// once they are older than oldWeightsAfter, and oldWeightsMsPerSecond what each
+	// further second adds. A higher cost sends all requests to the few engines that
+	// have the new weights, while the others wait for theirs.
+	oldWeightsMs          = 30
+	oldWeightsMsPerSecond = 30
+	oldWeightsAfter       = 1500 * time.Millisecond
 	// notHomeMs is the advantage of the target that all hosts agree on for a prompt.
 	notHomeMs = 25
 	// overloadMs is the wait above which the agreed target is passed over.
@@ -253,7 +256,7 @@
 		cost += notHomeMs
 	}
 	if version < p.Wanted && p.Age > oldWeightsAfter {
-		cost += oldWeightsMs * (1 + p.Age.Seconds())
+		cost += oldWeightsMs + oldWeightsMsPerSecond*(p.Age-oldWeightsAfter).Seconds()
 	}
 	c.CostMs = cost
 	return c
