Let a quarter of the engines load weights, dark ones aside

Change: a quarter of the engines loads at once unless set otherwise, at least two and at most half; engines that requests avoid go last and take no turn.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -92,6 +92,13 @@
 	return r.balancer.Weights(t, model), r.balancer.Running(t, time.Now())
 }
 
+// Avoided reports whether requests avoid a target after failures.
+func (r *Router) Avoided(t *topology.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Ejected(t, time.Now())
+}
+
 // minRebuildTokens is the size of parts that a host which has just begun to follow a
 // holder tells its peers about.
 const minRebuildTokens = 512
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -43,13 +43,17 @@
 	pausePerOrder = 3500 * time.Millisecond
 	pollInterval  = 100 * time.Millisecond
 	orderTimeout  = 6 * time.Second
-	// orderRetry is the pause after a failed order.
-	orderRetry = 300 * time.Millisecond
+	// orderRetry is the pause after a failed order, and reportRetry the one after an
+	// engine gave no report: others go first.
+	orderRetry  = 300 * time.Millisecond
+	reportRetry = time.Second
 )
 
 // Router is what the duty needs of the request path.
 type Router interface {
 	Weights(t *topology.Target, model string) (version int64, running int)
+	// Avoided reports whether requests avoid a target after failures.
+	Avoided(t *topology.Target) bool
 	HeardNotice(n *peers.EngineNotice)
 }
 
@@ -143,7 +147,8 @@
 			}
 			version, running := d.Router.Weights(t, model)
 			w.engines = append(w.engines, rollout.Engine{
-				ID: t.ID, Version: version, Running: running, Busy: d.busy[t.ID], NotBefore: d.retryAt[t.ID],
+				ID: t.ID, Version: version, Running: running, Busy: d.busy[t.ID],
+				Avoided: d.Router.Avoided(t), NotBefore: d.retryAt[t.ID],
 			})
 		}
 		if rollout.Behind(w.engines, wanted.Version) {
@@ -275,7 +280,7 @@
 	state, err := d.Engines.State(ctx, t)
 	if err != nil {
 		log.Warn("engine gave no report", "error", err)
-		d.retry(t.ID)
+		d.retry(t.ID, reportRetry)
 		return
 	}
 	if state.Weights[wanted.Model] >= wanted.Version {
@@ -300,7 +305,7 @@
 	}
 	if !done {
 		log.Warn("weights are not in place", "outcome", outcome.String())
-		d.retry(t.ID)
+		d.retry(t.ID, orderRetry)
 		d.notify(ctx, &peers.EngineNotice{TargetID: t.ID, Model: wanted.Model})
 		return
 	}
@@ -332,10 +337,10 @@
 	return false
 }
 
-func (d *Duty) retry(id string) {
+func (d *Duty) retry(id string, after time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.retryAt[id] = time.Now().Add(orderRetry)
+	d.retryAt[id] = time.Now().Add(after)
 }
 
 // stepDown gives up a lease whose fencing number an engine refused.
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -222,6 +222,11 @@
 	return sum
 }
 
+// Ejected reports whether a target is avoided after failures.
+func (b *Balancer) Ejected(t *topology.Target, now time.Time) bool {
+	return now.Before(b.state(t).ejectedUntil)
+}
+
 // readingMs is how long the target still reads prompts.
 func (s *targetState) readingMs(now time.Time) float64 {
 	return max(0, s.readUntil.Sub(now).Seconds()*1000)
--- a/policy/rollout/rollout.go
+++ b/policy/rollout/rollout.go
@@ -16,17 +16,29 @@
 	Running int
 	// Busy engines carry out an order.
 	Busy bool
+	// Avoided engines do not answer requests. They take no turn from those that do.
+	Avoided bool
 	// NotBefore is when the engine may be tried again after a failed order.
 	NotBefore time.Time
 }
 
+// leastAtOnce is the number of loads at the same time in a small fleet.
+const leastAtOnce = 2
+
 // Terms bound a roll-out.
 type Terms struct {
-	// AtOnce is the number of engines that load at the same time. Loads slow each
-	// other down, and each takes an engine from the callers.
+	// AtOnce is the number of engines that load at the same time; zero means Share
+	// of them. Loads slow each other down, and each takes an engine from the callers.
 	AtOnce int
-	// Floor is the part of all engines that keeps serving.
-	Floor float64
+	// Share of all engines loads at the same time, in (0, 1].
+	Share float64
+}
+
+func (t Terms) atOnce(engines int) int {
+	if t.AtOnce > 0 {
+		return t.AtOnce
+	}
+	return max(leastAtOnce, int(t.Share*float64(engines)))
 }
 
 // Next returns the engines that start to load the wanted version now: those with the
@@ -37,6 +49,7 @@
 	var behind []Engine
 	for _, e := range engines {
 		switch {
+		case e.Busy && e.Avoided:
 		case e.Busy:
 			busy++
 		case e.Version < wanted && !now.Before(e.NotBefore):
@@ -45,6 +58,9 @@
 	}
 	sort.Slice(behind, func(i, j int) bool {
 		a, b := behind[i], behind[j]
+		if a.Avoided != b.Avoided {
+			return b.Avoided
+		}
 		if a.Version != b.Version {
 			return a.Version < b.Version
 		}
@@ -53,8 +69,9 @@
 		}
 		return a.ID < b.ID
 	})
-	mayLeave := max(1, int(float64(len(engines))*(1-terms.Floor)))
-	free := max(0, min(terms.AtOnce, mayLeave)-busy)
+	// Half of the engines keep serving.
+	mayLeave := max(1, len(engines)/2)
+	free := max(0, min(terms.atOnce(len(engines)), mayLeave)-busy)
 	var out []string
 	for _, e := range behind[:min(free, len(behind))] {
 		out = append(out, e.ID)
--- /dev/null
+++ b/policy/rollout/rollout_test.go
@@ -0,0 +1,43 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// Guards against engines with the oldest weights that wait for those that are nearly
+// new, and against more loads at once than the terms allow.
+func TestOldestWeightsGoFirst(t *testing.T) {
+	g := NewWithT(t)
+	engines := []Engine{
+		{ID: "a", Version: 2}, {ID: "b", Version: 1, Running: 4}, {ID: "c", Version: 1, Running: 1},
+		{ID: "d", Version: 3}, {ID: "e", Version: 2, Busy: true}, {ID: "f", Version: 2},
+	}
+	g.Expect(Next(engines, 3, Terms{AtOnce: 3}, now)).To(Equal([]string{"c", "b"}))
+	g.Expect(Behind(engines, 3)).To(BeTrue())
+	g.Expect(Behind(engines[3:4], 3)).To(BeFalse())
+}
+
+// Guards against a fleet that stops serving while it loads.
+func TestFloorOfEnginesKeepsServing(t *testing.T) {
+	g := NewWithT(t)
+	engines := []Engine{{ID: "a", Version: 1}, {ID: "b", Version: 1}, {ID: "c", Version: 1}, {ID: "d", Version: 1}}
+	g.Expect(Next(engines, 2, Terms{AtOnce: 4}, now)).To(HaveLen(2))
+	g.Expect(Next(engines[:1], 2, Terms{AtOnce: 4}, now)).To(HaveLen(1))
+	g.Expect(Next(append(engines, engines...), 2, Terms{Share: 0.25}, now)).To(HaveLen(2))
+	g.Expect(Next(make([]Engine, 20), 2, Terms{Share: 0.25}, now)).To(HaveLen(5))
+}
+
+// Guards against dark engines that take the turns of those that answer.
+func TestEnginesThatDoNotAnswerTakeNoTurn(t *testing.T) {
+	g := NewWithT(t)
+	engines := []Engine{
+		{ID: "a", Version: 1, Avoided: true, Busy: true}, {ID: "b", Version: 1, Avoided: true},
+		{ID: "c", Version: 1}, {ID: "d", Version: 1}, {ID: "e", Version: 1, NotBefore: now.Add(time.Second)},
+	}
+	g.Expect(Next(engines, 2, Terms{AtOnce: 2}, now)).To(Equal([]string{"c", "d"}))
+}
