List the hosts now and then instead of following them

Cause: every write of a host's entry ended a long poll at each other host.

New hosts become known by their heartbeats.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -22,7 +21,6 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/leaserow"
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/peers"
-	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/settings"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
@@ -34,10 +32,6 @@
 )
 
 const (
-	// entryInterval is the pause between writes of this host's entry. A host whose
-	// entry is older than entryAge is gone.
-	entryInterval = 15 * time.Second
-	entryRetry    = 500 * time.Millisecond
 	// memoryShare of the limit is where the garbage collector works harder.
 	memoryShare = 0.8
 	// maxHeaderBytes is above what any configuration allows a caller.
@@ -46,6 +40,8 @@
 	// a request costs the caller an attempt.
 	idleTimeout       = 2 * time.Minute
 	readHeaderTimeout = 10 * time.Second
+	// loadShare of the engines load weights at the same time.
+	loadShare = 0.25
 	// usageSlackShare of the tolerated excess is what a host may grant while reports
 	// of other hosts are under way.
 	usageSlackShare = 0.25
@@ -69,7 +65,8 @@
 	FleetSecret string
 	// MetricsListen is the address of the metrics; empty serves none.
 	MetricsListen string
-	// LoadsAtOnce is the number of engines that load weights at the same time.
+	// LoadsAtOnce is the number of engines that load weights at the same time; zero
+	// means a quarter of them.
 	LoadsAtOnce int
 	Platform    Platform
 	Telemetry   *telemetry.Telemetry
@@ -88,12 +85,14 @@
 	wire    *wire.Server
 	client  *wire.Client
 	leaving atomic.Bool
+	// stopping is closed when the planned stop begins.
+	stopping chan struct{}
 }
 
 // New composes a host. Nothing is listened on before Run.
 func New(o Options) (*Host, error) {
 	d := o.Deployment
-	h := &Host{options: o, log: o.Telemetry.Logger.Named("host")}
+	h := &Host{options: o, log: o.Telemetry.Logger.Named("host"), stopping: make(chan struct{})}
 	h.self = view.Host{
 		ID: d.HostID, Incarnation: uuid.NewString(), Zone: d.Zone, Region: d.Region,
 		InnerAddress: d.InnerListen, CallerAddress: d.CallerListen,
@@ -137,7 +136,7 @@
 		HostID: d.HostID, Store: h.options.Platform.Store, View: h.view, Router: h.router, Fleet: h.peers,
 		Engines: h.options.Platform.Engines, Log: h.options.Telemetry.Logger.Named("weights"),
 		LeaseDuration: d.LeaseDuration, Clock: clock.Boot,
-		Terms: rollout.Terms{AtOnce: h.options.LoadsAtOnce, Floor: 0.5},
+		Terms: rollout.Terms{AtOnce: h.options.LoadsAtOnce, Share: loadShare},
 	}
 	if !d.TargetsCheckFence {
 		o.Settle = d.LeaseDuration
@@ -210,24 +209,3 @@
 	}
 	return err
 }
-
-// keepEntry writes this host's entry to the store, and removes it in the end.
-func (h *Host) keepEntry(ctx context.Context) error {
-	value, err := json.Marshal(h.self)
-	if err != nil {
-		return errors.Wrap(err, "encode the host's entry")
-	}
-	write := []store.Write{{Table: view.HostTable, Key: h.self.ID, Value: value}}
-	for ctx.Err() == nil {
-		pause := entryInterval
-		if h.leaving.Load() {
-			write = []store.Write{{Table: view.HostTable, Key: h.self.ID, Delete: true}}
-		}
-		if _, err := h.options.Platform.Store.Commit(ctx, nil, write); err != nil && ctx.Err() == nil {
-			h.log.Warn("host's entry was not written", "error", err)
-			pause = entryRetry
-		}
-		clock.Sleep(ctx, pause)
-	}
-	return nil
-}
--- a/internal/entryhost/serve.go
+++ b/internal/entryhost/serve.go
@@ -136,6 +136,7 @@
 	grace := h.options.Deployment.StopGrace
 	h.log.Info("planned stop", "active", h.router.Active(), "grace_ms", grace.Milliseconds())
 	h.leaving.Store(true)
+	close(h.stopping)
 	h.router.Leave()
 	started := time.Now()
 	clock.Sleep(background, min(minLinger, grace/3))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -240,6 +240,14 @@
 	return out
 }
 
+// HeardWithin reports whether a host was heard within a time.
+func (p *Peers) HeardWithin(id string, age time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.members[id]
+	return m != nil && time.Since(m.heard) < age
+}
+
 // Shares returns the number of hosts that share limits, this one included, and the
 // part of them that has fallen silent.
 func (p *Peers) Shares() (hosts int, silent float64) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -25,6 +25,11 @@
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 150 * time.Millisecond
 	maxRetry = time.Second
+	// hostListInterval is the pause between listings of the hosts. Hosts tell each
+	// other of new ones, so that the listing matters after a start only; hostListFirst
+	// is the pause after the first one, which may come before others wrote.
+	hostListInterval = 15 * time.Second
+	hostListFirst    = time.Second
 	// returnGrace is how long a target whose entry lapsed while the store was away
 	// may take to write it again.
 	returnGrace = 2 * time.Second
@@ -58,6 +63,8 @@
 	Region        string `json:"region"`
 	InnerAddress  string `json:"inner_address"`
 	CallerAddress string `json:"caller_address"`
+	// Revision is that of the entry in the store; zero if it was not read there.
+	Revision uint64 `json:"-" msgpack:"-"`
 }
 
 // Snapshot is what a host knows at a moment. It is immutable.
@@ -147,6 +154,14 @@
 // step makes one call and applies its answer.
 func (v *View) step(ctx context.Context, t *Table) error {
 	cursor, listed := t.position()
+	if t == v.Hosts && listed {
+		pause := hostListInterval
+		if cursor == 0 || len(v.Snapshot().Hosts) <= 1 {
+			pause = hostListFirst
+		}
+		clock.Sleep(ctx, pause)
+		listed = false
+	}
 	if !listed {
 		rows, version, err := v.source.List(ctx, t.name)
 		if err != nil {
@@ -281,6 +296,7 @@
 		v.log.Warn("host's entry is ignored", "host", r.Key, "error", err)
 		return
 	}
+	h.Revision = r.Version
 	v.hosts[r.Key] = h
 }
 
