--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -144,7 +144,7 @@
 	switch {
 	case a.WrongTarget && p.prompt != nil && (a.InstanceID == "" || a.InstanceID == p.target.ID):
 		f.reason = "target has other weights"
-		r.balancer.SawWeights(p.target, p.prompt.Model, max(a.Weights, p.prompt.Wanted))
+		r.balancer.SawWeights(p.target, p.prompt.Model, max(a.Weights, p.prompt.Wanted.Version))
 		delete(c.tried, p.target.ID)
 	case a.WrongTarget:
 		f.reason = "another target has the address"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -62,6 +62,8 @@
 	RetryTerms   retry.Terms
 	// UsageSlack is how far this host lets an account exceed its burst.
 	UsageSlack float64
+	// WeightsBound is the time within which named weights must be in place.
+	WeightsBound time.Duration
 	// MemoryBytes is the memory limit of the process; zero means none.
 	MemoryBytes int64
 }
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -69,7 +69,7 @@
 }
 
 func (r *Router) planPrompt(c *call, p *plan, targets []*topology.Target, now time.Time) {
-	p.prompt = r.prompt(c, now)
+	p.prompt = r.prompt(c)
 	choice := r.balancer.Pick(p.prompt, targets, c.tried, now)
 	p.target = choice.Target
 	if p.target == nil {
@@ -81,10 +81,10 @@
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
 	r.sight(p.prompt, &choice, now)
 	c.log.Info("target chosen", "route", c.route.Name, "target", p.target.ID, "cost_ms", int(choice.CostMs),
-		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", uint64(choice.Key), "shared", p.prompt.Shared(), "total", p.prompt.Total(), "weights", choice.Weights, "wanted", p.prompt.Wanted)
+		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", uint64(choice.Key), "shared", p.prompt.Shared(), "total", p.prompt.Total(), "weights", choice.Weights, "wanted", p.prompt.Wanted.Version)
 }
 
-func (r *Router) prompt(c *call, now time.Time) *balance.Prompt {
+func (r *Router) prompt(c *call) *balance.Prompt {
 	q := &balance.Prompt{Model: c.meta.Model, Bytes: len(c.body), Engine: c.service.Engine}
 	if c.account != nil && c.account.Isolated {
 		q.Wall = c.account.Name
@@ -92,9 +92,7 @@
 	for _, part := range c.meta.Parts {
 		q.Parts = append(q.Parts, balance.Part(part))
 	}
-	if w, ok := r.View.Snapshot().Wanted[q.Model]; ok {
-		q.Wanted, q.Age = w.Version, now.Sub(w.Since)
-	}
+	q.Wanted, q.WeightsBound = r.View.Snapshot().Wanted[q.Model], r.WeightsBound
 	if store := c.config.Store(); store != nil {
 		q.StoreAddress, q.StoreZone = store.StoreAddress, store.StoreZone
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -234,8 +234,9 @@
 		v.log.Info("configuration in force", "version", config.Version, "row_version", r.Version,
 			"routes", len(config.Routes), "accounts", len(config.Accounts))
 	case wanted != nil && wanted.Version > v.wanted[wanted.Model].Version:
-		wanted.Since = time.Now()
-		v.wanted[wanted.Model] = *wanted
+		before := v.wanted[wanted.Model]
+		before.Model = wanted.Model
+		v.wanted[wanted.Model] = before.Name(wanted.Version, time.Now())
 		v.log.Info("weights named", "model", wanted.Model, "weights", wanted.Version)
 	}
 }
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -136,6 +136,7 @@
 	if s.Config == nil {
 		return nil
 	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []work
@@ -147,7 +148,7 @@
 			}
 			version, running := d.Router.Weights(t, model)
 			w.engines = append(w.engines, rollout.Engine{
-				ID: t.ID, Version: version, Running: running, Busy: d.busy[t.ID],
+				ID: t.ID, Version: version, Running: running, Outdated: wanted.OutdatedFor(version, now), Busy: d.busy[t.ID],
 				Avoided: d.Router.Avoided(t), NotBefore: d.retryAt[t.ID],
 			})
 		}
@@ -292,10 +293,7 @@
 		d.notify(ctx, &peers.EngineNotice{TargetID: t.ID, Model: wanted.Model})
 		return
 	}
-	outcome, err := d.Engines.Order(ctx, t, message.WeightsOrder{
-		Model: wanted.Model, Version: wanted.Version, Holder: d.HostID, Fence: held.Row.Number, Sequence: state.Sequence,
-	})
-	log.Info("weights ordered", "outcome", outcome.String(), "running", state.Running, "queued", state.Queued, "sequence", state.Sequence, "error", err)
+	outcome := d.order(ctx, t, wanted, held, state)
 	if outcome == message.OrderFenced {
 		d.stepDown(held)
 	}
@@ -313,8 +311,26 @@
 	d.notify(ctx, &peers.EngineNotice{TargetID: t.ID, Model: wanted.Model, Version: wanted.Version})
 }
 
+// order sends an order, again if it is not answered: an engine carries out at most one
+// of them, since each names the number of orders before it.
+func (d *Duty) order(ctx context.Context, t *topology.Target, wanted topology.WantedWeights, held lease.Held, state message.EngineState) message.OrderOutcome {
+	outcome := message.OrderUnknown
+	for n := 0; n < maxOrders && outcome == message.OrderUnknown && held.MayAct(d.Clock(), orderNeed); n++ {
+		var err error
+		outcome, err = d.Engines.Order(ctx, t, message.WeightsOrder{
+			Model: wanted.Model, Version: wanted.Version, Holder: d.HostID, Fence: held.Row.Number, Sequence: state.Sequence,
+		})
+		d.Log.Info("weights ordered", "target", t.ID, "model", wanted.Model, "weights", wanted.Version, "fence", held.Row.Number,
+			"outcome", outcome.String(), "running", state.Running, "queued", state.Queued, "sequence", state.Sequence, "error", err)
+	}
+	return outcome
+}
+
+// maxOrders is how often an order without an answer is sent.
+const maxOrders = 3
+
 // unknownPatience is how long an order without an answer is given to show effect.
-const unknownPatience = 700 * time.Millisecond
+const unknownPatience = 400 * time.Millisecond
 
 // await polls the engine until it has the version.
 func (d *Duty) await(ctx context.Context, t *topology.Target, wanted topology.WantedWeights, outcome message.OrderOutcome) bool {
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -238,6 +238,7 @@
 const (
 	usable exclusion = iota
 	ejected
+	outdated
 	paused
 	unusable
 )
--- /dev/null
+++ b/policy/balance/balance_test.go
@@ -0,0 +1,137 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+var zones = map[string]string{"a": "north", "b": "north", "c": "south"}
+
+const model = "m"
+
+func engine(id, zone string, version int64) *topology.Target {
+	return &topology.Target{ID: id, Address: id + ":1", Zone: zone, Slots: 16, Weights: map[string]int64{model: version}}
+}
+
+func prompt(name string, shared int) *Prompt {
+	return &Prompt{
+		Model: model, Parts: []Part{{name, shared}, {name + "-own", 500}}, Bytes: 2000,
+		Engine: &topology.Engine{Slots: 16, TokenBytes: 131072, LinkMbps: 370000},
+	}
+}
+
+// send makes a choice and notes it as the router does.
+func send(b *Balancer, p *Prompt, targets []*topology.Target) Choice {
+	c := b.Pick(p, targets, nil, now)
+	b.Begin(c.Target)
+	b.Read(c.Target, c.ReadMs, now)
+	b.Saw(Sighting{Keys: p.Keys(c.Weights), TargetID: c.Target.ID, Saved: c.SaveTo != ""}, now)
+	return c
+}
+
+// Guards against a shared part that is read again although a target has it, and against
+// hosts that send the first requests for a part to different targets.
+func TestSharedPartIsReadOnce(t *testing.T) {
+	g := NewWithT(t)
+	targets := []*topology.Target{engine("e1", "a", 1), engine("e2", "a", 1), engine("e3", "b", 1)}
+	one, two := New("a", zones), New("a", zones)
+	first := send(one, prompt("manual", 12000), targets)
+	g.Expect(first.Reads).To(BeTrue())
+	g.Expect(two.Pick(prompt("manual", 12000), targets, nil, now).Target).To(Equal(first.Target))
+	holders := map[string]bool{first.Target.ID: true}
+	for range 5 {
+		again := send(one, prompt("manual", 12000), targets)
+		g.Expect(again.Reads).To(BeFalse())
+		g.Expect(holders[again.Target.ID] || again.FetchFrom != "").To(BeTrue())
+		holders[again.Target.ID] = true
+	}
+	one.Saw(Sighting{Keys: prompt("manual", 12000).Keys(1), TargetID: first.Target.ID, Evicted: true}, now)
+	g.Expect(one.Knows(prompt("manual", 12000).Keys(1)[0], first.Target.ID, now)).To(BeFalse())
+}
+
+// Guards against walls and weights versions that share cached parts.
+func TestWallsAndVersionsShareNothing(t *testing.T) {
+	g := NewWithT(t)
+	plain, walled := prompt("manual", 1000), prompt("manual", 1000)
+	walled.Wall = "club"
+	g.Expect(plain.Keys(1)).NotTo(Equal(walled.Keys(1)))
+	g.Expect(plain.Keys(1)).NotTo(Equal(plain.Keys(2)))
+	g.Expect(Salt(1, "")).NotTo(Equal(Salt(1, "club")))
+}
+
+// Guards against short prompts that wait behind long ones: the load of a peak, with one
+// engine that reads a prompt of 50,000 tokens.
+func TestShortPromptAvoidsEngineThatReads(t *testing.T) {
+	g := NewWithT(t)
+	targets := []*topology.Target{engine("e1", "a", 1), engine("e2", "a", 1)}
+	b := New("a", zones)
+	long := send(b, prompt("long", 50000), targets)
+	for i := range 20 {
+		c := b.Pick(prompt(fmt.Sprint("short", i), 90), targets, nil, now)
+		g.Expect(c.Target).NotTo(Equal(long.Target))
+	}
+	later := now.Add(5 * time.Second)
+	used := map[string]bool{}
+	for i := range 20 {
+		used[b.Pick(prompt(fmt.Sprint("short", i), 90), targets, nil, later).Target.ID] = true
+	}
+	g.Expect(used).To(HaveLen(2))
+}
+
+// Guards against transfers across regions to and from the KV store: one takes ten times
+// as long, and they go one after another, so that no other one starts.
+func TestKVStoreServesItsRegion(t *testing.T) {
+	g := NewWithT(t)
+	b := New("a", zones)
+	far, near := engine("far", "a", 1), engine("near", "c", 1)
+	p := prompt("manual", 12000)
+	p.StoreAddress, p.StoreZone = "store:1", "c"
+	g.Expect(b.Pick(p, []*topology.Target{far}, nil, now).SaveTo).To(BeEmpty())
+	g.Expect(b.Pick(p, []*topology.Target{near}, nil, now).SaveTo).To(Equal("store:1"))
+	b.Saw(Sighting{Keys: p.Keys(1)}, now)
+	g.Expect(b.Pick(p, []*topology.Target{far}, nil, now).FetchFrom).To(BeEmpty())
+	g.Expect(b.Pick(p, []*topology.Target{near}, nil, now).FetchFrom).To(Equal("store:1"))
+}
+
+// Guards against requests that begin on weights older than the bound while engines with
+// newer ones serve, and against refusing all while none does.
+func TestOutdatedWeightsAreLeftBeforeTheBound(t *testing.T) {
+	g := NewWithT(t)
+	b := New("a", zones)
+	old, fresh := engine("old", "a", 1), engine("new", "c", 2)
+	p := prompt("manual", 12000)
+	p.WeightsBound = 8 * time.Second
+	p.Wanted = topology.WantedWeights{Model: model}.Name(2, now).Name(3, now.Add(5*time.Second))
+	b.Read(fresh, 5000, now.Add(6500*time.Millisecond))
+	g.Expect(b.Pick(p, []*topology.Target{old, fresh}, nil, now.Add(5900*time.Millisecond)).Target).To(Equal(old))
+	g.Expect(b.Pick(p, []*topology.Target{old, fresh}, nil, now.Add(6500*time.Millisecond)).Target).To(Equal(fresh))
+	g.Expect(b.Pick(p, []*topology.Target{old}, nil, now.Add(9*time.Second)).Target).To(Equal(old))
+}
+
+// Guards against one report of a peer that keeps all requests from a target which
+// answers, and against a failing target that is tried at once again.
+func TestFailingTargets(t *testing.T) {
+	g := NewWithT(t)
+	b := New("a", zones)
+	one, two := engine("e1", "a", 1), engine("e2", "b", 1)
+	b.Heard(one, now)
+	b.Suspected(one, now)
+	g.Expect(b.Ejected(one, now)).To(BeFalse())
+	b.Silent(one, now)
+	g.Expect(b.Suspects(now)).To(Equal([]string{"e1"}))
+	g.Expect(b.PickPlain([]*topology.Target{one, two}, nil, 0, now)).To(Equal(two))
+	g.Expect(b.PickPlain([]*topology.Target{one}, nil, 0, now)).To(Equal(one))
+	g.Expect(b.PickPlain([]*topology.Target{one, two}, map[string]bool{"e2": true}, 0, now)).To(Equal(one))
+	b.Succeeded(one)
+	g.Expect(b.PickPlain([]*topology.Target{one, two}, nil, 0, now)).To(Equal(one))
+	leaving := engine("e3", "a", 1)
+	leaving.Leaving = true
+	g.Expect(b.PickPlain([]*topology.Target{leaving}, nil, 0, now)).To(BeNil())
+}
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -35,6 +35,9 @@
 	oldWeightsMs          = 30
 	oldWeightsMsPerSecond = 30
 	oldWeightsAfter       = 1500 * time.Millisecond
+	// outdatedMargin covers the time between the choice of a target and the begin of
+	// the request there.
+	outdatedMargin = 2 * time.Second
 	// notHomeMs is the advantage of the target that all hosts agree on for a prompt.
 	notHomeMs = 25
 	// overloadMs is the wait above which the agreed target is passed over.
@@ -56,9 +59,11 @@
 	Wall  string
 	Parts []Part
 	Bytes int
-	// Wanted is the newest weights version, named Age ago; zero means none is known.
-	Wanted int64
-	Age    time.Duration
+	// Wanted holds the weights versions that are named.
+	Wanted topology.WantedWeights
+	// WeightsBound is the time within which named weights must be in place; zero
+	// means no bound.
+	WeightsBound time.Duration
 	// MustHave is the version that the target must have; zero means any.
 	MustHave int64
 	Engine   *topology.Engine
@@ -161,8 +166,8 @@
 	keysOf := map[int64][]Key{}
 	homes := map[int64]*topology.Target{}
 	for _, t := range targets {
-		rank := b.exclusion(t, tried, now)
 		version := b.Weights(t, p.Model)
+		rank := p.outdated(version, b.exclusion(t, tried, now), now)
 		if rank >= paused || rank > bestRank || p.MustHave != 0 && version != p.MustHave {
 			continue
 		}
@@ -180,6 +185,16 @@
 	return best
 }
 
+// outdated raises the rank of targets whose weights are about to be older than the
+// bound allows when a request begins there.
+func (p *Prompt) outdated(version int64, rank exclusion, now time.Time) exclusion {
+	limit := p.WeightsBound - outdatedMargin
+	if rank < outdated && p.WeightsBound > 0 && p.Wanted.OutdatedFor(version, now) > limit {
+		return outdated
+	}
+	return rank
+}
+
 // home is the target that all hosts agree on for a prompt: the highest hash of the
 // first shared part among the targets with the version that are not overloaded.
 func (b *Balancer) home(p *Prompt, keys []Key, version int64, targets []*topology.Target, tried map[string]bool, now time.Time) *topology.Target {
@@ -255,8 +270,8 @@
 	if home != nil && t != home {
 		cost += notHomeMs
 	}
-	if version < p.Wanted && p.Age > oldWeightsAfter {
-		cost += oldWeightsMs + oldWeightsMsPerSecond*(p.Age-oldWeightsAfter).Seconds()
+	if outdated := p.Wanted.OutdatedFor(version, now) - oldWeightsAfter; outdated > 0 {
+		cost += oldWeightsMs + oldWeightsMsPerSecond*outdated.Seconds()
 	}
 	c.CostMs = cost
 	return c
--- a/policy/rollout/rollout.go
+++ b/policy/rollout/rollout.go
@@ -12,6 +12,8 @@
 	ID string
 	// Version is the weights version that it is known to have.
 	Version int64
+	// Outdated is for how long a newer version has been named.
+	Outdated time.Duration
 	// Running is the number of requests there; they finish before it loads.
 	Running int
 	// Busy engines carry out an order.
@@ -32,13 +34,23 @@
 	AtOnce int
 	// Share of all engines loads at the same time, in (0, 1].
 	Share float64
+	// Bound is the time within which named weights must be in place; zero means none.
+	Bound time.Duration
 }
 
-func (t Terms) atOnce(engines int) int {
-	if t.AtOnce > 0 {
-		return t.AtOnce
+// urgentShare of the bound is the age of a name from which twice as many engines load
+// at the same time: orders were lost, or engines took long.
+const urgentShare = 0.45
+
+func (t Terms) atOnce(engines int, oldest time.Duration) int {
+	atOnce := t.AtOnce
+	if atOnce == 0 {
+		atOnce = max(leastAtOnce, int(t.Share*float64(engines)))
+	}
+	if t.Bound > 0 && oldest.Seconds() > urgentShare*t.Bound.Seconds() {
+		atOnce *= 2
 	}
-	return max(leastAtOnce, int(t.Share*float64(engines)))
+	return atOnce
 }
 
 // Next returns the engines that start to load the wanted version now: those with the
@@ -46,8 +58,12 @@
 // fewest requests.
 func Next(engines []Engine, wanted int64, terms Terms, now time.Time) []string {
 	busy := 0
+	var oldest time.Duration
 	var behind []Engine
 	for _, e := range engines {
+		if !e.Avoided {
+			oldest = max(oldest, e.Outdated)
+		}
 		switch {
 		case e.Busy && e.Avoided:
 		case e.Busy:
@@ -71,7 +87,7 @@
 	})
 	// Half of the engines keep serving.
 	mayLeave := max(1, len(engines)/2)
-	free := max(0, min(terms.atOnce(len(engines)), mayLeave)-busy)
+	free := max(0, min(terms.atOnce(len(engines), oldest), mayLeave)-busy)
 	var out []string
 	for _, e := range behind[:min(free, len(behind))] {
 		out = append(out, e.ID)
--- a/policy/rollout/rollout_test.go
+++ b/policy/rollout/rollout_test.go
@@ -41,3 +41,14 @@
 	}
 	g.Expect(Next(engines, 2, Terms{AtOnce: 2}, now)).To(Equal([]string{"c", "d"}))
 }
+
+// Guards against a roll-out that lost orders and goes on at its usual pace until the
+// bound is broken.
+func TestLateRollOutLoadsMoreAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	engines := make([]Engine, 12)
+	terms := Terms{Share: 0.25, Bound: 8 * time.Second}
+	g.Expect(Next(engines, 2, terms, now)).To(HaveLen(3))
+	engines[5].Outdated = 4 * time.Second
+	g.Expect(Next(engines, 2, terms, now)).To(HaveLen(6))
+}
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -188,10 +188,39 @@
 	return t.ID == o.ID && t.Started == o.Started && t.Address == o.Address
 }
 
-// WantedWeights is the weights version that the operator named for a model.
+// NamedWeights is a weights version and when this host first saw its name.
+type NamedWeights struct {
+	Version int64
+	Since   time.Time
+}
+
+// maxNamed bounds the versions that are remembered; older ones are long outdated.
+const maxNamed = 32
+
+// WantedWeights is the weights version that the operator named last for a model.
 type WantedWeights struct {
 	Model   string
 	Version int64
-	// Since is when this host first saw the version.
-	Since time.Time
+	// Named lists the versions in ascending order.
+	Named []NamedWeights
+}
+
+// Name returns the weights after a newer version is named.
+func (w WantedWeights) Name(version int64, now time.Time) WantedWeights {
+	named := append(append([]NamedWeights(nil), w.Named...), NamedWeights{version, now})
+	if len(named) > maxNamed {
+		named = named[1:]
+	}
+	return WantedWeights{Model: w.Model, Version: version, Named: named}
+}
+
+// OutdatedFor returns for how long a newer version than the given one has been named;
+// zero if there is none.
+func (w WantedWeights) OutdatedFor(version int64, now time.Time) time.Duration {
+	for _, n := range w.Named {
+		if n.Version > version {
+			return max(time.Nanosecond, now.Sub(n.Since))
+		}
+	}
+	return 0
 }
