Price copies of cached parts; hold prompts at their homes

Cause: engines hold 5 to 8 s of traffic, so that a part is evicted before its next use within 10 s.

Change: a copied token costs 0.02 ms; the target that all hosts agree on has an advantage of 60 ms in place of 25; bytes to other zones and regions cost 3 times as much, the disturbance by a reading 15 ms a request and second.

--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -271,9 +271,9 @@
 
 const (
 	crossZoneMs        = 2
-	crossZoneMsPerKB   = 0.3
+	crossZoneMsPerKB   = 1
 	crossRegionMs      = 16
-	crossRegionMsPerKB = 1.5
+	crossRegionMsPerKB = 4
 	// busySlotMs is what a further request costs those that run beside it.
 	busySlotMs = 1.5
 	// waitingMs is the mean time that a request waits for each one ahead of it.
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -17,11 +17,14 @@
 	attentionMs    = 0.44
 	// disturbMs is the cost for each request that runs beside a prompt, for each
 	// second that the prompt is read: its events come late meanwhile.
-	disturbMs = 40
+	disturbMs = 15
 	// rereadMsPerToken is the price of reading a shared token that some target has
 	// cached: it takes the memory of other cached parts and the time of all requests
 	// that the engine runs.
 	rereadMsPerToken = 0.3
+	// copyMsPerToken is the price of a further copy of a shared token: it takes the
+	// place of cached parts that other requests need.
+	copyMsPerToken = 0.02
 	// fetchSetupMs is the fixed time of a transfer of cached parts.
 	fetchSetupMs = 5
 	// crossZoneTransfer and crossRegionTransfer are how much longer transfers take
@@ -39,7 +42,7 @@
 	// the request there.
 	outdatedMargin = 2 * time.Second
 	// notHomeMs is the advantage of the target that all hosts agree on for a prompt.
-	notHomeMs = 25
+	notHomeMs = 60
 	// overloadMs is the wait above which the agreed target is passed over.
 	overloadMs = 300
 	// defaultSlots holds for an engine that does not say how many it has.
@@ -251,7 +254,7 @@
 		from := b.source(p, t, keys, missing, targets, now)
 		if from.address != "" && from.ms < p.readMs(missing)+float64(missing)*rereadMsPerToken {
 			c.FetchFrom = from.address
-			cost += from.ms
+			cost += from.ms + float64(missing)*copyMsPerToken
 			missing = 0
 		} else {
 			c.Reads = true
