--- /dev/null
+++ b/internal/cachefeed/cachefeed_test.go
@@ -0,0 +1,31 @@
+package cachefeed
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+)
+
+// Guards against engines that no host follows or that several follow, and against
+// events that cross zones although a host lives in the engine's zone.
+func TestEachHolderIsFollowedByOneHostOfItsZone(t *testing.T) {
+	g := NewWithT(t)
+	hosts := []view.Host{{ID: "h1", Zone: "a"}, {ID: "h2", Zone: "a"}, {ID: "h3", Zone: "b"}}
+	zones := map[string][]string{"a": {"h1", "h2"}, "b": {"h3"}, "empty": {"h1", "h2", "h3"}}
+	for zone, may := range zones {
+		for i := range 20 {
+			var followers []string
+			for _, h := range hosts {
+				f := &Feed{self: h}
+				if f.mine(hosts, zone, fmt.Sprint("engine-", i)) {
+					followers = append(followers, h.ID)
+				}
+			}
+			g.Expect(followers).To(HaveLen(1))
+			g.Expect(may).To(ContainElement(followers[0]))
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -51,7 +51,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(stdout, stderr), checkCommand(stdout), devCommand(stdout, stderr), routeCommand(stdout))
+	root.AddCommand(serveCommand(stdout, stderr), checkCommand(stdout), devCommand(stdout, stderr), routeCommand(stdout), explainCommand(stdout))
 	return root
 }
 
