--- a/internal/host/operations_page_test.go
+++ b/internal/host/operations_page_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against docs/operations.md missing a metric, naming one that a host does not
+// Guards against docs/OPERATIONS.md missing a metric, naming one that a host does not
 // export, or showing another type.
 func TestOperationsPageListsEachMetric(t *testing.T) {
 	g := NewWithT(t)
@@ -21,7 +21,7 @@
 	o.telemetry.Measures.Refused(ctx, "rate_limited", "not_run")
 	o.telemetry.Measures.RefusedWithinRate(ctx, "dev")
 	o.telemetry.Measures.Retried(ctx, "engine-a", "stalled")
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	g.Expect(err).NotTo(HaveOccurred())
 	var documented []string
 	for _, match := range regexp.MustCompile("(?m)^\\| `(\\w+_\\w+)` \\| (\\w+) \\|").FindAllStringSubmatch(string(page), -1) {
