--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -2,6 +2,7 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -56,9 +58,29 @@
 	seeds  []string
 }
 
+// logBuffer keeps the log of a host.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
 // host is one running host.
 type host struct {
 	callers, ready, locator string
+	metrics                 string
+	log                     *logBuffer
 	gate                    *gate
 	stop                    context.CancelFunc
 	done                    chan error
@@ -168,6 +190,7 @@
 func (s *site) startHost(id string) *host {
 	h := &host{
 		callers: freeAddress(s.g), ready: freeAddress(s.g), locator: freeAddress(s.g),
+		metrics: freeAddress(s.g), log: &logBuffer{},
 		gate: &gate{Handler: s.store}, done: make(chan error, 1),
 	}
 	storeAddress, stopGate, err := standin.Serve(h.gate)
@@ -190,11 +213,11 @@
 	s.g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
 	d, err := platform.ReadSettings(file)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	tel, err := telemetry.New(context.Background(), telemetry.Options{})
+	tel, err := telemetry.New(context.Background(), telemetry.Options{LogLevel: "info", LogJSON: true, LogOutput: h.log})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	adapter, closeAdapter := platform.Adapter(d)
 	running, err := entryhost.New(entryhost.Options{
-		Deployment: *d, FleetSecret: "a-secret-for-the-tests", LoadsAtOnce: 2, Platform: adapter, Telemetry: tel,
+		Deployment: *d, FleetSecret: "a-secret-for-the-tests", LoadsAtOnce: 2, MetricsListen: h.metrics, Platform: adapter, Telemetry: tel,
 	})
 	s.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
