--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
@@ -267,8 +268,11 @@
 	now := time.Now()
 	b := r.bucket(c.account, now)
 	if wait, ok := b.Take(now, c.cost, silent); !ok {
+		f := notRun(http.StatusTooManyRequests, "the client account is over its limit", wait)
+		f.cause = errors.Errorf("costs %.0f, left %.0f, rate %.0f, burst %.0f, silent part of the hosts %.2f",
+			c.cost, b.Level(), c.account.Rate, c.account.Burst, silent)
 		c.cost = 0
-		return notRun(http.StatusTooManyRequests, "the client account is over its limit", wait)
+		return f
 	}
 	return nil
 }
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -81,7 +81,7 @@
 	p.envelope.CacheSalt = balance.Salt(choice.Weights, p.prompt.Wall)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
 	r.sight(p.prompt, &choice, now)
-	c.log.Info("target chosen", "route", c.route.Name, "config", c.config.Version, "target", p.target.ID, "cost_ms", int(choice.CostMs),
+	c.log.Info("target chosen", "route", c.route.Name, "account", p.envelope.Account, "config", c.config.Version, "target", p.target.ID, "cost_ms", int(choice.CostMs),
 		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", strconv.FormatUint(uint64(choice.Key), 16), "shared", p.prompt.Shared(), "total", p.prompt.Total(), "weights", choice.Weights, "wanted", p.prompt.Wanted.Version)
 }
 
--- a/policy/usage/usage.go
+++ b/policy/usage/usage.go
@@ -79,6 +79,9 @@
 	b.level = min(b.terms.Burst, b.level+cost)
 }
 
+// Level is what was left at the last change; negative after reports of other hosts.
+func (b *Bucket) Level() float64 { return b.level }
+
 // Admitted is the total that this host has admitted, for its reports.
 func (b *Bucket) Admitted() float64 { return b.admitted }
 
