--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,17 +7,13 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
@@ -124,10 +120,6 @@
 	}
 }
 
-func (r *Router) terms(a *topology.Account) usage.Terms {
-	return usage.Terms{Rate: a.Rate, Burst: a.Burst, Slack: r.UsageSlack}
-}
-
 // Leave makes the router answer with Connection: close from now on.
 func (r *Router) Leave() { r.leaving.Store(true) }
 
@@ -180,123 +172,6 @@
 	r.forward(ctx, c)
 }
 
-// admit resolves route and account, reads the body and takes the cost from the
-// account's limit.
-func (r *Router) admit(c *call) *failure {
-	s := r.View.Snapshot()
-	if s.Config == nil {
-		return notRun(http.StatusServiceUnavailable, "no configuration is known yet", noConfigRetry)
-	}
-	c.config = s.Config
-	c.route = s.Config.Route(c.in.Host, c.in.URL.Path)
-	if c.route == nil {
-		return notRun(http.StatusNotFound, "no route matches", 0)
-	}
-	if s.Config.KeysRequired() && !c.route.Public {
-		if c.account = s.Config.Account(c.meta.Key); c.account == nil {
-			return notRun(http.StatusUnauthorized, "the key is unknown", 0)
-		}
-	}
-	if f := r.readBody(c); f != nil {
-		return f
-	}
-	c.service = s.Config.Services[c.route.Pick(rand.Float64())]
-	if c.service == nil {
-		return notRun(http.StatusServiceUnavailable, "the route's service is unknown", noTargetRetry)
-	}
-	if limit := shorter(c.meta.Deadline, c.route.Timeout); limit > 0 {
-		c.ends = c.started.Add(limit)
-	}
-	return r.take(c)
-}
-
-func shorter(a, b time.Duration) time.Duration {
-	if a <= 0 || b > 0 && b < a {
-		return b
-	}
-	return a
-}
-
-func (r *Router) readBody(c *call) *failure {
-	limit := int64(c.config.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = 1 << 20
-	}
-	if c.in.ContentLength > limit {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", proven: true, close: true}
-	}
-	if r.MemoryBytes > 0 && r.buffered.Load()+max(0, c.in.ContentLength) > r.MemoryBytes/bodyShare {
-		return notRun(http.StatusServiceUnavailable, "the host holds too many bodies", noTargetRetry)
-	}
-	if c.in.Body == http.NoBody {
-		return nil
-	}
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var buffer bytes.Buffer
-	if c.in.ContentLength > 0 {
-		buffer.Grow(int(c.in.ContentLength) + bytes.MinRead)
-	}
-	n, err := buffer.ReadFrom(io.LimitReader(c.in.Body, limit+1))
-	_ = control.SetReadDeadline(time.Time{})
-	if err != nil {
-		return &failure{status: http.StatusBadRequest, reason: "the body was not read", cause: err, proven: true, close: true}
-	}
-	if n > limit {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", proven: true, close: true}
-	}
-	c.body = buffer.Bytes()
-	r.buffered.Add(n)
-	return nil
-}
-
-// take takes the request's cost from the account's limit.
-func (r *Router) take(c *call) *failure {
-	if c.account == nil {
-		return nil
-	}
-	c.cost = 1
-	if c.account.CountsTokens {
-		c.cost = c.account.PlainTokens
-		if c.meta.HasTokens {
-			c.cost = float64(c.meta.Tokens)
-		}
-	}
-	_, silent := r.Fleet.Shares()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	b := r.bucket(c.account, now)
-	if wait, ok := b.Take(now, c.cost, silent); !ok {
-		f := notRun(http.StatusTooManyRequests, "the client account is over its limit", wait)
-		f.cause = errors.Errorf("costs %.0f, left %.0f, rate %.0f, burst %.0f, silent part of the hosts %.2f",
-			c.cost, b.Level(), c.account.Rate, c.account.Burst, silent)
-		c.cost = 0
-		return f
-	}
-	return nil
-}
-
-func (r *Router) bucket(a *topology.Account, now time.Time) *usage.Bucket {
-	b := r.buckets[a.Name]
-	if b == nil {
-		b = usage.NewBucket(r.terms(a), now)
-		r.buckets[a.Name] = b
-	}
-	return b
-}
-
-// refund gives the cost of a request that did not run back to its account.
-func (r *Router) refund(c *call) {
-	if c.account == nil || c.cost == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.bucket(c.account, time.Now()).Refund(c.cost)
-	c.cost = 0
-}
-
 // forward sends the request until a target's answer is relayed or nothing is left to
 // try.
 func (r *Router) forward(ctx context.Context, c *call) {
--- a/internal/view/table.go
+++ b/internal/view/table.go
@@ -73,7 +73,7 @@
 	return t.apply(rows)
 }
 
-// ApplyPeer takes rows that another host has, and reports whether any is newer.
+// ApplyPeer takes rows that another host has, and returns those that were newer.
 func (t *Table) ApplyPeer(rows []store.Row) []store.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -5,12 +5,10 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/leaserow"
@@ -195,76 +193,6 @@
 	delete(d.busy, id)
 }
 
-// hold makes sure that this host holds the lease; false if it does not.
-func (d *Duty) hold(ctx context.Context) bool {
-	now := d.Clock()
-	if d.held != nil && d.isFenced(d.held.Row.Number) {
-		d.held = nil
-	}
-	if d.held != nil && now.Add(renewBefore).Before(d.held.Until) {
-		return true
-	}
-	if now.Before(d.nextLook) {
-		return d.held != nil && d.held.MayAct(now, orderNeed)
-	}
-	if d.held != nil {
-		held, err := d.row.Renew(ctx, *d.held, d.params)
-		if err == nil {
-			d.held = &held
-			return true
-		}
-		d.nextLook = now.Add(tick * 4)
-		if errors.Is(err, leaserow.ErrHeld) || now.After(d.held.Until) {
-			d.Log.Warn("weights lease lost", "fence", d.held.Row.Number, "error", err)
-			d.held = nil
-		}
-		return d.held != nil && d.held.MayAct(d.Clock(), orderNeed)
-	}
-	return d.seek(ctx, now)
-}
-
-func (d *Duty) isFenced(number uint64) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return number <= d.fenced
-}
-
-// seek takes the lease if no other host makes progress.
-func (d *Duty) seek(ctx context.Context, now time.Time) bool {
-	if d.blockedSince.IsZero() {
-		d.blockedSince = now
-	}
-	d.mu.Lock()
-	if d.progress.After(d.blockedSince) {
-		d.blockedSince = d.progress
-	}
-	d.mu.Unlock()
-	if now.Sub(d.blockedSince) < rollout.LeaseTurn(d.position()) {
-		return false
-	}
-	d.nextLook = now.Add(observeInterval)
-	held, err := d.row.TryTake(ctx, d.params)
-	if err != nil {
-		if !errors.Is(err, leaserow.ErrHeld) {
-			d.Log.Warn("weights lease was not read", "error", err)
-		}
-		return false
-	}
-	d.held = &held
-	d.Log.Info("weights lease taken", "fence", held.Row.Number)
-	return held.MayAct(d.Clock(), orderNeed)
-}
-
-// position is this host's place among the live hosts by id.
-func (d *Duty) position() int {
-	ids := []string{d.HostID}
-	for _, h := range d.Fleet.Live() {
-		ids = append(ids, h.ID)
-	}
-	sort.Strings(ids)
-	return sort.SearchStrings(ids, d.HostID)
-}
-
 func (d *Duty) notify(ctx context.Context, n *peers.EngineNotice) {
 	d.Router.HeardNotice(n)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), noticeWait)
@@ -358,11 +286,3 @@
 	defer d.mu.Unlock()
 	d.retryAt[id] = time.Now().Add(after)
 }
-
-// stepDown gives up a lease whose fencing number an engine refused.
-func (d *Duty) stepDown(held lease.Held) {
-	d.Log.Warn("an engine has seen a newer fencing number", "fence", held.Row.Number)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fenced = max(d.fenced, held.Row.Number)
-}
--- /dev/null
+++ b/policy/balance/cost.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+// waitMs estimates how long a request waits at a target before its prompt is read.
+func (b *Balancer) waitMs(p *Prompt, t *topology.Target, now time.Time) float64 {
+	slots := defaultSlots
+	if p.Engine != nil && p.Engine.Slots > 0 {
+		slots = p.Engine.Slots
+	}
+	running := b.Running(t, now)
+	wait := b.state(t).readingMs(now) + busySlotMs*float64(running)
+	if running >= slots {
+		wait += waitingMs * float64(running-slots+1)
+	}
+	return wait
+}
+
+// consider estimates what it costs to send a prompt to a target, and decides where the
+// target copies shared parts from that it lacks.
+func (b *Balancer) consider(p *Prompt, t *topology.Target, version int64, keys []Key, home *topology.Target, targets []*topology.Target, now time.Time) Choice {
+	c := Choice{Target: t, Weights: version}
+	shared := p.Shared()
+	missing := shared - p.cached(b.cache, keys, t.ID, now)
+	cost := b.waitMs(p, t, now) + b.distance(t, p.Bytes)
+	if len(keys) > 0 {
+		c.Key = keys[len(keys)-1]
+	}
+	if missing > 0 {
+		from := b.source(p, t, keys, missing, targets, now)
+		if from.address != "" && from.ms < p.readMs(missing)+float64(missing)*rereadMsPerToken {
+			c.FetchFrom = from.address
+			cost += from.ms + float64(missing)*copyMsPerToken
+			missing = 0
+		} else {
+			c.Reads = true
+			cost += float64(missing) * rereadMsPerToken
+		}
+	} else if shared > 0 && p.StoreAddress != "" && t.Zone == p.StoreZone && b.cache.holds(c.Key, storeID, now) {
+		// The target may have evicted what it held.
+		c.FetchFrom = p.StoreAddress
+	}
+	if c.Reads && p.StoreAddress != "" && b.sameRegion(t.Zone, p.StoreZone) && !b.cache.holds(c.Key, storeID, now) {
+		c.SaveTo = p.StoreAddress
+	}
+	c.Uncached = missing + p.Total() - shared
+	c.ReadMs = p.readMs(c.Uncached)
+	cost += c.ReadMs * (1 + float64(b.Running(t, now))*disturbMs/1000)
+	if home != nil && t != home {
+		cost += notHomeMs
+	}
+	if outdated := p.Wanted.OutdatedFor(version, now) - oldWeightsAfter; outdated > 0 {
+		cost += oldWeightsMs + oldWeightsMsPerSecond*outdated.Seconds()
+	}
+	c.CostMs = cost
+	return c
+}
+
+// source is where a target could copy a shared prefix from.
+type source struct {
+	address string
+	ms      float64
+}
+
+// sameRegion reports whether two zones are in one region. Transfers to and from the KV
+// store go one after another over its link, and one that crosses regions takes ten
+// times as long: a few of them keep all others from starting.
+func (b *Balancer) sameRegion(one, other string) bool {
+	return b.regionOfZone[one] == b.regionOfZone[other]
+}
+
+func (b *Balancer) transferMs(p *Prompt, tokens int) float64 {
+	if p.Engine == nil || p.Engine.LinkMbps <= 0 {
+		return 0
+	}
+	bits := float64(tokens) * float64(p.Engine.TokenBytes) * 8
+	return bits / (p.Engine.LinkMbps * 1000)
+}
+
+func (b *Balancer) transferFactor(from, to string) float64 {
+	switch {
+	case from == to:
+		return 1
+	case b.regionOfZone[from] == b.regionOfZone[to]:
+		return crossZoneTransfer
+	default:
+		return crossRegionTransfer
+	}
+}
