Release the bodies of refused requests; take no pause for an outage

Cause: the bytes of a body were counted as held when it was read and released only for admitted requests, so that a host would refuse everything once 50 MB of bodies had been refused. The 15 s between listings of the hosts counted as an outage of the store, so that targets removed within 2 s after each listing stayed usable for up to 2 s.

Change: the release covers refusals; the hosts' table tells nothing of outages. Read deadlines and bodies of rejections that fail leave a log line.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -53,25 +53,24 @@
 func (r *Router) readBody(c *call) *failure {
 	limit := int64(c.config.Limits.BodyBytes)
 	if limit <= 0 {
-		limit = 1 << 20
+		limit = defaultBodyBytes
 	}
 	if c.in.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", proven: true, close: true}
 	}
-	if r.MemoryBytes > 0 && r.buffered.Load()+max(0, c.in.ContentLength) > r.MemoryBytes/bodyShare {
+	if r.MemoryBytes > 0 && r.buffered.Load()+max(0, c.in.ContentLength) > r.MemoryBytes/bodyDivisor {
 		return notRun(http.StatusServiceUnavailable, "the host holds too many bodies", noTargetRetry)
 	}
 	if c.in.Body == http.NoBody {
 		return nil
 	}
-	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	r.setReadDeadline(c, time.Now().Add(bodyTimeout))
 	var buffer bytes.Buffer
 	if c.in.ContentLength > 0 {
 		buffer.Grow(int(c.in.ContentLength) + bytes.MinRead)
 	}
 	n, err := buffer.ReadFrom(io.LimitReader(c.in.Body, limit+1))
-	_ = control.SetReadDeadline(time.Time{})
+	r.setReadDeadline(c, time.Time{})
 	if err != nil {
 		return &failure{status: http.StatusBadRequest, reason: "the body was not read", cause: err, proven: true, close: true}
 	}
@@ -83,6 +82,12 @@
 	return nil
 }
 
+func (r *Router) setReadDeadline(c *call, t time.Time) {
+	if err := http.NewResponseController(c.w).SetReadDeadline(t); err != nil {
+		c.log.Debug("read deadline was not set", "error", err)
+	}
+}
+
 // take takes the request's cost from the account's limit.
 func (r *Router) take(c *call) *failure {
 	if c.account == nil {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -133,7 +133,10 @@
 
 // rejected handles an answer that says that the request was not run.
 func (r *Router) rejected(c *call, p *plan, resp *http.Response, a *message.Answer) *failure {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered))
+	// The body is read so that the connection can be used again.
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBuffered)); err != nil {
+		c.log.Debug("body of a rejection was not read", "target", p.target.ID, "error", err)
+	}
 	f := notRun(http.StatusServiceUnavailable, "target rejected the request", noTargetRetry)
 	f.cause = errors.Errorf("target %s answered %d, weights %d, instance %q", p.target.ID, resp.StatusCode, a.Weights, a.InstanceID)
 	c.tried[p.target.ID] = true
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,8 +33,11 @@
 	noTargetRetry = 300 * time.Millisecond
 	// noConfigRetry is when a caller may come back to a host that has just started.
 	noConfigRetry = 500 * time.Millisecond
-	// bodyShare of the memory limit may hold request bodies.
-	bodyShare = 4
+	// bodyDivisor is the part of the memory limit that may hold request bodies, as a
+	// divisor.
+	bodyDivisor = 4
+	// defaultBodyBytes bounds a body if the configuration does not.
+	defaultBodyBytes = 1 << 20
 )
 
 // Fleet is what the router asks about the other hosts.
@@ -163,11 +166,11 @@
 	}
 	c := &call{w: w, in: in, started: time.Now(), meta: r.Codec.Request(in.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
+	defer func() { r.buffered.Add(-int64(len(c.body))) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
 		return
 	}
-	defer r.buffered.Add(-int64(len(c.body)))
 	span.SetAttributes(attribute.String("route", c.route.Name))
 	r.forward(ctx, c)
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -185,10 +185,11 @@
 	return nil
 }
 
-// noteContact notes the end of an outage, in which entries of targets may lapse.
+// noteContact notes the end of an outage, in which entries of targets may lapse. The
+// hosts are only listed now and then, so that a pause there is no outage.
 func (v *View) noteContact(t *Table) {
 	last := t.Contact()
-	if last.IsZero() || time.Since(last) < followWait+outageAge {
+	if t == v.Hosts || last.IsZero() || time.Since(last) < followWait+outageAge {
 		return
 	}
 	v.mu.Lock()
--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -133,3 +134,23 @@
 		}
 	}
 }
+
+// Guards against bodies of refused requests that count as held for good: a host would
+// refuse everything once they pass its share of the memory.
+func TestRefusedBodiesAreReleased(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	s.change(func(c object) {
+		account := c["tenants"].([]any)[0].(object)
+		account["rate_per_s"], account["burst"] = 1, 1
+	})
+	h := s.host("host-1")
+	body := strings.Repeat("x", 1<<20)
+	// The memory limit of the fixture is 200 MB, a quarter of which may hold bodies.
+	for range 60 {
+		s.send(h, request{method: "POST", uri: "/order/1", body: body, key: clubKey})
+	}
+	got := s.send(h, request{method: "POST", uri: "/order/1", body: body, key: schoolKey})
+	s.g.Expect(got.status).To(Equal(http.StatusOK), got.body)
+}
