Keep idle connections open during a planned stop

Cause: 2.5 s after SIGTERM http.Server.Shutdown closed all idle connections. One whose next request has been read but not yet marked active counts as idle; its handler went on and passed the request on for nobody.

Change: the stop closes only the listener; requests that come after it on kept connections are refused with 503, truly not run, and the process ends 100 ms after the last one in progress.

Ruled out: the end of the process (it ran until 16 s), and the caller's side.

Test: TestPlannedStopAnswersOnKeptConnections got an unexpected EOF before.

--- a/internal/entryhost/serve.go
+++ b/internal/entryhost/serve.go
@@ -26,6 +26,8 @@
 	// minLinger is how long a stopping host accepts connections: callers keep the
 	// locator's answers for some time.
 	minLinger = 2500 * time.Millisecond
+	// lastRefusals is how long a host that is done still refuses requests.
+	lastRefusals = 100 * time.Millisecond
 	// stopMargin before the end of the grace is when the host ends at the latest.
 	stopMargin = 700 * time.Millisecond
 )
@@ -41,11 +43,12 @@
 	closed   chan struct{}
 }
 
-// serve returns after close. During a planned stop http.Server.Serve returns while
-// requests are still in progress; the group that runs the servers must not end then.
+// serve returns after close. http.Server.Serve returns as soon as the listener is
+// closed, while requests are still in progress; the group that runs the servers must
+// not end then.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrapf(err, "serve %s", s.name)
 	}
 	<-s.closed
@@ -140,15 +143,21 @@
 	h.router.Leave()
 	started := time.Now()
 	clock.Sleep(background, min(minLinger, grace/3))
-	callers := servers[0]
-	callers.http.SetKeepAlivesEnabled(false)
-	shutdown, cancel := context.WithDeadline(background, started.Add(grace-stopMargin))
+	if err := servers[0].listener.Close(); err != nil {
+		h.log.Warn("callers' listener was not closed", "error", err)
+	}
+	// Idle connections stay open: http.Server.Shutdown closes them, also one whose
+	// next request has just been read, and that request would be passed on for nobody.
+	h.router.Stop()
+	finish, cancel := context.WithDeadline(background, started.Add(grace-stopMargin))
 	defer cancel()
-	if err := callers.http.Shutdown(shutdown); err != nil {
-		h.log.Warn("requests were still in progress at the stop", "active", h.router.Active(), "error", err)
+	for h.router.Active() > 0 && finish.Err() == nil {
+		clock.Sleep(finish, stopPoll)
 	}
-	for h.router.Active() > 0 && shutdown.Err() == nil {
-		clock.Sleep(shutdown, stopPoll)
+	if active := h.router.Active(); active > 0 {
+		h.log.Warn("requests were still in progress at the stop", "active", active)
 	}
+	// Requests that were read meanwhile get their refusals.
+	clock.Sleep(background, lastRefusals)
 	return errStopped
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -16,6 +16,9 @@
 // admit resolves route and account, reads the body and takes the cost from the
 // account's limit.
 func (r *Router) admit(c *call) *failure {
+	if r.stopped.Load() {
+		return notRun(http.StatusServiceUnavailable, "the host stops", stoppedRetry)
+	}
 	s := r.View.Snapshot()
 	if s.Config == nil {
 		return notRun(http.StatusServiceUnavailable, "no configuration is known yet", noConfigRetry)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,8 @@
 	bodyTimeout = 10 * time.Second
 	// noTargetRetry is when a caller may come back if no target is usable.
 	noTargetRetry = 300 * time.Millisecond
+	// stoppedRetry is when a caller may come back: at once, at another host.
+	stoppedRetry = 10 * time.Millisecond
 	// noConfigRetry is when a caller may come back to a host that has just started.
 	noConfigRetry = 500 * time.Millisecond
 	// bodyDivisor is the part of the memory limit that may hold request bodies, as a
@@ -73,6 +75,7 @@
 	Options
 	clients  *clients
 	leaving  atomic.Bool
+	stopped  atomic.Bool
 	active   atomic.Int64
 	buffered atomic.Int64
 	measures *measures
@@ -126,6 +129,9 @@
 // Leave makes the router answer with Connection: close from now on.
 func (r *Router) Leave() { r.leaving.Store(true) }
 
+// Stop makes the router refuse all requests that come from now on.
+func (r *Router) Stop() { r.stopped.Store(true) }
+
 // Active returns the number of requests in progress.
 func (r *Router) Active() int64 { return r.active.Load() }
 
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -1,8 +1,11 @@
 package site
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -36,6 +39,47 @@
 	s.g.Expect(r.body).To(Equal(events(30)))
 }
 
+// Guards against a planned stop that closes a kept connection whose next request is
+// under way: the request would be passed on and its answer lost.
+func TestPlannedStopAnswersOnKeptConnections(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	s.replica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, Events: 25, EventGap: 150 * time.Millisecond})
+	s.change(func(c object) {
+		for _, r := range c["routes"].([]any) {
+			r.(object)["timeout_ms"] = 8000
+		}
+	})
+	h := s.host("host-1")
+	conn, err := net.Dial("tcp", h.callers)
+	s.g.Expect(err).NotTo(HaveOccurred())
+	defer func() { s.g.Expect(conn.Close()).To(Succeed()) }()
+	reader := bufio.NewReader(conn)
+	ask := func(id string) *http.Response {
+		_, err := fmt.Fprintf(conn, "GET /open/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n\r\n", virtualHost, id)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(reader, nil)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		s.g.Expect(err).NotTo(HaveOccurred())
+		return resp
+	}
+	s.g.Expect(ask("kept-1").StatusCode).To(Equal(http.StatusOK))
+	long := make(chan result, 1)
+	q := prompt("/brief/1")
+	q.header["X-Deadline-Ms"] = "8000"
+	go func() { long <- s.send(h, q) }()
+	time.Sleep(300 * time.Millisecond)
+	h.stop()
+	time.Sleep(2800 * time.Millisecond)
+	refused := ask("kept-2")
+	s.g.Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	s.g.Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
+	s.g.Expect(refused.Close).To(BeTrue())
+	s.g.Expect((<-long).body).To(Equal(events(25)))
+}
+
 // Guards against a withdrawn key that works on at a host that the store does not answer:
 // it learns the configuration from the other hosts.
 func TestWithdrawnKeyReachesHostWithoutStore(t *testing.T) {
