Give each host of test/site a loopback address of its own

Cause: the fixture chose a free port on 127.0.0.1 and closed it, and a connection of a test that runs beside it took the port before the host listened. With the host's error printed, five copies of the tests at once failed three tests with "bind: address already in use".

Change: each host has an address in 127/8 and fixed ports; connections go out from 127.0.0.1. A host that ends with an error fails its test, which the fixture did not report before. No assertion changes.

--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -173,11 +172,14 @@
 	return r
 }
 
-func freeAddress(g *WithT) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer func() { g.Expect(listener.Close()).To(Succeed()) }()
-	return listener.Addr().String()
+// lastHost numbers the hosts of this process.
+var lastHost atomic.Int64
+
+// hostIP returns a loopback address of its own for each host. Its ports are free:
+// connections go out from 127.0.0.1, and could take a port there before the host does.
+func hostIP() string {
+	n := lastHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 1+os.Getpid()/100%250, 1+n%250)
 }
 
 // host starts a host and waits until it is ready.
@@ -188,14 +190,15 @@
 }
 
 func (s *site) startHost(id string) *host {
+	ip := hostIP()
 	h := &host{
-		callers: freeAddress(s.g), ready: freeAddress(s.g), locator: freeAddress(s.g),
-		metrics: freeAddress(s.g), log: &logBuffer{},
+		callers: ip + ":9001", ready: ip + ":9002", locator: ip + ":9003",
+		metrics: ip + ":9004", log: &logBuffer{},
 		gate: &gate{Handler: s.store}, done: make(chan error, 1),
 	}
 	storeAddress, stopGate, err := standin.Serve(h.gate)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	inner := freeAddress(s.g)
+	inner := ip + ":9005"
 	s.seeds = append(s.seeds, inner)
 	file := filepath.Join(s.t.TempDir(), "settings.json")
 	data, err := json.Marshal(object{
@@ -222,7 +225,13 @@
 	s.g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
-	go func() { h.done <- running.Run(ctx) }()
+	go func() {
+		err := running.Run(ctx)
+		if err != nil {
+			s.t.Errorf("host %s ended: %v", id, err)
+		}
+		h.done <- err
+	}()
 	s.t.Cleanup(func() {
 		cancel()
 		select {
