Count an accepted request in the engine stand-in's load at once

The stand-in registered a stream in accept but entered it into the batch in a goroutine of its own. If the connection was dropped at once (DropAfterBytes -1) and the goroutine was scheduled late, the load report showed an idle engine, and the run was counted during the next check. Change: accept takes the place in the batch or the queue under the same lock. The limit of waiting requests had the same gap. Ruled out: a false not_run of the router; the refusal was the fixture's, and the request that it answered had not run. Before: TestAcceptedRequestIsInTheLoadReport fails (running 0).

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -171,7 +171,7 @@
 // addresses it goes on at the next one, by Last-Event-ID, when the connection breaks.
 func (c *Caller) stream(addresses, prompt string) error {
 	list := strings.Split(addresses, ",")
-	r := &Stream{pause: c.pause}
+	r := &Stream{pause: c.pause, onText: func() { fmt.Fprintln(os.Stderr, "the first text has come") }}
 	for i := 0; ; i++ {
 		err := c.StreamOnce(list[i%len(list)], prompt, r)
 		if err == nil {
@@ -239,6 +239,8 @@
 	Text   strings.Builder
 	lastID string
 	pause  time.Duration
+	// onText is called once, when the first text comes; nil means nothing.
+	onText func()
 }
 
 // StreamOnce asks for a streamed completion over one connection. It goes on after the
@@ -311,6 +313,9 @@
 		return fmt.Errorf("stream error %s run=%s", chunk.Error.Code, chunk.Error.Run)
 	}
 	for _, choice := range chunk.Choices {
+		if r.Text.Len() == 0 && choice.Text != "" && r.onText != nil {
+			r.onText()
+		}
 		r.Text.WriteString(choice.Text)
 	}
 	return nil
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -46,18 +46,25 @@
 	}
 }
 
-// match returns how many blocks of the chain are held from its start.
-func (c *cache) match(chain []prefix.BlockHash) int {
+// held returns how many blocks of the chain are held from its start.
+func (c *cache) held(chain []prefix.BlockHash) int {
 	for i, h := range chain {
-		e, ok := c.blocks[h]
-		if !ok {
+		if _, ok := c.blocks[h]; !ok {
 			return i
 		}
-		c.order.MoveToFront(e)
 	}
 	return len(chain)
 }
 
+// match is held for a request that uses the blocks, which become the youngest.
+func (c *cache) match(chain []prefix.BlockHash) int {
+	held := c.held(chain)
+	for _, h := range chain[:held] {
+		c.order.MoveToFront(c.blocks[h])
+	}
+	return held
+}
+
 func (c *cache) store(b *block, now time.Time) {
 	if e, ok := c.blocks[b.hash]; ok {
 		c.order.MoveToFront(e)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -176,12 +176,7 @@
 func (e *Engine) Holds(chain []prefix.BlockHash) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for i, h := range chain {
-		if _, ok := e.cache.blocks[h]; !ok {
-			return i
-		}
-	}
-	return len(chain)
+	return e.cache.held(chain)
 }
 
 // Loaded reports whether a model is served and whether an adapter is loaded; an empty
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -133,6 +133,23 @@
 	g.Eventually(func() int { e.mu.Lock(); defer e.mu.Unlock(); return e.running }).Should(BeZero())
 }
 
+// Guards against a load report that leaves out a request which the engine has accepted
+// but not begun: a caller that sees an idle engine takes a later run for its own.
+func TestAcceptedRequestIsInTheLoadReport(t *testing.T) {
+	g := NewWithT(t)
+	e := New(Options{PrefillPerToken: time.Hour})
+	e.SetFaults(Faults{DropAfterBytes: -1})
+	body := `{"model":"m1","prompt":"hello","max_tokens":2,"stream":true,"request_id":"r1"}`
+	drop := func() {
+		defer func() { g.Expect(recover()).To(Equal(http.ErrAbortHandler)) }()
+		e.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body)))
+	}
+	drop()
+	report := httptest.NewRecorder()
+	e.load(report, httptest.NewRequest(http.MethodGet, "/v1/load", nil))
+	g.Expect(report.Body.String()).To(ContainSubstring(`"running":1`))
+}
+
 func events(g Gomega, url, epoch string, after uint64) (answer struct {
 	Epoch    string
 	Reset    bool
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -200,6 +200,7 @@
 	draining, epoch := e.draining, e.epoch
 	if status == 0 {
 		e.streams[s.id] = s
+		e.admit(s)
 	}
 	e.mu.Unlock()
 	if status != 0 {
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -30,6 +30,10 @@
 	first     int // index of the first token to generate
 	maxTokens int
 	stop      chan struct{}
+	// pending counts the prompt tokens to prefill; waiter is nil for a stream that got
+	// its place in the batch at once. Both are set by admit.
+	pending int
+	waiter  *waiter
 
 	mu             sync.Mutex
 	changed        chan struct{}
@@ -99,15 +103,14 @@
 	return last
 }
 
-// run takes a stream through the queue, prefill and decoding.
+// run takes an accepted stream through the queue, prefill and decoding.
 func (e *Engine) run(s *stream, epoch string) {
-	uncached := prefix.Tokens(len(s.prompt)) - e.Holds(s.chain)*prefix.BlockBytes/prefix.BytesPerToken
-	if !e.enterBatch(s, epoch, uncached) {
+	if s.waiter != nil && !e.awaitBatch(s, epoch) {
 		return
 	}
 	defer e.leaveBatch(epoch)
 	digest := sha256.Sum256(s.prompt)
-	if !e.doPrefill(s, epoch, uncached) {
+	if !e.doPrefill(s, epoch) {
 		return
 	}
 	for i := s.first; i < s.maxTokens; i++ {
@@ -139,33 +142,33 @@
 	e.mu.Unlock()
 }
 
-func (e *Engine) enterBatch(s *stream, epoch string, prefillTokens int) bool {
-	e.mu.Lock()
-	if e.epoch != epoch {
-		e.mu.Unlock()
-		return false
-	}
-	e.pendingPrefill += prefillTokens
+// admit takes a place in the batch for an accepted stream, or one in the queue. The
+// caller holds the mutex, so that a load report never leaves out an accepted stream.
+func (e *Engine) admit(s *stream) {
+	s.pending = prefix.Tokens(len(s.prompt)) - e.cache.held(s.chain)*prefix.BlockBytes/prefix.BytesPerToken
+	e.pendingPrefill += s.pending
 	if e.running < e.options.MaxRunning && len(e.waiting) == 0 {
 		e.running++
 		e.recordLoad()
-		e.mu.Unlock()
-		return true
+		return
 	}
 	e.arrivals++
-	w := &waiter{s.priority, e.arrivals, make(chan struct{})}
-	heap.Push(&e.waiting, w)
+	s.waiter = &waiter{s.priority, e.arrivals, make(chan struct{})}
+	heap.Push(&e.waiting, s.waiter)
 	e.recordLoad()
-	e.mu.Unlock()
+}
+
+// awaitBatch waits for a place in the batch. It returns false if the stream ended first.
+func (e *Engine) awaitBatch(s *stream, epoch string) bool {
 	select {
-	case <-w.start:
+	case <-s.waiter.start:
 	case <-s.stop:
 	}
-	return e.afterWait(s, w, epoch, prefillTokens)
+	return e.afterWait(s, epoch)
 }
 
 // afterWait settles a wait that ended by a start, a cancellation or a crash.
-func (e *Engine) afterWait(s *stream, w *waiter, epoch string, prefillTokens int) bool {
+func (e *Engine) afterWait(s *stream, epoch string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.epoch != epoch {
@@ -180,9 +183,9 @@
 	if !stopped {
 		return true
 	}
-	e.pendingPrefill -= prefillTokens
+	e.pendingPrefill -= s.pending
 	for i, other := range e.waiting {
-		if other == w {
+		if other == s.waiter {
 			heap.Remove(&e.waiting, i)
 			e.recordLoad()
 			return false
@@ -215,11 +218,11 @@
 }
 
 // doPrefill computes the uncached part of the prompt and caches its blocks.
-func (e *Engine) doPrefill(s *stream, epoch string, pending int) bool {
+func (e *Engine) doPrefill(s *stream, epoch string) bool {
 	select {
 	case e.prefill <- struct{}{}:
 	case <-s.stop:
-		e.releasePending(epoch, pending)
+		e.releasePending(epoch, s.pending)
 		return false
 	}
 	defer func() { <-e.prefill }()
@@ -243,7 +246,7 @@
 	s.cached, s.weightsVersion = cached, version
 	s.mu.Unlock()
 	finished := sleepUnless(s.stop, time.Duration(total-cached)*e.options.PrefillPerToken)
-	e.releasePending(epoch, pending)
+	e.releasePending(epoch, s.pending)
 	if !finished {
 		return false
 	}
