Hold streams by events and not by time in two tests of serve

TestLeavingTargetGetsNoNewWork let the first stream stall for 200 ms; with a stall of 1 ms it fails on an idle machine with the same message. pair_engine_weights froze the host as soon as an engine was busy; with a token delay of 400 ms no text has come by then, so that the request rightly starts anew and completes on the new weights, and the log has no "bytes so far". Change: the first test holds the stream until the test releases it, and now also requires that the queue of the leaving target empties before that.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -113,10 +113,14 @@
 	}
 }
 
+// load returns what a target's queue holds; a removed target holds nothing.
 func (f *fixture) load(id string) (inFlight, waiting int) {
 	f.d.mu.Lock()
 	defer f.d.mu.Unlock()
 	l := f.d.targetQueues[id]
+	if l == nil {
+		return 0, 0
+	}
 	return l.limit.InFlight(), l.queue.Len()
 }
 
@@ -328,8 +332,9 @@
 			// Only t0 may be chosen at first, and it takes one request at a time.
 			f.d.ObserveLeaving([]string{"t1"})
 			f.d.knobs.MaxInFlight = 1
-			f.engines.scripts["t0"] = []script{{stallAt: 2}}
-			f.d.options.StallTimeout = 200 * time.Millisecond
+			release := make(chan struct{})
+			f.engines.scripts["t0"] = []script{{holdAt: 2, release: release}}
+			f.d.options.StallTimeout = time.Minute // t0 keeps its place until the release
 			var wait sync.WaitGroup
 			for range 4 {
 				wait.Add(1)
@@ -345,6 +350,8 @@
 			g.Eventually(func() int { _, waiting := f.load("t0"); return waiting }).Should(Equal(3))
 			f.d.ObserveLeaving(nil)
 			leave(f)
+			g.Eventually(func() int { _, waiting := f.load("t0"); return waiting }).Should(BeZero())
+			close(release)
 			wait.Wait()
 			f.engines.mu.Lock()
 			defer f.engines.mu.Unlock()
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -25,6 +25,9 @@
 	breakAt int
 	// stallAt stops sending before that token, until the context ends.
 	stallAt int
+	// holdAt stops sending before that token until release is closed.
+	holdAt  int
+	release <-chan struct{}
 	// loseAt leaves out that token once.
 	loseAt int
 	// repeat sends each token twice, and an old one after each.
@@ -164,6 +167,9 @@
 			return target.TokenEvent{}, s.ctx.Err()
 		}
 	}
+	if s.script.holdAt > 0 && s.next >= s.script.holdAt {
+		<-s.script.release
+	}
 	switch {
 	case s.script.breakAt > 0 && s.next >= s.script.breakAt:
 		s.end()
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -73,6 +73,7 @@
 		"waitfor":    cmdWaitFor,
 		"capture":    cmdCapture,
 		"inlog":      cmdInLog,
+		"waitlog":    cmdWaitLog,
 		"failures":   cmdFailures,
 		"ownerof":    cmdOwnerOf,
 		"waitclaim":  cmdWaitClaim,
@@ -225,6 +226,21 @@
 	}
 }
 
+// cmdWaitLog runs "waitlog NAME PATTERN": it waits until a process has printed it.
+func cmdWaitLog(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: waitlog NAME PATTERN")
+	}
+	path, pattern := processes(ts).get(ts, args[0]).log, regexp.MustCompile(args[1])
+	eventually(ts, "the log of "+args[0]+" has "+args[1], func() error {
+		data, err := os.ReadFile(path)
+		if err == nil && !pattern.Match(data) {
+			err = fmt.Errorf("the log is %q", data)
+		}
+		return err
+	})
+}
+
 func tail(path string) string {
 	const tailBytes = 4096
 	data, err := os.ReadFile(path)
