Pass heartbeats, sightings and notices on between groups of hosts

A host that was behind a peer for 300 ms asked that peer for rows, and since the table of targets changes all the time at that size, it was always behind some version and asked all of its peers, again and again. Change: policy/spread lays a fleet of more than 16 hosts out in groups of about its square root inside zones. A host tells its group, and one contact in each other group, which passes the state on. Heartbeats carry a sequence number. One peer is asked for rows at a time, and only for a version that this host has lacked for 300 ms. The members have a table of their own. Up to 16 hosts nothing changes in who tells whom. Tests: TestLargeFleetLearnsEachState (99 hosts, at most 22 messages a host and round where there were 98), TestNoticesReachALargeFleet with a dead contact, TestRowsAreAskedForOnlyIfTheyStayAway, and those of policy/spread.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -32,6 +32,13 @@
 	Use      []AccountUse `msgpack:"u,omitempty"`
 	// Suspects are targets that the sender avoids after failures.
 	Suspects []string `msgpack:"x,omitempty"`
+	// Sequence counts the heartbeats of an incarnation, so that one that was passed on
+	// does not replace a newer one.
+	Sequence uint64 `msgpack:"n"`
+	// PassOn asks the receiver to pass the heartbeat on to its group.
+	PassOn bool `msgpack:"p,omitempty"`
+	// Passed are heartbeats of other groups that the sender was asked to pass on.
+	Passed []Heartbeat `msgpack:"h,omitempty"`
 }
 
 // WireType implements wire.Message.
@@ -90,6 +97,8 @@
 // Sightings tell peers which targets read shared prefixes.
 type Sightings struct {
 	All []balance.Sighting `msgpack:"a"`
+	// PassOn asks the receiver to pass them on to its group.
+	PassOn bool `msgpack:"p,omitempty"`
 }
 
 // WireType implements wire.Message.
@@ -104,6 +113,8 @@
 	Version int64 `msgpack:"v,omitempty"`
 	// PauseMs is how long requests stay away; zero ends the pause.
 	PauseMs int64 `msgpack:"p,omitempty"`
+	// PassOn asks the receiver to pass the notice on to its group.
+	PassOn bool `msgpack:"o,omitempty"`
 }
 
 // WireType implements wire.Message.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,6 +1,7 @@
 // Package peers exchanges what the hosts of the system know of each other: that they
 // live, their load, the use of client accounts, and rows of the store for hosts that
-// the store does not answer.
+// the store does not answer. In a large fleet hosts pass on what others tell them, as
+// package spread lays out.
 package peers
 
 import (
@@ -14,6 +15,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/spread"
 )
 
 const (
@@ -24,10 +26,10 @@
 	liveAge = 1200 * time.Millisecond
 	// knownAge is the silence after which a host no longer shares limits.
 	knownAge = 10 * time.Second
+	// sharesAge is how long a count of the hosts holds.
+	sharesAge = 20 * time.Millisecond
 	// noticeRing bounds the messages that wait to be sent.
 	noticeRing = 256
-	// sightingsDelay joins sightings that come close together.
-	sightingsDelay = 10 * time.Millisecond
 	// lagTolerance is how long a host may lag behind a peer before it asks it for
 	// rows, so that the store is asked first.
 	lagTolerance = 300 * time.Millisecond
@@ -47,38 +49,33 @@
 	HeardNotice(n *EngineNotice)
 }
 
-// member is what is known of a peer.
-type member struct {
-	host    view.Host
-	heard   time.Time
-	ready   bool
-	leaving bool
-	// behindSince is when this host was first seen to lag behind the peer.
-	behindSince time.Time
-	asking      bool
-}
-
 // Peers runs the exchange.
 type Peers struct {
-	self   view.Host
-	seeds  []string
-	caller wire.Caller
-	view   *view.View
-	local  Local
-	log    hclog.Logger
-
-	sightings chan balance.Sighting
-
-	mu      sync.Mutex
-	members map[string]*member
+	self    view.Host
+	seeds   []string
+	caller  wire.Caller
+	view    *view.View
+	local   Local
+	log     hclog.Logger
+	members *members
+	// sightings are those of this host, passedSightings those to pass on to its group.
+	sightings, passedSightings chan balance.Sighting
+
+	mu       sync.Mutex
+	sequence uint64
+	// passed holds the heartbeats to pass on to the group, by host.
+	passed map[string]Heartbeat
+	// lags says by table how far this host is behind.
+	lags map[string]*lag
 }
 
 // New returns peers without members.
 func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
 	return &Peers{
-		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log,
-		sightings: make(chan balance.Sighting, noticeRing),
-		members:   map[string]*member{},
+		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, members: newMembers(),
+		sightings: make(chan balance.Sighting, noticeRing), passedSightings: make(chan balance.Sighting, noticeRing),
+		passed: map[string]Heartbeat{},
+		lags:   map[string]*lag{operatorTable: {}, targetTable: {}},
 	}
 }
 
@@ -103,100 +100,59 @@
 		if err := request.Decode(&s); err != nil {
 			return nil, err
 		}
-		p.local.HeardSightings(s.All)
+		p.heardSightings(&s)
 		return &wire.Ack{}, nil
 	})
-	r.Handle(wire.TypeEngineNotice, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+	r.Handle(wire.TypeEngineNotice, func(ctx context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
 		var n EngineNotice
 		if err := request.Decode(&n); err != nil {
 			return nil, err
 		}
-		p.local.HeardNotice(&n)
+		p.heardNotice(ctx, &n)
 		return &wire.Ack{}, nil
 	})
 }
 
-// heard notes a heartbeat and replies with the hosts that the sender may lack.
-func (p *Peers) heard(ctx context.Context, h *Heartbeat) *HeartbeatReply {
-	p.local.HeardFrom(h)
-	p.mu.Lock()
-	m := p.members[h.From.ID]
-	fresh := m == nil || m.host.Incarnation != h.From.Incarnation
-	if fresh {
-		m = &member{}
-		p.members[h.From.ID] = m
+// known lists the hosts of the store's table and those that were heard, and whether
+// each is silent.
+func (p *Peers) known() map[view.Host]bool {
+	heard := p.members.all(time.Now())
+	ids := make(map[string]bool, len(heard))
+	for h := range heard {
+		ids[h.ID] = true
 	}
-	if fresh || time.Since(m.heard) > liveAge {
-		p.log.Info("host heard", "host", h.From.ID, "incarnation", h.From.Incarnation, "address", h.From.InnerAddress)
-	}
-	m.host, m.heard, m.ready, m.leaving = h.From, time.Now(), h.Ready, h.Leaving
-	p.mu.Unlock()
-	p.compare(ctx, m, h)
-	if !fresh {
-		return &HeartbeatReply{}
+	for id, h := range p.view.Snapshot().Hosts {
+		if !ids[id] && id != p.self.ID {
+			heard[h] = true
+		}
 	}
-	return &HeartbeatReply{Hosts: p.known()}
+	return heard
 }
 
-// known lists the hosts of the store's table and those that were heard.
-func (p *Peers) known() []view.Host {
-	all := map[string]view.Host{}
-	for id, h := range p.view.Snapshot().Hosts {
-		all[id] = h
+// layout groups the known hosts, and returns their addresses by id.
+func (p *Peers) layout() (*spread.Layout, map[string]string) {
+	var others []spread.Host
+	addresses := map[string]string{}
+	for h, silent := range p.known() {
+		others = append(others, spread.Host{ID: h.ID, Zone: h.Zone, Silent: silent})
+		addresses[h.ID] = h.InnerAddress
 	}
-	p.mu.Lock()
-	for id, m := range p.members {
-		all[id] = m.host
-	}
-	p.mu.Unlock()
-	delete(all, p.self.ID)
-	out := make([]view.Host, 0, len(all))
-	for _, h := range all {
-		out = append(out, h)
-	}
-	return out
+	return spread.NewLayout(spread.Host{ID: p.self.ID, Zone: p.self.Zone}, others), addresses
 }
 
 // Live lists the hosts that callers may be sent to, without this one.
-func (p *Peers) Live() []view.Host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []view.Host
-	for _, m := range p.members {
-		if m.ready && !m.leaving && time.Since(m.heard) < liveAge {
-			out = append(out, m.host)
-		}
-	}
-	return out
-}
+func (p *Peers) Live() []view.Host { return p.members.live(time.Now()) }
 
 // HeardWithin reports whether a host was heard within a time.
 func (p *Peers) HeardWithin(id string, age time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	m := p.members[id]
-	return m != nil && time.Since(m.heard) < age
+	return p.members.heardWithin(id, age, time.Now())
 }
 
 // Shares returns the number of hosts that share limits, this one included, and the
 // part of them that has fallen silent.
 func (p *Peers) Shares() (hosts int, silent float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	hosts = 1
-	quiet := 0
-	for id, m := range p.members {
-		age := time.Since(m.heard)
-		if age > knownAge || m.leaving && age > liveAge {
-			delete(p.members, id)
-			continue
-		}
-		hosts++
-		if age > liveAge {
-			quiet++
-		}
-	}
-	return hosts, float64(quiet) / float64(hosts)
+	s := p.members.share(time.Now())
+	return s.hosts, s.silent
 }
 
 // Run sends heartbeats and sightings until ctx ends.
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,204 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+)
+
+// network carries messages between the peers of a test and counts those sent.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*testHost
+	sent  int
+}
+
+// testHost is one host: its peers and what they were told.
+type testHost struct {
+	*Peers
+	handlers map[wire.Type]wire.Handler
+
+	mu        sync.Mutex
+	totals    map[string]float64
+	sightings int
+	notices   int
+}
+
+// Handle implements wire.Registry.
+func (h *testHost) Handle(t wire.Type, f wire.Handler) { h.handlers[t] = f }
+
+func (h *testHost) Describe() Heartbeat {
+	return Heartbeat{Ready: true, Use: []AccountUse{{"club", 1}}}
+}
+
+func (h *testHost) HeardFrom(b *Heartbeat) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.totals[b.From.ID] = b.Use[0].Total
+}
+
+func (h *testHost) HeardSightings(all []balance.Sighting) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sightings += len(all)
+}
+
+func (h *testHost) HeardNotice(*EngineNotice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notices++
+}
+
+func (h *testHost) heardOf() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.totals)
+}
+
+// count returns a function that reads a counter.
+func (h *testHost) count(n *int) func() int {
+	return func() int {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return *n
+	}
+}
+
+// newNetwork starts n hosts that know each other from the store's table.
+func newNetwork(n, zones int) *network {
+	w := &network{hosts: map[string]*testHost{}}
+	all := make([]view.Host, n)
+	for i := range all {
+		id := fmt.Sprintf("h%03d", i)
+		all[i] = view.Host{ID: id, Incarnation: id + "-1", Zone: fmt.Sprint("z", i%zones), InnerAddress: id}
+	}
+	for _, self := range all {
+		w.start(self, all)
+	}
+	return w
+}
+
+func (w *network) start(self view.Host, all []view.Host) *testHost {
+	h := &testHost{handlers: map[wire.Type]wire.Handler{}, totals: map[string]float64{}}
+	v := view.New(nil, view.Decoder{}, hclog.NewNullLogger())
+	h.Peers = New(self, nil, w, v, h, hclog.NewNullLogger())
+	h.members.learn(all, self.ID, time.Now())
+	h.Register(h)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts[self.InnerAddress] = h
+	return h
+}
+
+// Call implements wire.Caller.
+func (w *network) Call(ctx context.Context, address string, request, reply wire.Message) error {
+	w.mu.Lock()
+	w.sent++
+	h := w.hosts[address]
+	w.mu.Unlock()
+	if h == nil {
+		return fmt.Errorf("no host at %q", address)
+	}
+	body, err := wire.Encode(request)
+	if err != nil {
+		return err
+	}
+	_, err = h.handlers[request.WireType()](ctx, wire.Peer{}, wire.Request{Type: request.WireType(), Body: body})
+	return err
+}
+
+// round lets each host send one heartbeat.
+func (w *network) round() {
+	for _, h := range w.hosts {
+		h.beat(context.Background())
+	}
+}
+
+// Guards against hosts that don't learn the state of all others within a second in a
+// large fleet, and against messages that grow with the square of the fleet.
+func TestLargeFleetLearnsEachState(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(99, 6)
+	for range 3 {
+		w.round()
+		time.Sleep(50 * time.Millisecond)
+	}
+	for id, h := range w.hosts {
+		g.Eventually(h.heardOf).Should(Equal(98), id)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g.Expect(w.sent).To(BeNumerically("<=", 3*99*22))
+}
+
+// Guards against a notice or a sighting that some hosts miss in a large fleet, also when
+// a host that should pass it on has died.
+func TestNoticesReachALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(60, 3)
+	for range 2 {
+		w.round()
+		time.Sleep(50 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, h := range w.hosts {
+		go h.sendSightings(ctx)
+	}
+	sender := w.hosts["h000"]
+	sender.Tell(balance.Sighting{TargetID: "t"})
+	layout, addresses := sender.layout()
+	for id, h := range w.hosts {
+		if h != sender {
+			g.Eventually(h.count(&h.sightings)).Should(Equal(1), id)
+		}
+	}
+	lost := addresses[layout.Contacts(0)[0].ID]
+	w.mu.Lock()
+	delete(w.hosts, lost)
+	w.mu.Unlock()
+	sender.Notify(ctx, &EngineNotice{TargetID: "t"})
+	for id, h := range w.hosts {
+		if h != sender {
+			g.Expect(h.count(&h.notices)()).To(BeNumerically(">=", 1), id)
+		}
+	}
+}
+
+// Guards against a heartbeat that was passed on and replaces a newer one.
+func TestOlderHeartbeatIsNotNoted(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(2, 1)
+	from := view.Host{ID: "h001", Incarnation: "h001-1"}
+	h := w.hosts["h000"]
+	h.note(&Heartbeat{From: from, Sequence: 2, Use: []AccountUse{{"club", 20}}})
+	h.note(&Heartbeat{From: from, Sequence: 1, Use: []AccountUse{{"club", 10}}})
+	g.Expect(h.totals["h001"]).To(Equal(20.0))
+	from.Incarnation = "h001-2"
+	h.note(&Heartbeat{From: from, Sequence: 1, Use: []AccountUse{{"club", 5}}})
+	g.Expect(h.totals["h001"]).To(Equal(5.0))
+}
+
+// Guards against a table that changes all the time, for which a host that is a little
+// behind asks all its peers, although it has each version soon after them.
+func TestRowsAreAskedForOnlyIfTheyStayAway(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_700_000_000, 0)
+	var l lag
+	for version := uint64(10); version < 100; version++ {
+		g.Expect(l.due(version-2, version, now, lagTolerance)).To(BeFalse())
+		now = now.Add(100 * time.Millisecond)
+	}
+	g.Expect(l.due(97, 200, now.Add(lagTolerance), lagTolerance)).To(BeTrue())
+	l.asking = true
+	g.Expect(l.due(97, 200, now.Add(2*lagTolerance), lagTolerance)).To(BeFalse())
+}
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -7,11 +7,17 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 )
 
+// Names of the tables in messages.
+const (
+	operatorTable = "operator"
+	targetTable   = "targets"
+)
+
 func (p *Peers) table(name string) *view.Table {
 	switch name {
-	case "operator":
+	case operatorTable:
 		return p.view.Operator
-	case "targets":
+	case targetTable:
 		return p.view.Targets
 	}
 	return nil
@@ -32,39 +38,54 @@
 	return &RowsReply{Rows: rows}
 }
 
-// compare asks a peer for rows if this host lags behind it for some time.
-func (p *Peers) compare(ctx context.Context, m *member, h *Heartbeat) {
-	behind := h.Operator > p.view.Operator.Newest() || h.Targets > p.view.Targets.Newest()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !behind {
-		m.behindSince = time.Time{}
-		return
-	}
-	if m.behindSince.IsZero() {
-		m.behindSince = time.Now()
+// lag is how far this host's copy of a table is behind what peers have.
+type lag struct {
+	// version is one that a peer had at since and this host has not.
+	version uint64
+	since   time.Time
+	asking  bool
+}
+
+// due notes a peer's newest version and reports whether to ask that peer for rows: this
+// host lacks a version that a peer had a tolerance ago, and asks nobody yet. A table
+// that changes all the time is always a little behind, which is no reason to ask.
+func (l *lag) due(have, theirs uint64, now time.Time, tolerance time.Duration) bool {
+	if theirs <= have {
+		return false
 	}
-	if m.asking || time.Since(m.behindSince) < lagTolerance && p.view.Snapshot().Config != nil {
-		return
+	if l.version <= have {
+		l.version, l.since = theirs, now
 	}
-	m.asking = true
-	go p.ask(context.WithoutCancel(ctx), m, h)
+	return !l.asking && now.Sub(l.since) >= tolerance
 }
 
-func (p *Peers) ask(ctx context.Context, m *member, h *Heartbeat) {
-	defer func() {
+// compare asks a peer for rows that this host lacks.
+func (p *Peers) compare(ctx context.Context, h *Heartbeat) {
+	tolerance := lagTolerance
+	if p.view.Snapshot().Config == nil {
+		tolerance = 0
+	}
+	for name, theirs := range map[string]uint64{operatorTable: h.Operator, targetTable: h.Targets} {
 		p.mu.Lock()
-		m.asking = false
+		l := p.lags[name]
+		due := l.due(p.table(name).Newest(), theirs, time.Now(), tolerance)
+		if due {
+			l.asking = true
+		}
 		p.mu.Unlock()
-	}()
-	if h.Operator > p.view.Operator.Newest() {
-		p.askTable(ctx, h.From, "operator")
-	}
-	if h.Targets > p.view.Targets.Newest() {
-		p.askTable(ctx, h.From, "targets")
+		if due {
+			go p.ask(context.WithoutCancel(ctx), h.From, name, l)
+		}
 	}
 }
 
+func (p *Peers) ask(ctx context.Context, from view.Host, name string, l *lag) {
+	p.askTable(ctx, from, name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.asking = false
+}
+
 func (p *Peers) askTable(ctx context.Context, from view.Host, name string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -15,7 +15,6 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/peers"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
-	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/lease"
 	"github.com/sequoiaroad/sequoiaroad/policy/rollout"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
@@ -58,7 +57,7 @@
 // Fleet is what the duty needs of the other hosts.
 type Fleet interface {
 	Live() []view.Host
-	Broadcast(ctx context.Context, m wire.Message)
+	Notify(ctx context.Context, n *peers.EngineNotice)
 }
 
 // Options configure a Duty.
@@ -197,7 +196,7 @@
 	d.Router.HeardNotice(n)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), noticeWait)
 	defer cancel()
-	d.Fleet.Broadcast(ctx, n)
+	d.Fleet.Notify(ctx, n)
 }
 
 // bring orders one engine to load the wanted version and waits until it has.
--- /dev/null
+++ b/policy/spread/spread_test.go
@@ -0,0 +1,86 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func fleet(n, zones int) []Host {
+	out := make([]Host, n)
+	for i := range out {
+		out[i] = Host{ID: fmt.Sprintf("h%03d", i), Zone: fmt.Sprint("z", i%zones)}
+	}
+	return out
+}
+
+func without(all []Host, id string) []Host {
+	return slices.DeleteFunc(slices.Clone(all), func(h Host) bool { return h.ID == id })
+}
+
+// reached returns the hosts that learn a host's state in a round.
+func reached(all []Host, self Host, round uint64) map[string]bool {
+	out := map[string]bool{}
+	own := NewLayout(self, without(all, self.ID))
+	for _, h := range own.Group() {
+		out[h.ID] = true
+	}
+	for _, c := range own.Contacts(round) {
+		out[c.ID] = true
+		for _, h := range NewLayout(c, without(all, c.ID)).Group() {
+			out[h.ID] = true
+		}
+	}
+	return out
+}
+
+// Guards against hosts that never hear of another one, in fleets of any size and shape.
+func TestEachHostIsReachedInEachRound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := fleet(rapid.IntRange(2, 360).Draw(t, "hosts"), rapid.IntRange(1, 7).Draw(t, "zones"))
+		self := rapid.SampledFrom(all).Draw(t, "self")
+		got := reached(all, self, rapid.Uint64().Draw(t, "round"))
+		if len(got) != len(all)-1 || got[self.ID] {
+			t.Fatalf("%d of %d hosts are reached", len(got), len(all)-1)
+		}
+	})
+}
+
+// Guards against messages that grow with the fleet: at the size to design for a host
+// sends a tenth of what it would send to each other host.
+func TestMessagesGrowWithTheSquareRoot(t *testing.T) {
+	g := NewWithT(t)
+	for hosts, most := range map[int]int{9: 8, 16: 15, 74: 18, 99: 20, 350: 38} {
+		all := fleet(hosts, 6)
+		l := NewLayout(all[0], all[1:])
+		g.Expect(len(l.Group())+len(l.Contacts(0))).To(BeNumerically("<=", most), "%d hosts", hosts)
+	}
+}
+
+// Guards against state that stays away from a group because its contact is dead.
+func TestContactsChangeAndAreNotSilent(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(60, 3)
+	l := NewLayout(all[0], all[1:])
+	g.Expect(l.Direct()).To(BeFalse())
+	g.Expect(l.Contacts(1)).NotTo(Equal(l.Contacts(2)))
+	dead := l.Contacts(1)[0]
+	others := without(all[1:], dead.ID)
+	dead.Silent = true
+	again := NewLayout(all[0], append(others, dead))
+	g.Expect(again.Contacts(1)[0]).NotTo(Equal(dead))
+}
+
+// Guards against a group whose hosts are all silent that is never tried again.
+func TestSilentGroupIsStillTold(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(60, 3)
+	for i := range all[1:] {
+		all[i+1].Silent = true
+	}
+	l := NewLayout(all[0], all[1:])
+	g.Expect(l.Contacts(5)).To(HaveLen(len(l.others)))
+}
