List the holders of a prompt and sum the peers' load once a choice

Cause: for each target a choice summed the requests of all peers, twice, and for each target that lacked a part it walked all targets for a holder: its cost was the square of the fleet. Change: peerRunning keeps the sum by target as reports come; variant holds what is the same for all targets of a weights version. placement.Hash serves the home of a prompt and the feed of cache events, which had hashes of their own. Balancer.Paused, Prompt.MustHave and the result of evicted, which nobody used, are gone; PickPlain and waitMs share slotWaitMs. Ruled out: a change of decisions; the tests of policy/balance pass unchanged, but the home of a prompt is another one, as its hash is.

--- a/internal/cachefeed/cachefeed.go
+++ b/internal/cachefeed/cachefeed.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 )
 
 const (
@@ -113,7 +113,7 @@
 		if near && h.Zone != zone {
 			continue
 		}
-		if score := xxhash.Sum64String(h.ID + "\x00" + name); best == "" || score > top {
+		if score := placement.Hash(name, h.ID); best == "" || score > top {
 			best, top = h.ID, score
 		}
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -89,7 +89,7 @@
 func (r *Router) Weights(t *topology.Target, model string) (version int64, running int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.balancer.Weights(t, model), r.balancer.Running(t, time.Now())
+	return r.balancer.Weights(t, model), r.balancer.Running(t)
 }
 
 // Avoided reports whether requests avoid a target after failures.
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -7,8 +7,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -47,7 +45,6 @@
 	pausedUntil  time.Time
 	// weights holds versions that answers and peers showed, by model.
 	weights map[string]int64
-	hash    uint64
 }
 
 // Balancer is the state of all targets. It is not safe for concurrent use.
@@ -56,21 +53,25 @@
 	regionOfZone map[string]string
 	targets      map[string]*targetState
 	peers        map[string]peerLoad
-	cache        *cacheMap
+	// peerRunning is the sum of the peers' requests by target, so that a choice does
+	// not grow with the number of hosts.
+	peerRunning map[string]int
+	cache       *cacheMap
 }
 
 // New returns a balancer for a host in the zone.
 func New(zone string, regionOfZone map[string]string) *Balancer {
 	return &Balancer{
 		zone: zone, regionOfZone: regionOfZone,
-		targets: map[string]*targetState{}, peers: map[string]peerLoad{}, cache: newCacheMap(),
+		targets: map[string]*targetState{}, peers: map[string]peerLoad{},
+		peerRunning: map[string]int{}, cache: newCacheMap(),
 	}
 }
 
 func (b *Balancer) state(t *topology.Target) *targetState {
 	s := b.targets[t.ID]
 	if s == nil || s.started != t.Started {
-		s = &targetState{started: t.Started, weights: map[string]int64{}, hash: xxhash.Sum64String(t.ID)}
+		s = &targetState{started: t.Started, weights: map[string]int64{}}
 		b.targets[t.ID] = s
 	}
 	return s
@@ -100,11 +101,6 @@
 // Pause keeps requests from a target until a time. A zero time ends the pause.
 func (b *Balancer) Pause(t *topology.Target, until time.Time) { b.state(t).pausedUntil = until }
 
-// Paused reports whether the target takes no requests now.
-func (b *Balancer) Paused(t *topology.Target, now time.Time) bool {
-	return now.Before(b.state(t).pausedUntil)
-}
-
 // Begin counts a request that is sent to a target.
 func (b *Balancer) Begin(t *topology.Target) { b.state(t).running++ }
 
@@ -206,20 +202,34 @@
 
 // PeerRunning replaces what a peer has under way.
 func (b *Balancer) PeerRunning(peer string, running map[string]int, now time.Time) {
+	b.dropPeer(peer)
 	b.peers[peer] = peerLoad{running, now}
+	for id, n := range running {
+		b.peerRunning[id] += n
+	}
 }
 
-// Running returns the requests of all hosts at a target.
-func (b *Balancer) Running(t *topology.Target, now time.Time) int {
-	sum := b.state(t).running
+func (b *Balancer) dropPeer(peer string) {
+	for id, n := range b.peers[peer].running {
+		if b.peerRunning[id] -= n; b.peerRunning[id] == 0 {
+			delete(b.peerRunning, id)
+		}
+	}
+	delete(b.peers, peer)
+}
+
+// dropSilentPeers forgets the requests of peers whose reports are old.
+func (b *Balancer) dropSilentPeers(now time.Time) {
 	for peer, p := range b.peers {
 		if now.Sub(p.at) > peerLoadAge {
-			delete(b.peers, peer)
-			continue
+			b.dropPeer(peer)
 		}
-		sum += p.running[t.ID]
 	}
-	return sum
+}
+
+// Running returns the requests of all hosts at a target.
+func (b *Balancer) Running(t *topology.Target) int {
+	return b.state(t).running + b.peerRunning[t.ID]
 }
 
 // Ejected reports whether a target is avoided after failures.
@@ -282,6 +292,7 @@
 
 // PickPlain returns the target of a plain service with the least load, or nil.
 func (b *Balancer) PickPlain(targets []*topology.Target, tried map[string]bool, bytes int, now time.Time) *topology.Target {
+	b.dropSilentPeers(now)
 	var best *topology.Target
 	bestRank, bestCost := unusable, math.Inf(1)
 	for _, t := range targets {
@@ -289,12 +300,8 @@
 		if rank == unusable || rank > bestRank {
 			continue
 		}
-		running := b.Running(t, now)
-		slots := max(1, t.Slots)
-		cost := b.distance(t, bytes) + waitingMs*float64(running)/float64(slots)
-		if running >= slots {
-			cost += waitingMs * float64(running-slots+1)
-		}
+		running, slots := b.Running(t), max(1, t.Slots)
+		cost := b.distance(t, bytes) + waitingMs*float64(running)/float64(slots) + slotWaitMs(running, slots)
 		if rank < bestRank || cost < bestCost {
 			best, bestRank, bestCost = t, rank, cost
 		}
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -135,3 +135,40 @@
 	leaving.Leaving = true
 	g.Expect(b.PickPlain([]*topology.Target{leaving}, nil, 0, now)).To(BeNil())
 }
+
+// BenchmarkPick chooses at the size to design for: 350 hosts and 600 engines, a tenth
+// of which have the prompt's shared part.
+func BenchmarkPick(b *testing.B) {
+	targets := make([]*topology.Target, 600)
+	running := map[string]int{}
+	balancer := New("a", zones)
+	p := prompt("manual", 12000)
+	for i := range targets {
+		targets[i] = engine(fmt.Sprint("e", i), []string{"a", "b", "c"}[i%3], 1)
+		running[targets[i].ID] = 1
+		if i%10 == 0 {
+			balancer.Saw(Sighting{Keys: p.Keys(1), TargetID: targets[i].ID}, now)
+		}
+	}
+	for i := range 350 {
+		balancer.PeerRunning(fmt.Sprint("h", i), running, now)
+	}
+	for b.Loop() {
+		balancer.Pick(p, targets, nil, now)
+	}
+}
+
+// Guards against load of peers that counts twice, or stays after they fall silent.
+func TestLoadOfPeersIsReplacedAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	b := New("a", zones)
+	e := engine("e1", "a", 1)
+	b.PeerRunning("h1", map[string]int{"e1": 3}, now)
+	b.PeerRunning("h2", map[string]int{"e1": 2}, now)
+	b.PeerRunning("h1", map[string]int{"e1": 1, "e2": 5}, now.Add(time.Second))
+	g.Expect(b.Running(e)).To(Equal(3))
+	b.dropSilentPeers(now.Add(2 * time.Second))
+	g.Expect(b.Running(e)).To(Equal(1))
+	b.dropSilentPeers(now.Add(4 * time.Second))
+	g.Expect(b.Running(e)).To(BeZero())
+}
--- a/policy/balance/cachemap.go
+++ b/policy/balance/cachemap.go
@@ -59,13 +59,8 @@
 	}
 }
 
-// evicted forgets that a holder has a part, and reports whether it was known.
-func (m *cacheMap) evicted(key Key, holder string) bool {
-	h := m.holders[key]
-	_, known := h[holder]
-	delete(h, holder)
-	return known
-}
+// evicted forgets that a holder has a part.
+func (m *cacheMap) evicted(key Key, holder string) { delete(m.holders[key], holder) }
 
 // drop forgets all that a holder had.
 func (m *cacheMap) drop(holder string) {
--- a/policy/balance/cost.go
+++ b/policy/balance/cost.go
@@ -12,26 +12,27 @@
 	if p.Engine != nil && p.Engine.Slots > 0 {
 		slots = p.Engine.Slots
 	}
-	running := b.Running(t, now)
-	wait := b.state(t).readingMs(now) + busySlotMs*float64(running)
-	if running >= slots {
-		wait += waitingMs * float64(running-slots+1)
-	}
-	return wait
+	running := b.Running(t)
+	return b.state(t).readingMs(now) + busySlotMs*float64(running) + slotWaitMs(running, slots)
+}
+
+// slotWaitMs estimates how long a request waits until one ahead of it ends.
+func slotWaitMs(running, slots int) float64 {
+	return waitingMs * float64(max(0, running-slots+1))
 }
 
 // consider estimates what it costs to send a prompt to a target, and decides where the
 // target copies shared parts from that it lacks.
-func (b *Balancer) consider(p *Prompt, t *topology.Target, version int64, keys []Key, home *topology.Target, targets []*topology.Target, now time.Time) Choice {
-	c := Choice{Target: t, Weights: version}
+func (b *Balancer) consider(p *Prompt, t *topology.Target, v *variant, now time.Time) Choice {
+	c := Choice{Target: t, Weights: v.version}
 	shared := p.Shared()
-	missing := shared - p.cached(b.cache, keys, t.ID, now)
+	missing := shared - p.cached(b.cache, v.keys, t.ID, now)
 	cost := b.waitMs(p, t, now) + b.distance(t, p.Bytes)
-	if len(keys) > 0 {
-		c.Key = keys[len(keys)-1]
+	if len(v.keys) > 0 {
+		c.Key = v.keys[len(v.keys)-1]
 	}
 	if missing > 0 {
-		from := b.source(p, t, keys, missing, targets, now)
+		from := b.source(p, t, v, missing)
 		if from.address != "" && from.ms < p.readMs(missing)+float64(missing)*rereadMsPerToken {
 			c.FetchFrom = from.address
 			cost += from.ms + float64(missing)*copyMsPerToken
@@ -49,11 +50,11 @@
 	}
 	c.Uncached = missing + p.Total() - shared
 	c.ReadMs = p.readMs(c.Uncached)
-	cost += c.ReadMs * (1 + float64(b.Running(t, now))*disturbMs/1000)
-	if home != nil && t != home {
+	cost += c.ReadMs * (1 + float64(b.Running(t))*disturbMs/1000)
+	if v.home != nil && t != v.home {
 		cost += notHomeMs
 	}
-	if outdated := p.Wanted.OutdatedFor(version, now) - oldWeightsAfter; outdated > 0 {
+	if outdated := p.Wanted.OutdatedFor(v.version, now) - oldWeightsAfter; outdated > 0 {
 		cost += oldWeightsMs + oldWeightsMsPerSecond*outdated.Seconds()
 	}
 	c.CostMs = cost
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -67,9 +68,7 @@
 	// WeightsBound is the time within which named weights must be in place; zero
 	// means no bound.
 	WeightsBound time.Duration
-	// MustHave is the version that the target must have; zero means any.
-	MustHave int64
-	Engine   *topology.Engine
+	Engine       *topology.Engine
 	// Store is the address and zone of the KV store; empty without one.
 	StoreAddress, StoreZone string
 }
@@ -156,25 +155,37 @@
 	CostMs float64
 }
 
+// variant is a prompt under one weights version: its cached parts have keys of their
+// own.
+type variant struct {
+	version int64
+	keys    []Key
+	// home is the target that all hosts agree on; nil if there is none.
+	home *topology.Target
+	// holders are the targets that have all shared parts and may be copied from.
+	holders []*topology.Target
+	// inStore says that the KV store has all shared parts.
+	inStore bool
+}
+
 // Pick returns the choice with the least cost; Target is nil if no target is usable.
 func (b *Balancer) Pick(p *Prompt, targets []*topology.Target, tried map[string]bool, now time.Time) Choice {
+	b.dropSilentPeers(now)
 	best := Choice{CostMs: math.Inf(1)}
 	bestRank := unusable
-	keysOf := map[int64][]Key{}
-	homes := map[int64]*topology.Target{}
+	variants := map[int64]*variant{}
 	for _, t := range targets {
 		version := b.Weights(t, p.Model)
 		rank := p.outdated(version, b.exclusion(t, tried, now), now)
-		if rank >= paused || rank > bestRank || p.MustHave != 0 && version != p.MustHave {
+		if rank >= paused || rank > bestRank {
 			continue
 		}
-		keys, seen := keysOf[version]
-		if !seen {
-			keys = p.Keys(version)
-			keysOf[version] = keys
-			homes[version] = b.home(p, keys, version, targets, tried, now)
+		v := variants[version]
+		if v == nil {
+			v = b.variant(p, version, targets, tried, now)
+			variants[version] = v
 		}
-		c := b.consider(p, t, version, keys, homes[version], targets, now)
+		c := b.consider(p, t, v, now)
 		if rank < bestRank || c.CostMs < best.CostMs {
 			best, bestRank = c, rank
 		}
@@ -192,50 +203,45 @@
 	return rank
 }
 
-// home is the target that all hosts agree on for a prompt: the highest hash of the
-// first shared part among the targets with the version that are not overloaded.
-func (b *Balancer) home(p *Prompt, keys []Key, version int64, targets []*topology.Target, tried map[string]bool, now time.Time) *topology.Target {
-	if len(keys) == 0 {
-		return nil
+// variant looks up what is the same for all targets that have the version. The home is
+// the usable target with the highest hash of the first shared part that is not
+// overloaded.
+func (b *Balancer) variant(p *Prompt, version int64, targets []*topology.Target, tried map[string]bool, now time.Time) *variant {
+	v := &variant{version: version, keys: p.Keys(version)}
+	if len(v.keys) == 0 {
+		return v
 	}
-	var home *topology.Target
+	shared := p.Shared()
+	first := strconv.FormatUint(uint64(v.keys[0]), 16)
 	var top uint64
 	for _, t := range targets {
-		if b.exclusion(t, tried, now) != usable || b.Weights(t, p.Model) != version {
-			continue
+		if p.cached(b.cache, v.keys, t.ID, now) == shared && b.exclusion(t, nil, now) != ejected {
+			v.holders = append(v.holders, t)
 		}
-		s := b.state(t)
-		if b.waitMs(p, t, now) > overloadMs {
+		if b.Weights(t, p.Model) != version || b.exclusion(t, tried, now) != usable || b.waitMs(p, t, now) > overloadMs {
 			continue
 		}
-		if score := mix(uint64(keys[0]) ^ s.hash); home == nil || score > top {
-			home, top = t, score
+		if score := placement.Hash(first, t.ID); v.home == nil || score > top {
+			v.home, top = t, score
 		}
 	}
-	return home
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	v.inStore = p.cached(b.cache, v.keys, storeID, now) == shared
+	return v
 }
 
 // source returns the quickest place to copy the missing tokens to a target from.
-func (b *Balancer) source(p *Prompt, t *topology.Target, keys []Key, missing int, targets []*topology.Target, now time.Time) source {
+func (b *Balancer) source(p *Prompt, t *topology.Target, v *variant, missing int) source {
 	best := source{ms: math.Inf(1)}
-	shared := p.Shared()
 	base := b.transferMs(p, missing)
-	for _, holder := range targets {
-		if holder == t || p.cached(b.cache, keys, holder.ID, now) < shared || b.exclusion(holder, nil, now) == ejected {
+	for _, holder := range v.holders {
+		if holder == t {
 			continue
 		}
 		if ms := fetchSetupMs + base*b.transferFactor(holder.Zone, t.Zone); ms < best.ms {
 			best = source{holder.Address, ms}
 		}
 	}
-	if p.StoreAddress != "" && b.sameRegion(t.Zone, p.StoreZone) && p.cached(b.cache, keys, storeID, now) == shared {
+	if p.StoreAddress != "" && v.inStore && b.sameRegion(t.Zone, p.StoreZone) {
 		if ms := fetchSetupMs + base*b.transferFactor(p.StoreZone, t.Zone); ms < best.ms {
 			best = source{p.StoreAddress, ms}
 		}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -24,14 +24,20 @@
 	Weight float64
 }
 
-// score is the weighted rendezvous score -w/ln(u), u uniform in (0,1) by hashing.
-func score(key string, n Node) float64 {
+// Hash is the unweighted rendezvous score of a node for a key: the node with the
+// highest one has the key.
+func Hash(key, nodeID string) uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(key)
 	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(n.ID)
+	_, _ = digest.WriteString(nodeID)
+	return digest.Sum64()
+}
+
+// score is the weighted rendezvous score -w/ln(u), u uniform in (0,1) by hashing.
+func score(key string, n Node) float64 {
 	const mantissaBits = 53
-	u := (float64(digest.Sum64()>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	u := (float64(Hash(key, n.ID)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
 	weight := n.Weight
 	if weight == 0 {
 		weight = 1
