--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -24,6 +24,16 @@
 	Drop Cut = iota + 1
 	// Reset closes all connections with a TCP reset, and new ones at once.
 	Reset
+	// DropAnswers forwards nothing from the target while the link is cut.
+	DropAnswers
+)
+
+// direction is that of the bytes of a connection.
+type direction int
+
+const (
+	toTarget direction = iota
+	fromTarget
 )
 
 // Relay forwards connections to one address.
@@ -178,7 +188,7 @@
 		delete(r.pairs, p)
 		r.mu.Unlock()
 	}()
-	if refuse || !r.wait(p) {
+	if refuse || !r.wait(p, toTarget) {
 		p.reset()
 		return
 	}
@@ -188,19 +198,20 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { r.forward(p, server, client, up) })
-	both.Go(func() { r.forward(p, client, server, down) })
+	both.Go(func() { r.forward(p, toTarget, server, client, up) })
+	both.Go(func() { r.forward(p, fromTarget, client, server, down) })
 	both.Wait()
 	p.close()
 }
 
-// wait blocks while the link is cut and returns false if the pair is gone.
-func (r *Relay) wait(p *pair) bool {
+// wait blocks while the direction is cut and returns false if the pair is gone.
+func (r *Relay) wait(p *pair, d direction) bool {
 	for {
 		r.mu.Lock()
 		restored := r.restored
+		passes := restored == nil || r.cut == DropAnswers && d == toTarget
 		r.mu.Unlock()
-		if restored == nil {
+		if passes {
 			return true
 		}
 		select {
@@ -218,14 +229,14 @@
 
 // forward copies one direction. Reading goes on while earlier chunks wait for their
 // delay, so that the delay does not limit the rate.
-func (r *Relay) forward(p *pair, to, from net.Conn, limit int64) {
+func (r *Relay) forward(p *pair, d direction, to, from net.Conn, limit int64) {
 	queue := make(chan chunk, queuedChunks)
 	go r.read(p, from, queue)
 	for c := range queue {
 		if wait := time.Until(c.due); wait > 0 {
 			time.Sleep(wait)
 		}
-		if !r.wait(p) {
+		if !r.wait(p, d) {
 			continue
 		}
 		data := c.data
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -81,3 +81,22 @@
 	data, _ := io.ReadAll(again)
 	g.Expect(string(data)).To(Equal("abc"))
 }
+
+// Guards against a one-way cut that also keeps requests from the target.
+func TestDropAnswersCutsOneWay(t *testing.T) {
+	g := NewWithT(t)
+	r, conn := connect(t, g)
+	r.Cut(DropAnswers)
+	_, err := conn.Write([]byte("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	answer := make(chan byte, 1)
+	go func() {
+		var b [1]byte
+		if _, err := conn.Read(b[:]); err == nil {
+			answer <- b[0]
+		}
+	}()
+	g.Consistently(answer, "150ms").ShouldNot(Receive())
+	r.Restore()
+	g.Eventually(answer).Should(Receive(Equal(byte('x'))))
+}
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,8 @@
 	// Events is the number of events of a stream, EventGap the pause between them.
 	Events   int
 	EventGap time.Duration
+	// WorkTime is how long a plain request runs.
+	WorkTime time.Duration
 	// LoadTime is how long new weights take.
 	LoadTime time.Duration
 	// Version is the weights version at the start; zero means 1.
@@ -141,6 +144,10 @@
 	case "/api/order":
 		r.order(w, in)
 	default:
+		if strings.HasPrefix(in.URL.Path, "/api/") {
+			http.NotFound(w, in) // this stand-in has no cache events
+			return
+		}
 		r.request(w, in)
 	}
 }
@@ -233,6 +240,7 @@
 		r.stream(w, in, faults)
 		return
 	}
+	time.Sleep(r.options.WorkTime)
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, "answer to "+id)
 }
