Let one host of each group follow the store and tell the others

Heartbeats say whether the store answers their sender; a host that is cut is passed over, but goes on asking until it is answered. A push names the version that it follows on; a host that lacks rows up to there asks for them. The time at which the store answered again after an outage goes with the rows, as entries that lapsed may come back. The second path stays: a host that lacks a version for 300 ms that any peer shows asks it. Ruled out: a longer wait of the polls; each change still ends all of them.

--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -58,6 +58,7 @@
 func (p *Peers) describe() (own Heartbeat, passed []Heartbeat) {
 	own = p.local.Describe()
 	own.From = p.self
+	own.Cut = p.view.Cut()
 	own.Operator, own.Targets = p.view.Operator.Newest(), p.view.Targets.Newest()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -14,6 +14,14 @@
 	sequence uint64
 	ready    bool
 	leaving  bool
+	cut      bool
+}
+
+// condition is what matters of a host to those that tell it things.
+type condition struct {
+	silent bool
+	// cut says that the store does not answer the host.
+	cut bool
 }
 
 func (m *member) silent(now time.Time) bool { return now.Sub(m.heard) > liveAge }
@@ -58,7 +66,7 @@
 		return news{}
 	}
 	back := fresh || m.silent(now)
-	m.host, m.heard, m.sequence, m.ready, m.leaving = h.From, now, h.Sequence, h.Ready, h.Leaving
+	m.host, m.heard, m.sequence, m.ready, m.leaving, m.cut = h.From, now, h.Sequence, h.Ready, h.Leaving, h.Cut
 	return news{newer: true, fresh: fresh, back: back}
 }
 
@@ -73,13 +81,13 @@
 	}
 }
 
-// all returns the hosts that were heard, and whether each is silent.
-func (s *members) all(now time.Time) map[view.Host]bool {
+// all returns the hosts that were heard.
+func (s *members) all(now time.Time) map[view.Host]condition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[view.Host]bool, len(s.byID))
+	out := make(map[view.Host]condition, len(s.byID))
 	for _, m := range s.byID {
-		out[m.host] = m.silent(now)
+		out[m.host] = condition{m.silent(now), m.cut}
 	}
 	return out
 }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -32,6 +32,8 @@
 	Use      []AccountUse `msgpack:"u,omitempty"`
 	// Suspects are targets that the sender avoids after failures.
 	Suspects []string `msgpack:"x,omitempty"`
+	// Cut says that the store does not answer the sender.
+	Cut bool `msgpack:"c,omitempty"`
 	// Sequence counts the heartbeats of an incarnation, so that one that was passed on
 	// does not replace a newer one.
 	Sequence uint64 `msgpack:"n"`
@@ -73,11 +75,25 @@
 // RowsReply holds the rows that the receiver has.
 type RowsReply struct {
 	Rows []Row `msgpack:"r,omitempty"`
+	// RegainedMs is how long ago the store answered the sender again after an outage;
+	// zero if that is not known. Entries that lapsed meanwhile may come back.
+	RegainedMs int64 `msgpack:"g,omitempty"`
 }
 
 // WireType implements wire.Message.
 func (*RowsReply) WireType() wire.Type { return wire.TypeRowsReply }
 
+// RowsPush tells the group of a follower what the store changed.
+type RowsPush struct {
+	Table string `msgpack:"t"`
+	// After is the newest version of the sender before these rows.
+	After uint64    `msgpack:"a"`
+	News  RowsReply `msgpack:"n"`
+}
+
+// WireType implements wire.Message.
+func (*RowsPush) WireType() wire.Type { return wire.TypeRowsPush }
+
 func packRows(rows []store.Row) []Row {
 	out := make([]Row, 0, len(rows))
 	for _, r := range rows {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,8 @@
 	lagTolerance = 300 * time.Millisecond
 	// maxReplyBytes keeps a reply below the limit of a frame.
 	maxReplyBytes = 512 << 10
+	// rowOverhead is about what the fields of a row take besides key and value.
+	rowOverhead = 32
 )
 
 // Local is what the rest of the host provides and receives.
@@ -71,12 +73,14 @@
 
 // New returns peers without members.
 func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
-	return &Peers{
+	p := &Peers{
 		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, members: newMembers(),
 		sightings: make(chan balance.Sighting, noticeRing), passedSightings: make(chan balance.Sighting, noticeRing),
 		passed: map[string]Heartbeat{},
 		lags:   map[string]*lag{operatorTable: {}, targetTable: {}},
 	}
+	v.Share(p.follows, p.push)
+	return p
 }
 
 // Register adds the handlers of requests from peers.
@@ -95,6 +99,14 @@
 		}
 		return p.rows(&q), nil
 	})
+	r.Handle(wire.TypeRowsPush, func(ctx context.Context, from wire.Peer, request wire.Request) (wire.Message, error) {
+		var m RowsPush
+		if err := request.Decode(&m); err != nil {
+			return nil, err
+		}
+		p.heardRows(ctx, from, &m)
+		return &wire.Ack{}, nil
+	})
 	r.Handle(wire.TypeSightings, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
 		var s Sightings
 		if err := request.Decode(&s); err != nil {
@@ -114,8 +126,8 @@
 }
 
 // known lists the hosts of the store's table and those that were heard, and whether
-// each is silent.
-func (p *Peers) known() map[view.Host]bool {
+// each is silent or cut from the store.
+func (p *Peers) known() map[view.Host]condition {
 	heard := p.members.all(time.Now())
 	ids := make(map[string]bool, len(heard))
 	for h := range heard {
@@ -123,7 +135,7 @@
 	}
 	for id, h := range p.view.Snapshot().Hosts {
 		if !ids[id] && id != p.self.ID {
-			heard[h] = true
+			heard[h] = condition{silent: true}
 		}
 	}
 	return heard
@@ -133,11 +145,17 @@
 func (p *Peers) layout() (*spread.Layout, map[string]string) {
 	var others []spread.Host
 	addresses := map[string]string{}
-	for h, silent := range p.known() {
-		others = append(others, spread.Host{ID: h.ID, Zone: h.Zone, Silent: silent})
+	for h, state := range p.known() {
+		others = append(others, spread.Host{ID: h.ID, Zone: h.Zone, Silent: state.silent, Cut: state.cut})
 		addresses[h.ID] = h.InnerAddress
 	}
-	return spread.NewLayout(spread.Host{ID: p.self.ID, Zone: p.self.Zone}, others), addresses
+	return spread.NewLayout(spread.Host{ID: p.self.ID, Zone: p.self.Zone, Cut: p.view.Cut()}, others), addresses
+}
+
+// follows reports whether this host follows the store.
+func (p *Peers) follows() bool {
+	layout, _ := p.layout()
+	return layout.Follows()
 }
 
 // Live lists the hosts that callers may be sent to, without this one.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
+	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
@@ -90,7 +91,7 @@
 func (w *network) start(self view.Host, all []view.Host) *testHost {
 	h := &testHost{handlers: map[wire.Type]wire.Handler{}, totals: map[string]float64{}}
 	v := view.New(nil, view.Decoder{}, hclog.NewNullLogger())
-	h.Peers = New(self, nil, w, v, h, hclog.NewNullLogger())
+	h.Peers = New(self, nil, &link{w, self}, v, h, hclog.NewNullLogger())
 	h.members.learn(all, self.ID, time.Now())
 	h.Register(h)
 	w.mu.Lock()
@@ -99,12 +100,18 @@
 	return h
 }
 
+// link is the caller of one host.
+type link struct {
+	network *network
+	from    view.Host
+}
+
 // Call implements wire.Caller.
-func (w *network) Call(ctx context.Context, address string, request, reply wire.Message) error {
-	w.mu.Lock()
-	w.sent++
-	h := w.hosts[address]
-	w.mu.Unlock()
+func (l *link) Call(ctx context.Context, address string, request, reply wire.Message) error {
+	l.network.mu.Lock()
+	l.network.sent++
+	h := l.network.hosts[address]
+	l.network.mu.Unlock()
 	if h == nil {
 		return fmt.Errorf("no host at %q", address)
 	}
@@ -112,8 +119,15 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.handlers[request.WireType()](ctx, wire.Peer{}, wire.Request{Type: request.WireType(), Body: body})
-	return err
+	from := wire.Peer{HostID: l.from.ID, Address: l.from.InnerAddress}
+	answer, err := h.handlers[request.WireType()](ctx, from, wire.Request{Type: request.WireType(), Body: body})
+	if err != nil {
+		return err
+	}
+	if body, err = wire.Encode(answer); err != nil {
+		return err
+	}
+	return wire.Request{Type: reply.WireType(), Body: body}.Decode(reply)
 }
 
 // round lets each host send one heartbeat.
@@ -202,3 +216,23 @@
 	l.asking = true
 	g.Expect(l.due(97, 200, now.Add(2*lagTolerance), lagTolerance)).To(BeFalse())
 }
+
+// Guards against a group that does not learn what its follower read, and against one
+// whose hosts keep a gap after they missed a message.
+func TestFollowerTellsItsGroup(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(60, 3)
+	follower := w.hosts["h000"]
+	row := func(version uint64) []store.Row {
+		return []store.Row{{Key: fmt.Sprint("t", version), Version: version, Deleted: true}}
+	}
+	follower.view.Merge(follower.view.Targets, row(5), 0, time.Time{})
+	follower.view.Merge(follower.view.Targets, row(9), 5, time.Time{})
+	follower.push(follower.view.Targets, 5) // version 5 was missed
+	layout, addresses := follower.layout()
+	g.Expect(layout.Direct()).To(BeFalse())
+	for _, h := range layout.Group() {
+		targets := w.hosts[addresses[h.ID]].view.Targets
+		g.Eventually(func() int { return len(targets.After(0)) }).Should(Equal(2), h.ID)
+	}
+}
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 )
 
 // Names of the tables in messages.
@@ -28,14 +30,63 @@
 	if t == nil {
 		return &RowsReply{}
 	}
-	rows := packRows(t.After(q.After))
+	return p.news(t.After(q.After))
+}
+
+// news packs rows in version order, as many as a frame holds. Those that are left out
+// are asked for later.
+func (p *Peers) news(rows []store.Row) *RowsReply {
+	reply := &RowsReply{}
+	if at := p.view.Regained(); !at.IsZero() {
+		reply.RegainedMs = max(1, time.Since(at).Milliseconds())
+	}
 	size := 0
-	for i, r := range rows {
-		if size += len(r.Key) + len(r.Value) + 32; size > maxReplyBytes {
-			return &RowsReply{Rows: rows[:i]}
+	for _, r := range packRows(rows) {
+		if size += len(r.Key) + len(r.Value) + rowOverhead; size > maxReplyBytes {
+			break
 		}
+		reply.Rows = append(reply.Rows, r)
+	}
+	return reply
+}
+
+// merge takes rows above a version from a peer, and returns false if this host lacks
+// rows up to that version.
+func (p *Peers) merge(name string, after uint64, reply *RowsReply) bool {
+	var regained time.Time
+	if reply.RegainedMs > 0 {
+		regained = time.Now().Add(-time.Duration(reply.RegainedMs) * time.Millisecond)
+	}
+	return p.view.Merge(p.table(name), unpackRows(name, reply.Rows), after, regained)
+}
+
+// push tells the group what the store changed.
+func (p *Peers) push(t *view.Table, after uint64) {
+	name := targetTable
+	switch t {
+	case p.view.Operator:
+		name = operatorTable
+	case p.view.Hosts:
+		return
+	}
+	layout, addresses := p.layout()
+	if layout.Direct() {
+		return // every host follows the store
+	}
+	message := &RowsPush{Table: name, After: after, News: *p.news(t.After(after))}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		p.tell(ctx, heard(layout.Group()), addresses, message)
+	}()
+}
+
+// heardRows takes rows that were pushed, or asks the sender for those between.
+func (p *Peers) heardRows(ctx context.Context, from wire.Peer, m *RowsPush) {
+	if p.table(m.Table) == nil || p.merge(m.Table, m.After, &m.News) {
+		return
 	}
-	return &RowsReply{Rows: rows}
+	go p.askTable(context.WithoutCancel(ctx), from.HostID, from.Address, m.Table)
 }
 
 // lag is how far this host's copy of a table is behind what peers have.
@@ -80,20 +131,20 @@
 }
 
 func (p *Peers) ask(ctx context.Context, from view.Host, name string, l *lag) {
-	p.askTable(ctx, from, name)
+	p.askTable(ctx, from.ID, from.InnerAddress, name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.asking = false
 }
 
-func (p *Peers) askTable(ctx context.Context, from view.Host, name string) {
+func (p *Peers) askTable(ctx context.Context, id, address, name string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	t := p.table(name)
+	after := p.table(name).Newest()
 	var reply RowsReply
-	if err := p.caller.Call(ctx, from.InnerAddress, &RowsRequest{Table: name, After: t.Newest()}, &reply); err != nil {
-		p.log.Warn("peer gave no rows", "host", from.ID, "table", name, "error", err)
+	if err := p.caller.Call(ctx, address, &RowsRequest{Table: name, After: after}, &reply); err != nil {
+		p.log.Warn("peer gave no rows", "host", id, "table", name, "error", err)
 		return
 	}
-	p.view.Merge(t, unpackRows(name, reply.Rows))
+	p.merge(name, after, &reply)
 }
--- a/internal/view/table.go
+++ b/internal/view/table.go
@@ -24,6 +24,8 @@
 	// contact is when the store last answered; listed says that it ever did.
 	contact time.Time
 	listed  bool
+	// lost says that the store did not answer the last call.
+	lost bool
 }
 
 func newTable(name string) *Table {
@@ -65,19 +67,27 @@
 	return t.apply(rows)
 }
 
-func (t *Table) applyChanges(rows []store.Row, version uint64, now time.Time) []store.Row {
+// applyChanges takes changes and returns the rows that were newer, and the newest
+// version before them.
+func (t *Table) applyChanges(rows []store.Row, version uint64, now time.Time) (changed []store.Row, before uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.contact = now
 	t.cursor = max(t.cursor, version)
-	return t.apply(rows)
+	before = t.newest
+	return t.apply(rows), before
 }
 
-// ApplyPeer takes rows that another host has, and returns those that were newer.
-func (t *Table) ApplyPeer(rows []store.Row) []store.Row {
+// ApplyPeer takes all rows above a version that another host has, and returns those
+// that were newer. It returns false if this host lacks rows up to that version: a host
+// holds either all rows up to its newest version or is behind.
+func (t *Table) ApplyPeer(rows []store.Row, after uint64) ([]store.Row, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.apply(rows)
+	if t.newest < after {
+		return nil, false
+	}
+	return t.apply(rows), true
 }
 
 // Newest returns the highest version of a row, for comparison with other hosts.
@@ -113,12 +123,39 @@
 	return t.contact
 }
 
+// position returns the version from which to follow. A host that other hosts told of
+// changes goes on after these.
 func (t *Table) position() (uint64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.listed {
+		t.cursor = max(t.cursor, t.newest)
+	}
 	return t.cursor, t.listed
 }
 
+// rest notes that the store is not asked for now, which is no outage.
+func (t *Table) rest(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.contact = now
+}
+
+// setLost notes whether the store answered, and returns what held before.
+func (t *Table) setLost(lost bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.lost
+	t.lost = lost
+	return before
+}
+
+func (t *Table) isLost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost
+}
+
 func (t *Table) relist() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/view/take.go
+++ b/internal/view/take.go
@@ -8,12 +8,21 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
-// Merge takes rows from another host.
-func (v *View) Merge(t *Table, rows []store.Row) {
-	if changed := t.ApplyPeer(rows); len(changed) > 0 {
+// Merge takes all rows above a version from another host, and when the store answered
+// that host again after an outage. It returns false if rows up to the version are
+// lacking here.
+func (v *View) Merge(t *Table, rows []store.Row, after uint64, regained time.Time) bool {
+	v.mu.Lock()
+	if regained.After(v.regained) {
+		v.regained = regained
+	}
+	v.mu.Unlock()
+	changed, complete := t.ApplyPeer(rows, after)
+	if len(changed) > 0 {
 		v.log.Info("took rows from another host", "table", t.name, "rows", len(changed), "newest", t.Newest())
 		v.take(t, changed)
 	}
+	return complete
 }
 
 // take decodes changed rows and publishes a new snapshot.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -34,6 +34,8 @@
 	returnGrace = 2 * time.Second
 	// outageAge is the silence of the store from which on its entries may lapse.
 	outageAge = 1500 * time.Millisecond
+	// restInterval is the pause between looks at whether this host follows the store.
+	restInterval = 100 * time.Millisecond
 )
 
 // HostTable holds an entry for each host of the system.
@@ -95,6 +97,9 @@
 	lapsed    map[string]time.Time
 	snapshot  atomic.Pointer[Snapshot]
 	listeners []func(*Snapshot)
+	// follows says whether this host follows the store or learns from others that do.
+	follows func() bool
+	onRows  func(t *Table, after uint64)
 }
 
 // New returns a view that knows nothing.
@@ -104,6 +109,7 @@
 		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostTable),
 		wanted: map[string]topology.WantedWeights{}, targets: map[string]*topology.Target{},
 		hosts: map[string]Host{}, lapsed: map[string]time.Time{},
+		follows: func() bool { return true }, onRows: func(*Table, uint64) {},
 	}
 	v.snapshot.Store(&Snapshot{})
 	return v
@@ -113,6 +119,23 @@
 // before Run.
 func (v *View) OnChange(f func(*Snapshot)) { v.listeners = append(v.listeners, f) }
 
+// Share lets hosts follow the store for each other. follows says whether this host does;
+// onRows is called when the store has changed rows after a version. Share is called
+// before Run.
+func (v *View) Share(follows func() bool, onRows func(t *Table, after uint64)) {
+	v.follows, v.onRows = follows, onRows
+}
+
+// Cut reports whether the store does not answer this host.
+func (v *View) Cut() bool { return v.Operator.isLost() || v.Targets.isLost() }
+
+// Regained returns when the store answered again after an outage; zero if never.
+func (v *View) Regained() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.regained
+}
+
 // Snapshot returns what the host knows now.
 func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
 
@@ -128,23 +151,26 @@
 
 func (v *View) follow(ctx context.Context, t *Table) {
 	retry := minRetry
-	lost := false
 	for ctx.Err() == nil {
+		if _, listed := t.position(); listed && t != v.Hosts && !v.follows() {
+			t.rest(time.Now())
+			clock.Sleep(ctx, restInterval)
+			continue
+		}
 		err := v.step(ctx, t)
 		switch {
 		case err == nil:
-			if lost {
+			if t.setLost(false) {
 				v.log.Info("store answers again", "table", t.name)
 			}
-			lost, retry = false, minRetry
+			retry = minRetry
 		case errors.Is(err, v.decoder.HistoryGone):
 			v.log.Info("store dropped its history; listing again", "table", t.name)
 			t.relist()
 		default:
-			if !lost && ctx.Err() == nil {
+			if ctx.Err() == nil && !t.setLost(true) {
 				v.log.Warn("store does not answer", "table", t.name, "error", err)
 			}
-			lost = true
 			clock.Sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetry)
 		}
@@ -176,8 +202,9 @@
 		return err
 	}
 	v.noteContact(t)
-	if changed := t.applyChanges(rows, version, time.Now()); len(changed) > 0 {
+	if changed, before := t.applyChanges(rows, version, time.Now()); len(changed) > 0 {
 		v.take(t, changed)
+		v.onRows(t, before)
 	}
 	if len(rows) > 0 {
 		clock.Sleep(ctx, followPause)
--- a/internal/wire/contract.go
+++ b/internal/wire/contract.go
@@ -34,6 +34,7 @@
 	TypeRowsReply
 	TypeSightings
 	TypeEngineNotice
+	TypeRowsPush
 )
 
 // Message is a body that can be sent in a frame.
--- a/policy/spread/spread.go
+++ b/policy/spread/spread.go
@@ -10,6 +10,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/placement"
 )
 
 // DirectHosts is the size of a fleet up to which each host sends to all others.
@@ -22,6 +24,8 @@
 	// Silent says that the host has not been heard of late. It is not asked to pass
 	// state on while its group has others.
 	Silent bool
+	// Cut says that the store does not answer the host.
+	Cut bool
 }
 
 // Layout is the fleet as one host sees it. Hosts with the same members have the same
@@ -78,6 +82,24 @@
 // Group returns the other hosts of the own group; all others if the layout is direct.
 func (l *Layout) Group() []Host { return l.own }
 
+// Follows reports whether the host follows the store for its group, which it tells of
+// changes. In a small fleet every host does, and so does one that the store does not
+// answer, until it answers again.
+func (l *Layout) Follows() bool {
+	if l.Direct() || l.self.Cut {
+		return true
+	}
+	own := followScore(l.self)
+	for _, h := range l.own {
+		if !h.Silent && !h.Cut && followScore(h) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func followScore(h Host) uint64 { return placement.Hash("follow", h.ID) }
+
 // Contacts returns one host of each other group. Each round picks another one, so that
 // a host which has just died keeps the state from its group for one round.
 func (l *Layout) Contacts(round uint64) []Host {
--- a/policy/spread/spread_test.go
+++ b/policy/spread/spread_test.go
@@ -84,3 +84,35 @@
 	l := NewLayout(all[0], all[1:])
 	g.Expect(l.Contacts(5)).To(HaveLen(len(l.others)))
 }
+
+// followers returns the hosts that follow the store.
+func followers(all []Host) []Host {
+	var out []Host
+	for _, h := range all {
+		if NewLayout(h, without(all, h.ID)).Follows() {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Guards against a group in which nobody follows the store, or in which all do: each
+// follower costs calls to the store for every change.
+func TestOneHostOfEachGroupFollowsTheStore(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(72, 6)
+	first := followers(all)
+	g.Expect(first).To(HaveLen(6))
+	g.Expect(followers(fleet(9, 3))).To(HaveLen(9))
+	for i := range all {
+		all[i].Silent = all[i].ID == first[0].ID
+		all[i].Cut = all[i].ID == first[1].ID
+	}
+	var ids []string
+	for _, h := range followers(all) {
+		ids = append(ids, h.ID)
+	}
+	// The two others that now follow stand in for those that can't.
+	g.Expect(ids).To(HaveLen(8))
+	g.Expect(ids).To(ContainElements(first[0].ID, first[1].ID))
+}
