--- a/policy/spread/spread.go
+++ b/policy/spread/spread.go
@@ -19,8 +19,9 @@
 
 // Host is a host of the fleet.
 type Host struct {
-	ID   string
-	Zone string
+	ID     string
+	Zone   string
+	Region string
 	// Silent says that the host has not been heard of late. It is not asked to pass
 	// state on while its group has others.
 	Silent bool
