Tell all groups of cached parts again

Reverts the restriction of sightings to the region of the target. Cause: prompts do go to the other region when engines nearby are busy; hosts that had not heard what engines there hold let them read parts again.

--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -110,7 +110,7 @@
 	if h.router, err = forward.New(h.routerOptions()); err != nil {
 		return nil, err
 	}
-	h.peers = peers.New(h.self, d.Seeds, d.RegionOfZone, h.client, h.view, (*local)(h), o.Telemetry.Logger.Named("peers"))
+	h.peers = peers.New(h.self, d.Seeds, h.client, h.view, (*local)(h), o.Telemetry.Logger.Named("peers"))
 	h.peers.Register(h.wire)
 	h.duty = weights.New(h.dutyOptions())
 	h.feed = cachefeed.New(h.self, h.view, h.peers, o.Platform.Engines, h.router, o.Telemetry.Logger.Named("cachefeed"))
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -128,38 +128,14 @@
 	}
 }
 
-// spreadSightings tells the group and the contacts what concerns them. In a fleet in
-// which hosts pass sightings on, those of a target go to the hosts of its region: hosts
-// elsewhere send prompts there only if nothing is free nearby.
+// spreadSightings tells the group all, and the contacts those of this host.
 func (p *Peers) spreadSightings(ctx context.Context, layout *spread.Layout, addresses map[string]string, own, passed []balance.Sighting) {
-	if layout.Direct() {
-		p.tell(ctx, heard(layout.Group()), addresses, &Sightings{All: own})
-		return
-	}
 	var running sync.WaitGroup
-	if near := append(passed, p.concerning(own, p.self.Region)...); len(near) > 0 {
-		running.Go(func() { p.tell(ctx, heard(layout.Group()), addresses, &Sightings{All: near}) })
-	}
-	for _, contact := range heard(layout.Contacts(uint64(time.Now().UnixNano()))) {
-		if near := p.concerning(own, contact.Region); len(near) > 0 {
-			running.Go(func() {
-				p.tell(ctx, []spread.Host{contact}, addresses, &Sightings{All: near, PassOn: true})
-			})
-		}
+	running.Go(func() {
+		p.tell(ctx, heard(layout.Group()), addresses, &Sightings{All: append(passed, own...)})
+	})
+	if len(own) > 0 {
+		p.tell(ctx, heard(layout.Contacts(uint64(time.Now().UnixNano()))), addresses, &Sightings{All: own, PassOn: true})
 	}
 	running.Wait()
 }
-
-// concerning returns the sightings of targets in a region, and those of targets whose
-// region is not known.
-func (p *Peers) concerning(all []balance.Sighting, region string) []balance.Sighting {
-	targets := p.view.Snapshot().Targets
-	var out []balance.Sighting
-	for _, s := range all {
-		t := targets[s.TargetID]
-		if t == nil || p.regionOfZone[t.Zone] == "" || p.regionOfZone[t.Zone] == region {
-			out = append(out, s)
-		}
-	}
-	return out
-}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -60,8 +60,6 @@
 	local   Local
 	log     hclog.Logger
 	members *members
-	// regionOfZone is empty if regions are not known; all hosts are near then.
-	regionOfZone map[string]string
 	// sightings are those of this host, passedSightings those to pass on to its group.
 	sightings, passedSightings chan balance.Sighting
 
@@ -74,9 +72,9 @@
 }
 
 // New returns peers without members.
-func New(self view.Host, seeds []string, regionOfZone map[string]string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
+func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
 	p := &Peers{
-		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, members: newMembers(), regionOfZone: regionOfZone,
+		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, members: newMembers(),
 		sightings: make(chan balance.Sighting, noticeRing), passedSightings: make(chan balance.Sighting, noticeRing),
 		passed: map[string]Heartbeat{},
 		lags:   map[string]*lag{operatorTable: {}, targetTable: {}},
@@ -148,10 +146,10 @@
 	var others []spread.Host
 	addresses := map[string]string{}
 	for h, state := range p.known() {
-		others = append(others, spread.Host{ID: h.ID, Zone: h.Zone, Region: h.Region, Silent: state.silent, Cut: state.cut})
+		others = append(others, spread.Host{ID: h.ID, Zone: h.Zone, Silent: state.silent, Cut: state.cut})
 		addresses[h.ID] = h.InnerAddress
 	}
-	return spread.NewLayout(spread.Host{ID: p.self.ID, Zone: p.self.Zone, Region: p.self.Region, Cut: p.view.Cut()}, others), addresses
+	return spread.NewLayout(spread.Host{ID: p.self.ID, Zone: p.self.Zone, Cut: p.view.Cut()}, others), addresses
 }
 
 // follows reports whether this host follows the store.
--- a/policy/spread/spread.go
+++ b/policy/spread/spread.go
@@ -19,9 +19,8 @@
 
 // Host is a host of the fleet.
 type Host struct {
-	ID     string
-	Zone   string
-	Region string
+	ID   string
+	Zone string
 	// Silent says that the host has not been heard of late. It is not asked to pass
 	// state on while its group has others.
 	Silent bool
