Consider a few targets by chance beside those that have the shared parts

With 62 hosts the busiest engine had twice the mean. Change: a request considers the home and the holders of its shared parts and eight other targets by chance; all if none of these is usable.

--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -86,7 +87,7 @@
 }
 
 func (r *Router) prompt(c *call) *balance.Prompt {
-	q := &balance.Prompt{Model: c.meta.Model, Bytes: len(c.body), Engine: c.service.Engine}
+	q := &balance.Prompt{Model: c.meta.Model, Bytes: len(c.body), Engine: c.service.Engine, Draw: rand.Uint64() | 1}
 	if c.account != nil && c.account.Isolated {
 		q.Wall = c.account.Name
 	}
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -50,9 +50,9 @@
 	return reply
 }
 
-// merge takes rows above a version from a peer, and returns false if this host lacks
-// rows up to that version.
-func (p *Peers) merge(name string, after uint64, reply *RowsReply) bool {
+// merge takes rows above a version from a peer. It returns how many were newer, and
+// false if this host lacks rows up to that version.
+func (p *Peers) merge(name string, after uint64, reply *RowsReply) (newer int, complete bool) {
 	var regained time.Time
 	if reply.RegainedMs > 0 {
 		regained = time.Now().Add(-time.Duration(reply.RegainedMs) * time.Millisecond)
@@ -83,7 +83,10 @@
 
 // heardRows takes rows that were pushed, or asks the sender for those between.
 func (p *Peers) heardRows(ctx context.Context, from wire.Peer, m *RowsPush) {
-	if p.table(m.Table) == nil || p.merge(m.Table, m.After, &m.News) {
+	if p.table(m.Table) == nil {
+		return
+	}
+	if _, complete := p.merge(m.Table, m.After, &m.News); complete {
 		return
 	}
 	go p.askTable(context.WithoutCancel(ctx), from.HostID, from.Address, m.Table)
@@ -146,5 +149,7 @@
 		p.log.Warn("peer gave no rows", "host", id, "table", name, "error", err)
 		return
 	}
-	p.merge(name, after, &reply)
+	if newer, _ := p.merge(name, after, &reply); newer > 0 {
+		p.log.Info("took rows from another host", "host", id, "table", name, "rows", newer, "newest", p.table(name).Newest())
+	}
 }
--- a/internal/view/take.go
+++ b/internal/view/take.go
@@ -9,9 +9,9 @@
 )
 
 // Merge takes all rows above a version from another host, and when the store answered
-// that host again after an outage. It returns false if rows up to the version are
-// lacking here.
-func (v *View) Merge(t *Table, rows []store.Row, after uint64, regained time.Time) bool {
+// that host again after an outage. It returns how many rows were newer, and false if rows
+// up to the version are lacking here.
+func (v *View) Merge(t *Table, rows []store.Row, after uint64, regained time.Time) (newer int, complete bool) {
 	v.mu.Lock()
 	if regained.After(v.regained) {
 		v.regained = regained
@@ -19,10 +19,9 @@
 	v.mu.Unlock()
 	changed, complete := t.ApplyPeer(rows, after)
 	if len(changed) > 0 {
-		v.log.Info("took rows from another host", "table", t.name, "rows", len(changed), "newest", t.Newest())
 		v.take(t, changed)
 	}
-	return complete
+	return len(changed), complete
 }
 
 // take decodes changed rows and publishes a new snapshot.
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -172,3 +172,48 @@
 	b.dropSilentPeers(now.Add(4 * time.Second))
 	g.Expect(b.Running(e)).To(BeZero())
 }
+
+// Guards against a burst that all hosts send to one target: the streams of engines that
+// crash come back at once at 62 hosts, before these hear of each other's sends. A
+// target rejects what goes beyond its slots and its queue.
+func TestBurstDoesNotGoToOneTarget(t *testing.T) {
+	g := NewWithT(t)
+	const hosts, engines, each, slots, queue = 62, 52, 2, 16, 48
+	targets := make([]*topology.Target, engines)
+	running := map[string]int{}
+	for i := range targets {
+		targets[i] = engine(fmt.Sprint("e", i), "a", 1)
+		running[targets[i].ID] = slots - 1
+	}
+	running["e7"] = slots / 2
+	sent := map[string]int{}
+	for host := range hosts {
+		b := New("a", zones)
+		b.PeerRunning("peers", running, now)
+		for i := range each {
+			p := &Prompt{Model: model, Parts: []Part{{"own", 200}}, Bytes: 500, Draw: uint64(host*each + i + 1)}
+			c := b.Pick(p, targets, nil, now)
+			b.Begin(c.Target)
+			b.Read(c.Target, c.ReadMs, now)
+			sent[c.Target.ID]++
+		}
+	}
+	for id, n := range sent {
+		g.Expect(running[id]+n).To(BeNumerically("<=", slots+queue), id)
+	}
+}
+
+// Guards against a request that finds no target because chance left out the usable one.
+func TestChanceLeavesNoRequestWithoutATarget(t *testing.T) {
+	g := NewWithT(t)
+	targets := make([]*topology.Target, 40)
+	for i := range targets {
+		targets[i] = engine(fmt.Sprint("e", i), "a", 1)
+		targets[i].Leaving = i != 7
+	}
+	for draw := range uint64(50) {
+		p := prompt("manual", 12000)
+		p.Draw = draw + 1
+		g.Expect(New("a", zones).Pick(p, targets, nil, now).Target).To(Equal(targets[7]))
+	}
+}
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,8 @@
 	notHomeMs = 60
 	// overloadMs is the wait above which the agreed target is passed over.
 	overloadMs = 300
+	// sampledTargets is the number of targets that are considered by chance.
+	sampledTargets = 8
 	// defaultSlots holds for an engine that does not say how many it has.
 	defaultSlots = 16
 )
@@ -69,6 +72,9 @@
 	// means no bound.
 	WeightsBound time.Duration
 	Engine       *topology.Engine
+	// Draw picks the targets that are considered besides those that have or should have
+	// the shared parts; zero considers all.
+	Draw uint64
 	// Store is the address and zone of the KV store; empty without one.
 	StoreAddress, StoreZone string
 }
@@ -168,12 +174,37 @@
 	inStore bool
 }
 
+// near reports whether a target has the shared parts or should have them.
+func (v *variant) near(t *topology.Target) bool {
+	return t == v.home || slices.Contains(v.holders, t)
+}
+
 // Pick returns the choice with the least cost; Target is nil if no target is usable.
+//
+// Hosts learn each other's sends late, by up to a heartbeat. If all of them took the
+// target that costs least, a burst, such as the streams of engines that crash, would go
+// to one target and be rejected there. So each request considers the targets that have
+// or should have its shared parts, and a few others by chance.
 func (b *Balancer) Pick(p *Prompt, targets []*topology.Target, tried map[string]bool, now time.Time) Choice {
 	b.dropSilentPeers(now)
+	variants := map[int64]*variant{}
+	if p.Draw != 0 && len(targets) > sampledTargets {
+		drawn := func(t *topology.Target, v *variant) bool {
+			return v.near(t) || placement.Hash(t.ID, strconv.FormatUint(p.Draw, 16))%uint64(len(targets)) < sampledTargets
+		}
+		if best, rank := b.cheapest(p, targets, drawn, variants, tried, now); rank == usable {
+			return best
+		}
+	}
+	best, _ := b.cheapest(p, targets, func(*topology.Target, *variant) bool { return true }, variants, tried, now)
+	return best
+}
+
+// cheapest returns the choice with the lowest rank and the least cost among the
+// targets that are considered.
+func (b *Balancer) cheapest(p *Prompt, targets []*topology.Target, considered func(*topology.Target, *variant) bool, variants map[int64]*variant, tried map[string]bool, now time.Time) (Choice, exclusion) {
 	best := Choice{CostMs: math.Inf(1)}
 	bestRank := unusable
-	variants := map[int64]*variant{}
 	for _, t := range targets {
 		version := b.Weights(t, p.Model)
 		rank := p.outdated(version, b.exclusion(t, tried, now), now)
@@ -185,12 +216,15 @@
 			v = b.variant(p, version, targets, tried, now)
 			variants[version] = v
 		}
+		if !considered(t, v) {
+			continue
+		}
 		c := b.consider(p, t, v, now)
 		if rank < bestRank || c.CostMs < best.CostMs {
 			best, bestRank = c, rank
 		}
 	}
-	return best
+	return best, bestRank
 }
 
 // outdated raises the rank of targets whose weights are about to be older than the
