--- a/internal/entryhost/entryhost.go
+++ b/internal/entryhost/entryhost.go
@@ -153,10 +153,10 @@
 	b.Ready, b.Leaving = (*Host)(l).ready(), l.leaving.Load()
 	return b
 }
-func (l *local) HeardFrom(b *peers.Heartbeat)          { l.router.HeardFrom(b) }
-func (l *local) HeardSightings(all []balance.Sighting) { l.router.HeardSightings(all) }
-func (l *local) Shares() (int, float64)                { return l.peers.Shares() }
-func (l *local) Tell(s balance.Sighting)               { l.peers.Tell(s) }
+func (l *local) HeardFrom(b *peers.Heartbeat)                { l.router.HeardFrom(b) }
+func (l *local) HeardCacheNotices(all []balance.CacheNotice) { l.router.HeardCacheNotices(all) }
+func (l *local) Shares() (int, float64)                      { return l.peers.Shares() }
+func (l *local) Tell(s balance.CacheNotice)                  { l.peers.Tell(s) }
 func (l *local) HeardNotice(n *peers.EngineNotice) {
 	l.duty.HeardNotice()
 	l.router.HeardNotice(n)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// HeardSightings implements peers.Local.
-func (r *Router) HeardSightings(all []balance.Sighting) {
+// HeardCacheNotices implements peers.Local.
+func (r *Router) HeardCacheNotices(all []balance.CacheNotice) {
 	now := time.Now()
 	targets := r.View.Snapshot().Targets
 	r.mu.Lock()
@@ -120,8 +120,8 @@
 			stored[key] = e.Stored
 		}
 	}
-	has := balance.Sighting{TargetID: holder.TargetID}
-	evicted := balance.Sighting{TargetID: holder.TargetID, Evicted: true}
+	has := balance.CacheNotice{TargetID: holder.TargetID}
+	evicted := balance.CacheNotice{TargetID: holder.TargetID, Evicted: true}
 	for key, is := range stored {
 		if is {
 			has.Keys = append(has.Keys, key)
@@ -132,7 +132,7 @@
 	r.balancer.Saw(has, now)
 	r.balancer.Saw(evicted, now)
 	r.mu.Unlock()
-	for _, s := range [...]balance.Sighting{has, evicted} {
+	for _, s := range [...]balance.CacheNotice{has, evicted} {
 		if len(s.Keys) > 0 {
 			r.Fleet.Tell(s)
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -46,7 +46,7 @@
 type Fleet interface {
 	// Shares returns the number of hosts and the part of them that is silent.
 	Shares() (hosts int, silent float64)
-	Tell(s balance.Sighting)
+	Tell(s balance.CacheNotice)
 }
 
 // Options configure a Router.
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -81,7 +81,7 @@
 	p.envelope.Weights = choice.Weights
 	p.envelope.CacheSalt = balance.Salt(choice.Weights, p.prompt.Wall)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
-	r.sight(p.prompt, &choice, now)
+	r.noteCached(p.prompt, &choice, now)
 	c.log.Info("target chosen", "route", c.route.Name, "account", p.envelope.Account, "config", c.config.Version, "target", p.target.ID, "cost_ms", int(choice.CostMs),
 		"uncached", choice.Uncached, "reads", choice.Reads, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", strconv.FormatUint(uint64(choice.Key), 16), "shared", p.prompt.Shared(), "total", p.prompt.Total(), "weights", choice.Weights, "wanted", p.prompt.Wanted.Version)
 }
@@ -101,11 +101,11 @@
 	return q
 }
 
-// sight notes what the target will have cached, and tells peers what they may not
+// noteCached notes what the target will have cached, and tells peers what they may not
 // know.
-func (r *Router) sight(q *balance.Prompt, choice *balance.Choice, now time.Time) {
+func (r *Router) noteCached(q *balance.Prompt, choice *balance.Choice, now time.Time) {
 	keys := q.Keys(choice.Weights)
-	s := balance.Sighting{Keys: keys, TargetID: choice.Target.ID, Saved: choice.SaveTo != ""}
+	s := balance.CacheNotice{Keys: keys, TargetID: choice.Target.ID, Saved: choice.SaveTo != ""}
 	if choice.ReadMs >= tellReading {
 		s.ReadMs = choice.ReadMs
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -110,15 +110,15 @@
 	return out
 }
 
-// Sightings tell peers which targets read shared prefixes.
-type Sightings struct {
-	All []balance.Sighting `msgpack:"a"`
+// CacheNotices tell peers which targets read shared prefixes.
+type CacheNotices struct {
+	All []balance.CacheNotice `msgpack:"a"`
 	// PassOn asks the receiver to pass them on to its group.
 	PassOn bool `msgpack:"p,omitempty"`
 }
 
 // WireType implements wire.Message.
-func (*Sightings) WireType() wire.Type { return wire.TypeSightings }
+func (*CacheNotices) WireType() wire.Type { return wire.TypeCacheNotices }
 
 // EngineNotice tells peers about an order to a target: requests pause before it, and
 // go on with the version after it.
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// sightingsDelay joins sightings that come close together, and passDelay those of
+	// cacheNoticesDelay joins notices that come close together, and passDelay those of
 	// a fleet in which hosts pass them on.
-	sightingsDelay = 10 * time.Millisecond
-	passDelay      = 60 * time.Millisecond
+	cacheNoticesDelay = 10 * time.Millisecond
+	passDelay         = 60 * time.Millisecond
 )
 
 // tell sends a message to hosts and waits for their answers.
@@ -67,30 +67,30 @@
 	p.tell(ctx, heard(layout.Group()), addresses, n)
 }
 
-// Tell queues a sighting for the peers.
-func (p *Peers) Tell(s balance.Sighting) { p.queue(p.sightings, s) }
+// Tell queues a notice of cached parts for the peers.
+func (p *Peers) Tell(s balance.CacheNotice) { p.queue(p.cacheNotices, s) }
 
-func (p *Peers) queue(ring chan balance.Sighting, s balance.Sighting) {
+func (p *Peers) queue(ring chan balance.CacheNotice, s balance.CacheNotice) {
 	select {
 	case ring <- s:
 	default:
-		p.log.Warn("sighting dropped; the ring is full", "target", s.TargetID)
+		p.log.Warn("notice of cached parts dropped; the ring is full", "target", s.TargetID)
 	}
 }
 
-func (p *Peers) heardSightings(s *Sightings) {
-	p.local.HeardSightings(s.All)
+func (p *Peers) heardCacheNotices(s *CacheNotices) {
+	p.local.HeardCacheNotices(s.All)
 	if !s.PassOn {
 		return
 	}
 	for _, one := range s.All {
-		p.queue(p.passedSightings, one)
+		p.queue(p.passedNotices, one)
 	}
 }
 
 // drain takes what waits in a ring.
-func drain(ring chan balance.Sighting) []balance.Sighting {
-	var out []balance.Sighting
+func drain(ring chan balance.CacheNotice) []balance.CacheNotice {
+	var out []balance.CacheNotice
 	for {
 		select {
 		case s := <-ring:
@@ -101,41 +101,41 @@
 	}
 }
 
-func (p *Peers) sendSightings(ctx context.Context) {
-	delay := sightingsDelay
+func (p *Peers) sendCacheNotices(ctx context.Context) {
+	delay := cacheNoticesDelay
 	for {
-		var own, passed []balance.Sighting
+		var own, passed []balance.CacheNotice
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-p.sightings:
+		case s := <-p.cacheNotices:
 			own = append(own, s)
-		case s := <-p.passedSightings:
+		case s := <-p.passedNotices:
 			passed = append(passed, s)
 		}
 		clock.Sleep(ctx, delay)
-		own, passed = append(own, drain(p.sightings)...), append(passed, drain(p.passedSightings)...)
+		own, passed = append(own, drain(p.cacheNotices)...), append(passed, drain(p.passedNotices)...)
 		layout, addresses := p.layout()
-		delay = sightingsDelay
+		delay = cacheNoticesDelay
 		if !layout.Direct() {
 			delay = passDelay
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		go func() {
 			defer cancel()
-			p.spreadSightings(callCtx, layout, addresses, own, passed)
+			p.spreadCacheNotices(callCtx, layout, addresses, own, passed)
 		}()
 	}
 }
 
-// spreadSightings tells the group all, and the contacts those of this host.
-func (p *Peers) spreadSightings(ctx context.Context, layout *spread.Layout, addresses map[string]string, own, passed []balance.Sighting) {
+// spreadCacheNotices tells the group all, and the contacts those of this host.
+func (p *Peers) spreadCacheNotices(ctx context.Context, layout *spread.Layout, addresses map[string]string, own, passed []balance.CacheNotice) {
 	var running sync.WaitGroup
 	running.Go(func() {
-		p.tell(ctx, heard(layout.Group()), addresses, &Sightings{All: append(passed, own...)})
+		p.tell(ctx, heard(layout.Group()), addresses, &CacheNotices{All: append(passed, own...)})
 	})
 	if len(own) > 0 {
-		p.tell(ctx, heard(layout.Contacts(uint64(time.Now().UnixNano()))), addresses, &Sightings{All: own, PassOn: true})
+		p.tell(ctx, heard(layout.Contacts(uint64(time.Now().UnixNano()))), addresses, &CacheNotices{All: own, PassOn: true})
 	}
 	running.Wait()
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,8 +45,8 @@
 	Describe() Heartbeat
 	// HeardFrom takes a peer's heartbeat.
 	HeardFrom(h *Heartbeat)
-	// HeardSightings takes a peer's sightings.
-	HeardSightings(all []balance.Sighting)
+	// HeardCacheNotices takes a peer's notices of cached parts.
+	HeardCacheNotices(all []balance.CacheNotice)
 	// HeardNotice takes the notice of an order to a target.
 	HeardNotice(n *EngineNotice)
 }
@@ -60,8 +60,8 @@
 	local   Local
 	log     hclog.Logger
 	members *members
-	// sightings are those of this host, passedSightings those to pass on to its group.
-	sightings, passedSightings chan balance.Sighting
+	// cacheNotices are those of this host, passedNotices those to pass on to its group.
+	cacheNotices, passedNotices chan balance.CacheNotice
 
 	mu       sync.Mutex
 	sequence uint64
@@ -75,7 +75,7 @@
 func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local Local, log hclog.Logger) *Peers {
 	p := &Peers{
 		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, members: newMembers(),
-		sightings: make(chan balance.Sighting, noticeRing), passedSightings: make(chan balance.Sighting, noticeRing),
+		cacheNotices: make(chan balance.CacheNotice, noticeRing), passedNotices: make(chan balance.CacheNotice, noticeRing),
 		passed: map[string]Heartbeat{},
 		lags:   map[string]*lag{operatorTable: {}, targetTable: {}},
 	}
@@ -107,12 +107,12 @@
 		p.heardRows(ctx, from, &m)
 		return &wire.Ack{}, nil
 	})
-	r.Handle(wire.TypeSightings, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
-		var s Sightings
+	r.Handle(wire.TypeCacheNotices, func(_ context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var s CacheNotices
 		if err := request.Decode(&s); err != nil {
 			return nil, err
 		}
-		p.heardSightings(&s)
+		p.heardCacheNotices(&s)
 		return &wire.Ack{}, nil
 	})
 	r.Handle(wire.TypeEngineNotice, func(ctx context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
@@ -173,10 +173,10 @@
 	return s.hosts, s.silent
 }
 
-// Run sends heartbeats and sightings until ctx ends.
+// Run sends heartbeats and notices of cached parts until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	var running sync.WaitGroup
-	running.Go(func() { p.sendSightings(ctx) })
+	running.Go(func() { p.sendCacheNotices(ctx) })
 	running.Go(func() { clock.Every(ctx, heartbeatInterval, func() { p.beat(ctx) }) })
 	running.Wait()
 	return nil
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -28,10 +28,10 @@
 	*Peers
 	handlers map[wire.Type]wire.Handler
 
-	mu        sync.Mutex
-	totals    map[string]float64
-	sightings int
-	notices   int
+	mu           sync.Mutex
+	totals       map[string]float64
+	cacheNotices int
+	notices      int
 }
 
 // Handle implements wire.Registry.
@@ -47,10 +47,10 @@
 	h.totals[b.From.ID] = b.Use[0].Total
 }
 
-func (h *testHost) HeardSightings(all []balance.Sighting) {
+func (h *testHost) HeardCacheNotices(all []balance.CacheNotice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.sightings += len(all)
+	h.cacheNotices += len(all)
 }
 
 func (h *testHost) HeardNotice(*EngineNotice) {
@@ -154,7 +154,7 @@
 	g.Expect(w.sent).To(BeNumerically("<=", 3*99*22))
 }
 
-// Guards against a notice or a sighting that some hosts miss in a large fleet, also when
+// Guards against a notice that some hosts miss in a large fleet, also when
 // a host that should pass it on has died.
 func TestNoticesReachALargeFleet(t *testing.T) {
 	g := NewWithT(t)
@@ -166,14 +166,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	for _, h := range w.hosts {
-		go h.sendSightings(ctx)
+		go h.sendCacheNotices(ctx)
 	}
 	sender := w.hosts["h000"]
-	sender.Tell(balance.Sighting{TargetID: "t"})
+	sender.Tell(balance.CacheNotice{TargetID: "t"})
 	layout, addresses := sender.layout()
 	for id, h := range w.hosts {
 		if h != sender {
-			g.Eventually(h.count(&h.sightings)).Should(Equal(1), id)
+			g.Eventually(h.count(&h.cacheNotices)).Should(Equal(1), id)
 		}
 	}
 	lost := addresses[layout.Contacts(0)[0].ID]
--- a/internal/wire/contract.go
+++ b/internal/wire/contract.go
@@ -32,7 +32,7 @@
 	TypeHeartbeatReply
 	TypeRowsRequest
 	TypeRowsReply
-	TypeSightings
+	TypeCacheNotices
 	TypeEngineNotice
 	TypeRowsPush
 )
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -32,7 +32,7 @@
 	c := b.Pick(p, targets, nil, now)
 	b.Begin(c.Target)
 	b.Read(c.Target, c.ReadMs, now)
-	b.Saw(Sighting{Keys: p.Keys(c.Weights), TargetID: c.Target.ID, Saved: c.SaveTo != ""}, now)
+	b.Saw(CacheNotice{Keys: p.Keys(c.Weights), TargetID: c.Target.ID, Saved: c.SaveTo != ""}, now)
 	return c
 }
 
@@ -52,7 +52,7 @@
 		g.Expect(holders[again.Target.ID] || again.FetchFrom != "").To(BeTrue())
 		holders[again.Target.ID] = true
 	}
-	one.Saw(Sighting{Keys: prompt("manual", 12000).Keys(1), TargetID: first.Target.ID, Evicted: true}, now)
+	one.Saw(CacheNotice{Keys: prompt("manual", 12000).Keys(1), TargetID: first.Target.ID, Evicted: true}, now)
 	g.Expect(one.Knows(prompt("manual", 12000).Keys(1)[0], first.Target.ID, now)).To(BeFalse())
 }
 
@@ -95,7 +95,7 @@
 	p.StoreAddress, p.StoreZone = "store:1", "c"
 	g.Expect(b.Pick(p, []*topology.Target{far}, nil, now).SaveTo).To(BeEmpty())
 	g.Expect(b.Pick(p, []*topology.Target{near}, nil, now).SaveTo).To(Equal("store:1"))
-	b.Saw(Sighting{Keys: p.Keys(1)}, now)
+	b.Saw(CacheNotice{Keys: p.Keys(1)}, now)
 	g.Expect(b.Pick(p, []*topology.Target{far}, nil, now).FetchFrom).To(BeEmpty())
 	g.Expect(b.Pick(p, []*topology.Target{near}, nil, now).FetchFrom).To(Equal("store:1"))
 }
@@ -147,7 +147,7 @@
 		targets[i] = engine(fmt.Sprint("e", i), []string{"a", "b", "c"}[i%3], 1)
 		running[targets[i].ID] = 1
 		if i%10 == 0 {
-			balancer.Saw(Sighting{Keys: p.Keys(1), TargetID: targets[i].ID}, now)
+			balancer.Saw(CacheNotice{Keys: p.Keys(1), TargetID: targets[i].ID}, now)
 		}
 	}
 	for i := range 350 {
--- a/policy/balance/cachemap.go
+++ b/policy/balance/cachemap.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// Sighting says that a target reads or uses shared parts, or has evicted them.
-type Sighting struct {
+// CacheNotice says that a target reads or uses shared parts, or has evicted them.
+type CacheNotice struct {
 	Keys []Key `msgpack:"k"`
 	// TargetID is empty for the KV store.
 	TargetID string `msgpack:"t,omitempty"`
@@ -81,15 +81,15 @@
 	ReadMs float64 `msgpack:"r,omitempty"`
 }
 
-func (s *Sighting) holder() string {
+func (s *CacheNotice) holder() string {
 	if s.TargetID == "" {
 		return storeID
 	}
 	return s.TargetID
 }
 
-// Saw notes a sighting, of this host or of a peer.
-func (b *Balancer) Saw(s Sighting, now time.Time) {
+// Saw takes a notice of this host or of a peer.
+func (b *Balancer) Saw(s CacheNotice, now time.Time) {
 	for _, key := range s.Keys {
 		switch {
 		case s.Evicted:
@@ -106,13 +106,13 @@
 // Knows reports whether a holder is believed to have a part; an empty target id
 // stands for the KV store.
 func (b *Balancer) Knows(key Key, targetID string, now time.Time) bool {
-	s := Sighting{TargetID: targetID}
+	s := CacheNotice{TargetID: targetID}
 	return b.cache.holds(key, s.holder(), now)
 }
 
 // Lost forgets the cached parts of a target whose memory is gone; an empty target id
 // stands for the KV store.
 func (b *Balancer) Lost(targetID string) {
-	s := Sighting{TargetID: targetID}
+	s := CacheNotice{TargetID: targetID}
 	b.cache.drop(s.holder())
 }
