Test a fleet of 18 hosts on the stand-in of the platform

Guards against a large fleet in which each change costs a call of every host, and against hosts that keep an old configuration when the store does not answer those that follow it. The gate of the fixture counts the calls.

--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -33,13 +33,18 @@
 	schoolKey     = "key-of-school"
 )
 
-// gate lets a test keep one host from the store.
+// gate lets a test keep one host from the store, and counts the changes that the host
+// asks for.
 type gate struct {
 	http.Handler
-	closed atomic.Bool
+	closed  atomic.Bool
+	follows atomic.Int64
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/api/rows-feed" {
+		g.follows.Add(1)
+	}
 	if g.closed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -271,3 +271,53 @@
 	two.stop()
 	s.g.Eventually(addresses, "2s", "50ms").Should(ConsistOf(one.callers))
 }
+
+// Guards against a large fleet in which each change costs a call of every host, and
+// against hosts that keep an old configuration when the store does not answer those
+// that follow it.
+func TestLargeFleetFollowsTheStoreInGroups(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.desk("desk-1")
+	for i := range 18 {
+		s.startHost(fmt.Sprintf("host-%02d", i))
+	}
+	allServe := func(status int) func() int {
+		return func() int {
+			n := 0
+			for _, h := range s.hosts {
+				if s.send(h, request{method: "GET", uri: "/open/1"}).status == status {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	s.g.Eventually(allServe(http.StatusOK), "8s", "50ms").Should(Equal(18))
+	// followers returns the hosts that ask for changes while some come.
+	followers := func() []*host {
+		for _, h := range s.hosts {
+			h.gate.follows.Store(0)
+		}
+		for range 4 {
+			time.Sleep(300 * time.Millisecond)
+			s.change(func(object) {})
+		}
+		var out []*host
+		for _, h := range s.hosts {
+			if h.gate.follows.Load() >= 4 {
+				out = append(out, h)
+			}
+		}
+		return out
+	}
+	s.g.Eventually(func() int { return len(followers()) }, "15s").Should(BeNumerically("<=", 5))
+	for _, h := range followers() {
+		h.gate.closed.Store(true)
+	}
+	s.change(func(c object) { c["routes"] = c["routes"].([]any)[:2] })
+	s.g.Eventually(allServe(http.StatusNotFound), "4s", "50ms").Should(Equal(18))
+	for _, h := range s.hosts {
+		h.stop() // all at once; the fixture waits for each
+	}
+}
