Share the settings, addresses and answers of a stand-in site

Cause: test/soak wrote again what test/site had: the settings file of a host, its loopback address and ports, and the text of an engine's stream; the replica stand-in had that text a third time. Change: standin/site has HostSettings, HostIP and StreamBody, which both tests and the replica use. Grace and the share of repeats have one definition.

--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -258,7 +258,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+		if _, err := io.WriteString(w, eventText(i)); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -177,16 +176,6 @@
 	return r
 }
 
-// lastHost numbers the hosts of this process.
-var lastHost atomic.Int64
-
-// hostIP returns a loopback address of its own for each host. Its ports are free:
-// connections go out from 127.0.0.1, and could take a port there before the host does.
-func hostIP() string {
-	n := lastHost.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, 1+os.Getpid()/100%250, 1+n%250)
-}
-
 // host starts a host and waits until it is ready.
 func (s *site) host(id string) *host {
 	h := s.startHost(id)
@@ -195,30 +184,17 @@
 }
 
 func (s *site) startHost(id string) *host {
-	ip := hostIP()
-	h := &host{
-		callers: ip + ":9001", ready: ip + ":9002", locator: ip + ":9003",
-		metrics: ip + ":9004", log: &logBuffer{},
-		gate: &gate{Handler: s.store}, done: make(chan error, 1),
-	}
+	h := &host{log: &logBuffer{}, gate: &gate{Handler: s.store}, done: make(chan error, 1)}
 	storeAddress, stopGate, err := standin.Serve(h.gate)
 	s.g.Expect(err).NotTo(HaveOccurred())
-	inner := ip + ":9005"
-	s.seeds = append(s.seeds, inner)
+	settings := standin.HostSettings{
+		ID: id, IP: standin.HostIP(), Zone: "zone-a", Zones: []string{"zone-a"}, StoreAddress: storeAddress, RetrySlack: 50,
+	}
+	h.callers, h.ready, h.locator, h.metrics = settings.Callers(), settings.Ready(), settings.Locator(), settings.IP+":9004"
+	s.seeds = append(s.seeds, settings.Inner())
+	settings.Seeds = s.seeds
 	file := filepath.Join(s.t.TempDir(), "settings.json")
-	data, err := json.Marshal(object{
-		"node_name": id, "zone": "zone-a", "region": "north", "zones": object{"zone-a": "north"},
-		"listen_addrs": object{"front": h.callers, "ready": h.ready, "control": inner, "directory": h.locator},
-		"seeds":        s.seeds, "limits": object{"memory_mb": 200, "max_fds": 4100},
-		"bounds": object{
-			"drain_ms": 2500, "grace_s": 8, "contact_ms": 3000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-			"budget_slack": 50, "quota_window_s": 8, "quota_slack": 1000, "lease_ms": 1000, "require_fence": true,
-			"ttl_max_s": 5, "version_ms": 8000,
-		},
-		"platform": object{"address": storeAddress},
-	})
-	s.g.Expect(err).NotTo(HaveOccurred())
-	s.g.Expect(os.WriteFile(file, data, 0o600)).To(Succeed())
+	s.g.Expect(settings.Write(file)).To(Succeed())
 	d, err := platform.ReadSettings(file)
 	s.g.Expect(err).NotTo(HaveOccurred())
 	tel, err := telemetry.New(context.Background(), telemetry.Options{LogLevel: "info", LogJSON: true, LogOutput: h.log})
@@ -320,11 +296,3 @@
 	}
 	return n
 }
-
-func events(n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
-	}
-	return b.String()
-}
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -36,7 +36,7 @@
 	s.g.Eventually(h.isReady, "1s", "20ms").ShouldNot(Equal(http.StatusOK))
 	r := <-got
 	s.g.Expect(r.err).NotTo(HaveOccurred())
-	s.g.Expect(r.body).To(Equal(events(30)))
+	s.g.Expect(r.body).To(Equal(standin.StreamBody(30)))
 }
 
 // Guards against a planned stop that closes a kept connection whose next request is
@@ -77,7 +77,7 @@
 	s.g.Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	s.g.Expect(refused.Header.Get("Retry-After")).NotTo(BeEmpty())
 	s.g.Expect(refused.Close).To(BeTrue())
-	s.g.Expect((<-long).body).To(Equal(events(25)))
+	s.g.Expect((<-long).body).To(Equal(standin.StreamBody(25)))
 }
 
 // Guards against a withdrawn key that works on at a host that the store does not answer:
--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -117,15 +117,15 @@
 	h := s.host("host-1")
 	whole := s.send(h, prompt("/brief/1"))
 	s.g.Expect(whole.err).NotTo(HaveOccurred())
-	s.g.Expect(whole.body).To(Equal(events(6)))
+	s.g.Expect(whole.body).To(Equal(standin.StreamBody(6)))
 	one.SetFaults(standin.ReplicaFaults{CutAfterEvents: 3})
 	two.SetFaults(standin.ReplicaFaults{CutAfterEvents: 3})
 	cut := s.send(h, prompt("/brief/1"))
 	s.g.Expect(cut.err).To(HaveOccurred())
-	s.g.Expect(cut.body).To(Equal(events(3)))
+	s.g.Expect(cut.body).To(Equal(standin.StreamBody(3)))
 	s.g.Expect(runsOf(cut.id, one, two)).To(Equal(1))
 	resumed := s.send(h, prompt("/query/1"))
-	s.g.Expect(resumed.body).To(HavePrefix(events(3)))
+	s.g.Expect(resumed.body).To(HavePrefix(standin.StreamBody(3)))
 	s.g.Expect(runsOf(resumed.id, one, two)).To(Equal(2))
 	for _, r := range [...]*standin.Replica{one, two} {
 		for _, run := range r.Runs() {
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 
@@ -31,22 +30,13 @@
 	in.checkRetries(sent, runs)
 }
 
-// wholeStream is the body of a complete stream.
-func wholeStream() string {
-	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
-	}
-	return b.String()
-}
-
 // checkAnswer checks that a success is the whole answer of a target to this request,
 // and that no answer comes later than the time limit allows.
 func (in *installation) checkAnswer(q *request) {
 	if q.status == http.StatusOK && q.err == nil {
 		want := "answer to " + q.id
 		if q.kind == "brief" || q.kind == "query" {
-			want = wholeStream()
+			want = standin.StreamBody(streamEvents)
 		}
 		if stamp := q.header.Get("X-Response-Stamp"); q.body != want || stamp != "stamp-"+q.id {
 			in.report("%s %s got 200 with stamp %q and body %q", q.kind, q.id, stamp, q.body)
@@ -90,7 +80,7 @@
 		repeats[stream] += max(0, len(runs[q.id])-1)
 	}
 	for stream, n := range requests {
-		if limit := retryRatio*float64(n) + 2*retrySlack; float64(repeats[stream]) > limit {
+		if limit := standin.RetryRatio*float64(n) + 2*retrySlack; float64(repeats[stream]) > limit {
 			in.report("%d repeats for %d requests, streams: %v", repeats[stream], n, stream)
 		}
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -35,7 +35,7 @@
 	n := in.nodes[random.IntN(len(in.nodes))]
 	r := in.replicas[random.IntN(len(in.replicas))]
 	lasts := time.Duration(100+random.IntN(2400)) * time.Millisecond
-	lock, _ := locks.LoadOrStore(n.id, &sync.Mutex{})
+	lock, _ := locks.LoadOrStore(n.ID, &sync.Mutex{})
 	alone := func(f func()) func() {
 		return func() {
 			lock.(*sync.Mutex).Lock()
@@ -50,13 +50,13 @@
 		return func() { r.SetFaults(f); time.Sleep(lasts); r.SetFaults(standin.ReplicaFaults{}) }
 	}
 	all := []fault{
-		{name: "kill " + n.id, run: alone(func() { in.restart(program, n, syscall.SIGKILL) })},
-		{name: "stop " + n.id, run: alone(func() { in.restart(program, n, syscall.SIGTERM) })},
-		{name: "pause " + n.id, run: alone(func() { n.signal(syscall.SIGSTOP); time.Sleep(lasts); n.signal(syscall.SIGCONT) })},
-		{name: "reload " + n.id, run: alone(func() { n.signal(syscall.SIGHUP) })},
-		{name: "silence the store of " + n.id, run: cut(n.storeLink, relay.Drop)},
-		{name: "reset the store of " + n.id, run: cut(n.storeLink, relay.Reset)},
-		{name: "drop the answers of the store to " + n.id, run: cut(n.storeLink, relay.DropAnswers)},
+		{name: "kill " + n.ID, run: alone(func() { in.restart(program, n, syscall.SIGKILL) })},
+		{name: "stop " + n.ID, run: alone(func() { in.restart(program, n, syscall.SIGTERM) })},
+		{name: "pause " + n.ID, run: alone(func() { n.signal(syscall.SIGSTOP); time.Sleep(lasts); n.signal(syscall.SIGCONT) })},
+		{name: "reload " + n.ID, run: alone(func() { n.signal(syscall.SIGHUP) })},
+		{name: "silence the store of " + n.ID, run: cut(n.storeLink, relay.Drop)},
+		{name: "reset the store of " + n.ID, run: cut(n.storeLink, relay.Reset)},
+		{name: "drop the answers of the store to " + n.ID, run: cut(n.storeLink, relay.DropAnswers)},
 		{name: "store down", run: func() { in.store.SetDown(true); time.Sleep(lasts); in.store.SetDown(false) }},
 		{name: "store drops its history", run: in.store.DropHistory},
 		{name: "configuration", run: in.publish},
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -25,10 +25,7 @@
 	virtualHost = "callers.example"
 	key         = "key-of-club"
 	// timeLimit is the time limit of all routes.
-	timeLimit = 2 * time.Second
-	// grace is how long a planned stop may take.
-	grace        = 8 * time.Second
-	retryRatio   = 0.2
+	timeLimit    = 2 * time.Second
 	retrySlack   = 40
 	streamEvents = 20
 )
@@ -37,8 +34,9 @@
 
 // node is one host: a process, or none while it is down.
 type node struct {
-	id, ip, file string
-	storeLink    *relay.Relay
+	standin.HostSettings
+	file      string
+	storeLink *relay.Relay
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -149,17 +147,16 @@
 func (in *installation) seeds() []string {
 	var out []string
 	for _, n := range in.nodes {
-		out = append(out, n.ip+":9005")
+		out = append(out, n.Inner())
 	}
 	return out
 }
 
-// lastIP numbers the addresses of hosts, so that each process has its own ports.
-var lastIP atomic.Int64
-
 func (in *installation) addNode(i int) error {
-	pid := os.Getpid()
-	n := &node{id: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 100+pid%100, 1+pid/100%250, 1+lastIP.Add(1)%250)}
+	n := &node{HostSettings: standin.HostSettings{
+		ID: fmt.Sprintf("host-%d", i), IP: standin.HostIP(), Zone: fmt.Sprintf("zone-%d", i%2), Zones: []string{"zone-0", "zone-1"},
+		RetrySlack: retrySlack,
+	}}
 	address, stop, err := standin.Serve(in.store)
 	if err != nil {
 		return err
@@ -170,27 +167,14 @@
 	}
 	in.closers = append(in.closers, n.storeLink.Close)
 	in.nodes = append(in.nodes, n)
-	n.file = filepath.Join(in.logs, n.id+".json")
-	data, err := json.Marshal(object{
-		"node_name": n.id, "zone": fmt.Sprintf("zone-%d", i%2), "region": "north", "zones": object{"zone-0": "north", "zone-1": "north"},
-		"listen_addrs": object{"front": n.ip + ":9001", "ready": n.ip + ":9002", "control": n.ip + ":9005", "directory": n.ip + ":9003"},
-		"seeds":        in.seeds(), "limits": object{"memory_mb": 200, "max_fds": 4100},
-		"bounds": object{
-			"drain_ms": 2500, "grace_s": grace.Seconds(), "contact_ms": 3000, "retry_budget_ratio": retryRatio, "budget_window_s": 10,
-			"budget_slack": retrySlack, "quota_window_s": 8, "quota_slack": 1000, "lease_ms": 1000, "require_fence": true,
-			"ttl_max_s": 5, "version_ms": 8000,
-		},
-		"platform": object{"address": n.storeLink.Addr()},
-	})
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(n.file, data, 0o600)
+	n.StoreAddress, n.Seeds = n.storeLink.Addr(), in.seeds()
+	n.file = filepath.Join(in.logs, n.ID+".json")
+	return n.Write(n.file)
 }
 
 // start starts the process of a host.
 func (in *installation) start(program string, n *node) error {
-	log, err := os.OpenFile(filepath.Join(in.logs, n.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(in.logs, n.ID+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -199,7 +183,7 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	before := size(log)
 	if err := cmd.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", n.id)
+		return errors.Wrapf(err, "start %s", n.ID)
 	}
 	defer awaitBegin(log, before)
 	n.mu.Lock()
@@ -225,7 +209,7 @@
 	stopping := n.stopping
 	n.mu.Unlock()
 	if !stopping || err != nil && err.Error() != "signal: killed" {
-		in.report("%s ended: %v, told to stop: %v", n.id, err, stopping)
+		in.report("%s ended: %v, told to stop: %v", n.ID, err, stopping)
 	}
 	close(ended)
 }
@@ -254,8 +238,8 @@
 	n.mu.Unlock()
 	select {
 	case <-ended:
-	case <-time.After(grace + 3*time.Second):
-		in.report("%s did not stop within %v of %v", n.id, grace+3*time.Second, s)
+	case <-time.After(standin.Grace + 3*time.Second):
+		in.report("%s did not stop within %v of %v", n.ID, standin.Grace+3*time.Second, s)
 		n.signal(syscall.SIGKILL)
 		<-ended
 	}
@@ -266,7 +250,7 @@
 
 func (n *node) ready() bool {
 	client := http.Client{Timeout: 300 * time.Millisecond}
-	resp, err := client.Get("http://" + n.ip + ":9002/api/ready")
+	resp, err := client.Get("http://" + n.Ready() + "/api/ready")
 	if err != nil {
 		return false
 	}
@@ -280,7 +264,7 @@
 	for _, n := range in.nodes {
 		for !n.ready() {
 			if time.Now().After(deadline) {
-				in.report("%s is not ready within %v", n.id, limit)
+				in.report("%s is not ready within %v", n.ID, limit)
 				break
 			}
 			time.Sleep(20 * time.Millisecond)
