Log and count for how long chosen weights have been outdated

The line "target chosen" now has outdated_ms, as this host believes it, and sequoiaroad_forward_outdated_weights_seconds counts prompts by the same time. No decision changes.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,13 +13,20 @@
 // latencyBounds are the histogram bounds in seconds around the latency objectives.
 var latencyBounds = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 6}
 
+// stalenessBounds are the histogram bounds in seconds around the maximum staleness of
+// weights.
+var stalenessBounds = []float64{0, 0.5, 1.5, 3, 4.5, 6, 7, 8, 9, 12}
+
 // metrics holds the instruments for forwarded requests.
 type metrics struct {
 	responses  metric.Int64Counter
 	refusals   metric.Int64Counter
 	duration   metric.Float64Histogram
 	firstEvent metric.Float64Histogram
-	ctx        context.Context
+	// outdatedWeights counts prompts that were sent to targets, by the time since newer
+	// weights were published; zero for the newest.
+	outdatedWeights metric.Float64Histogram
+	ctx             context.Context
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -35,7 +42,10 @@
 	if m.duration, err = meter.Float64Histogram("sequoiaroad_forward_duration_seconds", metric.WithUnit("s"), bounds); err != nil {
 		return nil, errors.Wrap(err, "create metric")
 	}
-	m.firstEvent, err = meter.Float64Histogram("sequoiaroad_forward_first_event_seconds", metric.WithUnit("s"), bounds)
+	if m.firstEvent, err = meter.Float64Histogram("sequoiaroad_forward_first_event_seconds", metric.WithUnit("s"), bounds); err != nil {
+		return nil, errors.Wrap(err, "create metric")
+	}
+	m.outdatedWeights, err = meter.Float64Histogram("sequoiaroad_forward_outdated_weights_seconds", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(stalenessBounds...))
 	return m, errors.Wrap(err, "create metric")
 }
 
@@ -59,3 +69,7 @@
 func (m *metrics) recordFirstEvent(c *call, took time.Duration) {
 	m.firstEvent.Record(m.ctx, took.Seconds(), metric.WithAttributes(c.kindAttribute()))
 }
+
+func (m *metrics) recordOutdatedWeights(c *call, outdatedFor time.Duration) {
+	m.outdatedWeights.Record(m.ctx, outdatedFor.Seconds(), metric.WithAttributes(c.kindAttribute()))
+}
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -83,7 +83,8 @@
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
 	r.recordCached(p.prompt, &choice, now)
 	c.log.Info("target chosen", "route", c.route.Name, "account", p.envelope.Account, "config", c.config.Version, "target", p.target.ID, "cost_ms", int(choice.CostMs),
-		"uncached", choice.UncachedTokens, "reads", choice.PrefillsShared, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", strconv.FormatUint(uint64(choice.PrefixKey), 16), "shared", p.prompt.SharedTokens(), "total", p.prompt.TotalTokens(), "weights", choice.WeightsVersion, "wanted", p.prompt.DesiredWeights.Version)
+		"uncached", choice.UncachedTokens, "reads", choice.PrefillsShared, "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "prefix", strconv.FormatUint(uint64(choice.PrefixKey), 16), "shared", p.prompt.SharedTokens(), "total", p.prompt.TotalTokens(), "weights", choice.WeightsVersion, "wanted", p.prompt.DesiredWeights.Version, "outdated_ms", choice.OutdatedFor.Milliseconds())
+	r.metrics.recordOutdatedWeights(c, choice.OutdatedFor)
 }
 
 func (r *Router) newPrompt(c *call) *balance.Prompt {
--- a/policy/balance/cost.go
+++ b/policy/balance/cost.go
@@ -24,7 +24,7 @@
 // evaluate estimates the cost of sending a prompt to a target, and chooses where the
 // target fetches shared parts from that it does not have cached.
 func (b *Balancer) evaluate(p *Prompt, t *topology.Target, v *variant, now time.Time) Choice {
-	c := Choice{Target: t, WeightsVersion: v.version}
+	c := Choice{Target: t, WeightsVersion: v.version, OutdatedFor: p.DesiredWeights.OutdatedFor(v.version, now)}
 	shared := p.SharedTokens()
 	missing := shared - p.cached(b.cache, v.keys, t.ID, now)
 	cost := b.waitMs(p, t, now) + b.networkMs(t, p.BodyBytes)
@@ -54,7 +54,7 @@
 	if v.preferred != nil && t != v.preferred {
 		cost += notPreferredMs
 	}
-	if outdated := p.DesiredWeights.OutdatedFor(v.version, now) - outdatedWeightsGrace; outdated > 0 {
+	if outdated := c.OutdatedFor - outdatedWeightsGrace; outdated > 0 {
 		cost += outdatedWeightsMs + outdatedWeightsMsPerSecond*outdated.Seconds()
 	}
 	c.CostMs = cost
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -154,6 +154,8 @@
 type Choice struct {
 	Target         *topology.Target
 	WeightsVersion int64
+	// OutdatedFor is the time since newer weights were published; zero for the newest.
+	OutdatedFor time.Duration
 	// UncachedTokens is the number of tokens that the target is expected to compute,
 	// and PrefillMs the estimated time for them.
 	UncachedTokens int
