Keep outages of the store out of the staleness of weights

The bound is stated for the time in which the store is stable; a host that the store does not answer is not bound by it.

Staleness now stands still from the first failed call of a table until all tables answer. The last answer would be the wrong start: after a long poll of 4 s one failed call would take 4 s off the age of a version.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -55,7 +55,7 @@
 			"routes", len(config.Routes), "accounts", len(config.Accounts))
 	case desired != nil && desired.Version > v.desired[desired.Model].Version:
 		before := v.desired[desired.Model]
-		before.Model = desired.Model
+		before.Model, before.StoreLostAt = desired.Model, v.storeLostAt
 		v.desired[desired.Model] = before.WithVersion(desired.Version, time.Now())
 		v.log.Info("desired weights changed", "model", desired.Model, "weights", desired.Version)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -98,6 +98,8 @@
 	desired map[string]topology.DesiredWeights
 	targets map[string]*topology.Target
 	hosts   map[string]Host
+	// storeLostAt is since when the store has not answered; zero if it answers.
+	storeLostAt time.Time
 	// storeRecoveredAt is when the store last responded again after an outage.
 	storeRecoveredAt time.Time
 	// removeAt is when targets whose entries expired are removed.
@@ -173,6 +175,7 @@
 		case err == nil:
 			if t.setUnreachable(false) {
 				v.log.Info("store answers again", "table", t.name)
+				v.recordReachability(time.Now())
 			}
 			retry = minRetry
 		case errors.Is(err, v.decoder.ErrCompacted):
@@ -181,6 +184,7 @@
 		default:
 			if ctx.Err() == nil && !t.setUnreachable(true) {
 				v.log.Warn("store does not answer", "table", t.name, "error", err)
+				v.recordReachability(time.Now())
 			}
 			clock.Sleep(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, maxRetry)
@@ -223,6 +227,31 @@
 	return nil
 }
 
+// recordReachability keeps outages of the store out of the staleness of weights. An
+// outage begins with the first failed call, not with the last answer: a single failure
+// after a long poll is not an outage of the time that the poll waited.
+func (v *View) recordReachability(now time.Time) {
+	lost := v.StoreUnreachable()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if lost != v.storeLostAt.IsZero() {
+		return
+	}
+	for model, w := range v.desired {
+		if lost {
+			w.StoreLostAt = now
+		} else {
+			w = w.AfterOutage(v.storeLostAt, now)
+		}
+		v.desired[model] = w
+	}
+	v.storeLostAt = time.Time{}
+	if lost {
+		v.storeLostAt = now
+	}
+	v.publish()
+}
+
 // recordContact records the end of an outage, during which entries of targets may
 // expire. The hosts are listed only every hostListInterval, which is not an outage.
 func (v *View) recordContact(t *Table) {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -139,3 +139,27 @@
 	cancel()
 	<-ended
 }
+
+// Guards against weights that grow outdated while the store does not answer, and against
+// an outage that ends while one of the tables is still unreachable.
+func TestOutageOfStorePausesStaleness(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView()
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, start)
+	outdatedFor := func(seconds int) time.Duration {
+		return v.Snapshot().DesiredWeights["m"].OutdatedFor(1, at(seconds)).Round(time.Second)
+	}
+	v.Operator.setUnreachable(true)
+	v.recordReachability(at(2))
+	v.Targets.setUnreachable(true)
+	v.recordReachability(at(3))
+	g.Expect(outdatedFor(20)).To(Equal(2 * time.Second))
+	v.Operator.setUnreachable(false)
+	v.recordReachability(at(20))
+	g.Expect(outdatedFor(25)).To(Equal(2 * time.Second))
+	v.Targets.setUnreachable(false)
+	v.recordReachability(at(25))
+	g.Expect(outdatedFor(27)).To(Equal(4 * time.Second))
+}
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -189,7 +189,9 @@
 	return t.ID == o.ID && t.Started == o.Started && t.Address == o.Address
 }
 
-// PublishedVersion is a published weights version and when this host first received it.
+// PublishedVersion is a published weights version, and since when its predecessors count
+// as outdated: the time at which this host first received it, plus later outages of the
+// store.
 type PublishedVersion struct {
 	Version int64
 	Since   time.Time
@@ -205,6 +207,10 @@
 	Version int64
 	// Published lists the versions in ascending order.
 	Published []PublishedVersion
+	// StoreLostAt is since when the store has not answered this host; zero if it answers.
+	// No host can roll out weights without the store, so that this time does not count
+	// as staleness.
+	StoreLostAt time.Time
 }
 
 // WithVersion returns the desired weights after a newer version has been published.
@@ -213,12 +219,31 @@
 	if len(published) > maxPublished {
 		published = published[1:]
 	}
-	return DesiredWeights{Model: d.Model, Version: version, Published: published}
+	return DesiredWeights{Model: d.Model, Version: version, Published: published, StoreLostAt: d.StoreLostAt}
 }
 
-// OutdatedFor returns the time since a version newer than the given one was published;
-// zero if there is none.
+// AfterOutage returns the desired weights after the store has not answered since lostAt:
+// the staleness of all versions excludes that time.
+func (d DesiredWeights) AfterOutage(lostAt, now time.Time) DesiredWeights {
+	published := make([]PublishedVersion, 0, len(d.Published))
+	for _, v := range d.Published {
+		start := lostAt
+		if v.Since.After(start) {
+			start = v.Since
+		}
+		v.Since = v.Since.Add(max(0, now.Sub(start)))
+		published = append(published, v)
+	}
+	d.Published, d.StoreLostAt = published, time.Time{}
+	return d
+}
+
+// OutdatedFor returns the time since a version newer than the given one was published,
+// without the time in which the store did not answer; zero if there is none.
 func (d DesiredWeights) OutdatedFor(version int64, now time.Time) time.Duration {
+	if !d.StoreLostAt.IsZero() && d.StoreLostAt.Before(now) {
+		now = d.StoreLostAt
+	}
 	for _, v := range d.Published {
 		if v.Version > version {
 			return max(time.Nanosecond, now.Sub(v.Since))
