Exclude targets whose weights exceed the maximum staleness

What callers saw: requests began on replaced weights more than 8 s after newer ones were acknowledged, mostly when many engines came back from a crash with the weights they had before, or when orders were lost.

Cause: the balancer avoided such targets but did not exclude them. Their rank was only worse than that of others, so that a request went there as soon as all others loaded weights, had been tried or were unknown. The old test even asked for this, in order not to reject everything; a bound that the operator states is not a preference. The last assertion of TestOutdatedTargetIsAvoidedBeforeMaxStaleness is replaced by TestTargetBeyondMaxStalenessIsExcluded, which asks for the opposite, for the exclusion when the rest is tried or paused, and for service on old weights while the store is down. It failed before: "Expected <*topology.Target> ID: old ... to be nil".

Change: a target is excluded if a request is expected to start there only after the maximum staleness; the expected wait counts up to 3 s. If no other target is usable, the request is rejected at once with 503 and Retry-After 0.7 s, about the time of a load, and the log says how many targets were too outdated.

--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // maxSends bounds how often one request is sent, including rejected attempts. During a
@@ -37,6 +39,16 @@
 	return &failure{status: status, reason: reason, notExecuted: true, retryAfter: retryAfter}
 }
 
+// noTargetFailure returns the failure of a request for which no target is usable.
+func noTargetFailure(targets, tooOutdated int) *failure {
+	f := notExecutedFailure(http.StatusServiceUnavailable, "no target is usable", noTargetRetryAfter)
+	f.cause = errors.Errorf("of %d targets, %d have weights beyond the maximum staleness", targets, tooOutdated)
+	if tooOutdated > 0 {
+		f.reason, f.retryAfter = "all usable targets have outdated weights", outdatedRetryAfter
+	}
+	return f
+}
+
 // mayRetry decides whether a request is retried after a failure.
 func (r *Router) mayRetry(ctx context.Context, c *call, f *failure) bool {
 	if ctx.Err() != nil || c.sends >= maxSends {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,9 @@
 	bodyTimeout = 10 * time.Second
 	// noTargetRetryAfter is the retry hint if no target is usable.
 	noTargetRetryAfter = 300 * time.Millisecond
+	// outdatedRetryAfter is the retry hint while targets load newer weights. A load takes
+	// about half a second.
+	outdatedRetryAfter = 700 * time.Millisecond
 	// stoppedRetryAfter is short, since callers can retry at another host at once.
 	stoppedRetryAfter = 10 * time.Millisecond
 	// noConfigRetryAfter is the retry hint of a host that has just started.
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -27,6 +26,8 @@
 	prefillDone time.Time
 	sentAt      time.Time
 	prompt      *balance.Prompt
+	// tooOutdated is the number of targets whose weights exceed the maximum staleness.
+	tooOutdated int
 }
 
 // planAttempt chooses a target and builds the envelope for it.
@@ -51,7 +52,7 @@
 		p.envelope.Priority = message.NoPriority
 	}
 	if p.target == nil {
-		return nil, notExecutedFailure(http.StatusServiceUnavailable, "no target is usable", noTargetRetryAfter)
+		return nil, noTargetFailure(len(targets), p.tooOutdated)
 	}
 	p.envelope.TargetID = p.target.ID
 	if remaining := r.remaining(c, now); remaining > 0 {
@@ -73,7 +74,7 @@
 func (r *Router) planPrompt(c *call, p *plan, targets []*topology.Target, now time.Time) {
 	p.prompt = r.newPrompt(c)
 	choice := r.balancer.Pick(p.prompt, targets, c.tried, now)
-	p.target = choice.Target
+	p.target, p.tooOutdated = choice.Target, choice.TooOutdated
 	if p.target == nil {
 		return
 	}
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -102,8 +102,7 @@
 }
 
 // Guards against requests that start on weights older than the maximum staleness while
-// engines with newer weights are available, and against rejecting all requests while
-// none are.
+// engines with newer weights are available.
 func TestOutdatedTargetIsAvoidedBeforeMaxStaleness(t *testing.T) {
 	g := NewWithT(t)
 	b := New("a", zones)
@@ -114,7 +113,29 @@
 	b.AddPrefill(fresh, 5000, now.Add(6500*time.Millisecond))
 	g.Expect(b.Pick(p, []*topology.Target{old, fresh}, nil, now.Add(5900*time.Millisecond)).Target).To(Equal(old))
 	g.Expect(b.Pick(p, []*topology.Target{old, fresh}, nil, now.Add(6500*time.Millisecond)).Target).To(Equal(fresh))
-	g.Expect(b.Pick(p, []*topology.Target{old}, nil, now.Add(9*time.Second)).Target).To(Equal(old))
+}
+
+// Guards against requests that start on weights beyond the maximum staleness because
+// all other engines load weights, are full or have been tried, and against rejecting
+// all requests in an outage of the store, in which no weights can be rolled out.
+func TestTargetBeyondMaxStalenessIsExcluded(t *testing.T) {
+	g := NewWithT(t)
+	b := New("a", zones)
+	old, fresh := engine("old", "a", 1), engine("new", "c", 2)
+	targets := []*topology.Target{old, fresh}
+	p := prompt("manual", 12000)
+	p.MaxStaleness = 8 * time.Second
+	p.DesiredWeights = topology.DesiredWeights{Model: model}.WithVersion(2, now)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	tried := map[string]bool{fresh.ID: true}
+	g.Expect(b.Pick(p, targets, tried, at(7000)).Target).To(Equal(old))
+	c := b.Pick(p, targets, tried, at(7900))
+	g.Expect(c.Target).To(BeNil())
+	g.Expect(c.TooOutdated).To(Equal(1))
+	b.Pause(fresh, at(20000))
+	g.Expect(b.Pick(p, targets, nil, at(9000)).Target).To(BeNil())
+	p.DesiredWeights.StoreLostAt = at(5000)
+	g.Expect(b.Pick(p, targets, nil, at(9000)).Target).To(Equal(old))
 }
 
 // Guards against one peer report that keeps all requests from a target which still
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -40,9 +40,16 @@
 	outdatedWeightsMs          = 30
 	outdatedWeightsMsPerSecond = 30
 	outdatedWeightsGrace       = 1500 * time.Millisecond
-	// outdatedMargin covers the time between the choice of a target and the start of
-	// the request there.
+	// outdatedMargin is how long before the maximum staleness of its weights a target
+	// is avoided.
 	outdatedMargin = 2 * time.Second
+	// startMargin is how long before the maximum staleness a request must be expected
+	// to start. It covers the delay with which this host received the version and the
+	// way to the target.
+	startMargin = 700 * time.Millisecond
+	// maxStartWait bounds the expected wait at a target that counts against the maximum
+	// staleness, so that a wrong estimate excludes no target much too early.
+	maxStartWait = 3 * time.Second
 	// notPreferredMs is the cost of any target other than the preferred one, which all
 	// hosts choose for a prompt.
 	notPreferredMs = 60
@@ -170,6 +177,9 @@
 	PrefillsShared bool
 	// CostMs is the estimated cost by which the target was chosen.
 	CostMs float64
+	// TooOutdated is the number of targets that were excluded because their weights
+	// exceed the maximum staleness.
+	TooOutdated int
 }
 
 // variant is a prompt under one weights version, which has cache keys of its own.
@@ -218,9 +228,17 @@
 func (b *Balancer) cheapest(p *Prompt, targets []*topology.Target, considered func(*topology.Target, *variant) bool, variants map[int64]*variant, tried map[string]bool, now time.Time) (Choice, exclusion) {
 	best := Choice{CostMs: math.Inf(1)}
 	bestRank := unusable
+	tooOutdated := 0
 	for _, t := range targets {
 		version := b.WeightsVersion(t, p.Model)
-		rank := p.rankOutdated(version, b.exclusion(t, tried, now), now)
+		rank := b.exclusion(t, tried, now)
+		if rank < paused {
+			outdatedRank := b.rankOutdated(p, t, version, now)
+			if outdatedRank == unusable {
+				tooOutdated++
+			}
+			rank = max(rank, outdatedRank)
+		}
 		if rank >= paused || rank > bestRank {
 			continue
 		}
@@ -237,17 +255,26 @@
 			best, bestRank = c, rank
 		}
 	}
+	best.TooOutdated = tooOutdated
 	return best, bestRank
 }
 
-// rankOutdated raises the rank of a target whose weights will exceed the maximum
-// staleness by the time a request starts there.
-func (p *Prompt) rankOutdated(version int64, rank exclusion, now time.Time) exclusion {
-	limit := p.MaxStaleness - outdatedMargin
-	if rank < outdated && p.MaxStaleness > 0 && p.DesiredWeights.OutdatedFor(version, now) > limit {
+// rankOutdated ranks a target by the staleness of its weights. A target is excluded if a
+// request is expected to start there only after the maximum staleness: the operator's
+// bound holds even if no other target is usable.
+func (b *Balancer) rankOutdated(p *Prompt, t *topology.Target, version int64, now time.Time) exclusion {
+	outdatedFor := p.DesiredWeights.OutdatedFor(version, now)
+	if p.MaxStaleness <= 0 || outdatedFor <= p.MaxStaleness-outdatedMargin-maxStartWait {
+		return usable
+	}
+	startsIn := startMargin + min(maxStartWait, time.Duration(b.waitMs(p, t, now)*float64(time.Millisecond)))
+	switch {
+	case outdatedFor+startsIn > p.MaxStaleness:
+		return unusable
+	case outdatedFor > p.MaxStaleness-outdatedMargin:
 		return outdated
 	}
-	return rank
+	return usable
 }
 
 // variant computes what all targets with the weights version have in common. The
