Publish weights versions in the soak under the key that hosts read

Cause: the fault "set the weights version" wrote the row weights/MODEL, while the platform's row and the adapter's key are version/MODEL. No run of the soak has ever changed a weights version.

Change: the fault writes version/MODEL, and the engines of the soak take 300 ms to load instead of 100. The stand-in of a target handles orders as the protocol states: with switch_mode wait, running requests end before the load begins, and requests that have not started receive 503 with X-Not-Executed until it is complete; an unknown operation, another model or a version that was not published receives 400; every order that is not refused counts for the highest fencing token, not only accepted ones. The modes evict and retain are not implemented and receive 400, as no host uses them.

--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -45,7 +45,8 @@
 	EventInterval time.Duration
 	// ProcessingTime is the duration of a request with a plain response.
 	ProcessingTime time.Duration
-	// LoadTime is the duration of a load of weights.
+	// LoadTime is the duration of a load of weights. It begins once the requests that
+	// the replica runs have ended.
 	LoadTime time.Duration
 	// WeightsVersion is the initial weights version; zero means 1.
 	WeightsVersion int64
@@ -61,6 +62,9 @@
 	acceptedFencingTokens []uint64
 	weightsVersion        int64
 	loading               bool
+	running               int
+	loadWhenIdle          func() // starts the load of an accepted order; nil if none waits
+	store                 *Store // the store in which the replica is registered
 	sequence              int64
 	highestFencingToken   uint64
 }
@@ -119,6 +123,7 @@
 // Register writes the replica's row to the store.
 func (r *Replica) Register(s *Store, address, state string) error {
 	r.mu.Lock()
+	r.store = s
 	reg := registration{
 		Service: r.options.Service, Address: address, Zone: r.options.Zone, Version: "v1",
 		Slots: 8, State: state, Sequence: r.sequence, Started: 1,
@@ -165,43 +170,93 @@
 	})
 }
 
+// switchWait is the switch mode in which running requests end before the load begins. The
+// other modes of the platform are not implemented, since no host uses them.
+const switchWait = "wait"
+
+// order is the body of an order to load weights.
+type order struct {
+	Operation    string `json:"op"`
+	Model        string `json:"model"`
+	Version      int64  `json:"version"`
+	SwitchMode   string `json:"switch_mode"`
+	Holder       string `json:"holder"`
+	FencingToken uint64 `json:"fence"`
+	Expected     *int64 `json:"expected_rev"`
+}
+
 func (r *Replica) handleOrder(w http.ResponseWriter, req *http.Request) {
-	var o struct {
-		Version      int64  `json:"version"`
-		Holder       string `json:"holder"`
-		FencingToken uint64 `json:"fence"`
-		Expected     *int64 `json:"expected_rev"`
-	}
+	var o order
 	if err := json.NewDecoder(req.Body).Decode(&o); err != nil || o.Holder == "" || o.FencingToken == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	w.WriteHeader(r.acceptOrder(o))
+}
+
+// acceptOrder returns the status of the response to an order, and starts the load if the
+// status is 202. The caller holds the mutex.
+func (r *Replica) acceptOrder(o order) int {
 	switch {
+	case o.Operation != "version" || o.Model != r.options.Model || o.SwitchMode != switchWait || !r.published(o.Version):
+		return http.StatusBadRequest
 	case o.FencingToken < r.highestFencingToken:
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
+		return http.StatusPreconditionFailed
+	}
+	r.highestFencingToken = o.FencingToken
+	switch {
 	case r.loading || o.Expected != nil && *o.Expected != r.sequence:
-		w.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict
 	case o.Version == r.weightsVersion:
-		w.WriteHeader(http.StatusOK)
-		return
+		return http.StatusOK
 	}
-	r.highestFencingToken, r.loading = o.FencingToken, true
+	r.loading = true
 	r.sequence++
 	r.acceptedFencingTokens = append(r.acceptedFencingTokens, o.FencingToken)
-	time.AfterFunc(r.options.LoadTime, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.weightsVersion, r.loading = o.Version, false
-	})
-	w.WriteHeader(http.StatusAccepted)
+	r.loadWhenIdle = func() {
+		time.AfterFunc(r.options.LoadTime, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.weightsVersion, r.loading = o.Version, false
+		})
+	}
+	r.startLoadIfIdle()
+	return http.StatusAccepted
+}
+
+// published reports whether the operator has published a weights version: versions begin
+// at 1 and increase. The caller holds the mutex.
+func (r *Replica) published(version int64) bool {
+	var newest struct {
+		Version int64 `json:"version"`
+	}
+	if r.store != nil {
+		_ = json.Unmarshal(r.store.Rows("op")["version/"+r.options.Model], &newest) // fails if there is no row
+	}
+	return version >= 1 && version <= max(1, newest.Version)
+}
+
+// startLoadIfIdle starts the load of an accepted order once no request runs. The caller
+// holds the mutex.
+func (r *Replica) startLoadIfIdle() {
+	if r.running == 0 && r.loadWhenIdle != nil {
+		r.loadWhenIdle()
+		r.loadWhenIdle = nil
+	}
+}
+
+// end records the end of a request that admit has let run.
+func (r *Replica) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	r.startLoadIfIdle()
 }
 
-// admit records an execution, unless the request is rejected. It returns the active
-// faults, the weights version and the status of the response.
+// admit records an execution, unless the request is rejected; the caller calls end after
+// it. It returns the active faults, the weights version and the status of the response.
 func (r *Replica) admit(req *http.Request, body []byte) (ReplicaFaults, int64, int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -211,6 +266,7 @@
 	if r.faults.Shed || r.loading {
 		return r.faults, r.weightsVersion, http.StatusServiceUnavailable
 	}
+	r.running++
 	r.executions = append(r.executions, Execution{
 		ID: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body), Header: req.Header.Clone(),
 	})
@@ -238,6 +294,7 @@
 		w.WriteHeader(status)
 		return
 	}
+	defer r.end()
 	if faults.LoseResponse {
 		panic(http.ErrAbortHandler)
 	}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -81,7 +81,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.weightsUpdates++
-	in.store.Put("op", "weights/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, 1+in.weightsUpdates))
+	in.store.Put("op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, 1+in.weightsUpdates))
 }
 
 // drainTemporarily marks a target as draining and, after the duration, as ready again.
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -81,7 +81,7 @@
 	in := &installation{store: standin.NewStore(), logDir: dir}
 	in.publishConfig()
 	for i := range 3 {
-		engine := standin.ReplicaOptions{Service: "engines", Model: model, StreamEvents: streamEvents, EventInterval: 10 * time.Millisecond, LoadTime: 100 * time.Millisecond}
+		engine := standin.ReplicaOptions{Service: "engines", Model: model, StreamEvents: streamEvents, EventInterval: 10 * time.Millisecond, LoadTime: 300 * time.Millisecond}
 		desk := standin.ReplicaOptions{Service: "desk", ProcessingTime: 20 * time.Millisecond}
 		for _, o := range []standin.ReplicaOptions{engine, desk} {
 			o.ID, o.Zone = fmt.Sprintf("%s-%d", o.Service, i), fmt.Sprintf("zone-%d", i%2)
