Check in the soak that prompts run on weights within the maximum staleness

Cause: the soak published weights versions but compared no version with what the engines ran, so that a rollout that never happens passed.

Change: two checks, with version_ms and contact_ms of the settings as bounds. - No prompt begins to run on weights older than a version that was published more than version_ms before. The stand-in records the time and the weights version of each execution. - All engines have the newest published version within version_ms of the end of the last fault, while requests go on.

Faults of targets and of their links exempt nothing, nor do reloads, new configurations and a dropped history. This is stricter than the rule, which counts only time in which no link is disrupted. The second check has no exemption.

--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -32,6 +32,9 @@
 type Execution struct {
 	ID, Method, URI, Body string
 	Header                http.Header
+	StartedAt             time.Time
+	// WeightsVersion is the weights version of the replica when the execution began.
+	WeightsVersion int64
 }
 
 // ReplicaOptions configures a Replica.
@@ -269,6 +272,7 @@
 	r.running++
 	r.executions = append(r.executions, Execution{
 		ID: req.Header.Get("X-Request-Id"), Method: req.Method, URI: req.RequestURI, Body: string(body), Header: req.Header.Clone(),
+		StartedAt: time.Now(), WeightsVersion: r.weightsVersion,
 	})
 	if r.faults.FailRequests > 0 {
 		r.faults.FailRequests--
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -14,6 +14,7 @@
 // request is a request of a caller and its outcome.
 type request struct {
 	id, route string
+	host      *host
 	sentAt    time.Time
 	duration  time.Duration
 	status    int // 0 without a response
@@ -22,6 +23,9 @@
 	err       error
 }
 
+// isPrompt reports whether the request is a prompt for an engine.
+func (q *request) isPrompt() bool { return q.route == "brief" || q.route == "query" }
+
 // loadGenerator sends requests to all hosts over keep-alive connections.
 type loadGenerator struct {
 	installation *installation
@@ -64,7 +68,7 @@
 
 // send sends one request and records it with its outcome.
 func (g *loadGenerator) send(h *host, route string, prefix int) *request {
-	q := &request{id: fmt.Sprintf("r%06d", g.lastID.Add(1)), route: route, sentAt: time.Now()}
+	q := &request{id: fmt.Sprintf("r%06d", g.lastID.Add(1)), route: route, host: h, sentAt: time.Now()}
 	g.mu.Lock()
 	g.requests = append(g.requests, q)
 	g.mu.Unlock()
@@ -89,7 +93,7 @@
 	} {
 		req.Header.Set(name, value)
 	}
-	if route == "brief" || route == "query" {
+	if q.isPrompt() {
 		req.Header.Set("X-Model", model)
 		req.Header.Set("X-Token-Usage", "1500,50")
 		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("5c1e07a%d:1000,91bd3f06:500", prefix))
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
@@ -10,12 +12,7 @@
 // checkRequests compares the responses to the sent requests with the requests that the
 // targets ran, and reports each violation.
 func (in *installation) checkRequests(sent []*request) {
-	runs := map[string][]standin.Execution{}
-	for _, r := range in.replicas {
-		for _, run := range r.Executions() {
-			runs[run.ID] = append(runs[run.ID], run)
-		}
-	}
+	runs := in.executionsByID()
 	requests := map[string]*request{}
 	for _, q := range sent {
 		requests[q.id] = q
@@ -30,12 +27,23 @@
 	in.checkRetries(sent, runs)
 }
 
+// executionsByID returns the requests that the targets ran, by request ID.
+func (in *installation) executionsByID() map[string][]standin.Execution {
+	runs := map[string][]standin.Execution{}
+	for _, r := range in.replicas {
+		for _, run := range r.Executions() {
+			runs[run.ID] = append(runs[run.ID], run)
+		}
+	}
+	return runs
+}
+
 // checkResponse checks that a successful response is the complete response of a target to
 // this request, and that a failure with a target's body has the target's stamp.
 func (in *installation) checkResponse(q *request) {
 	if q.status == http.StatusOK && q.err == nil {
 		want := "answer to " + q.id
-		if q.route == "brief" || q.route == "query" {
+		if q.isPrompt() {
 			want = standin.StreamBody(streamEvents)
 		}
 		if stamp := q.header.Get("X-Response-Stamp"); q.body != want || stamp != "stamp-"+q.id {
@@ -75,7 +83,7 @@
 func (in *installation) checkRetries(sent []*request, runs map[string][]standin.Execution) {
 	requestCounts, retryCounts := map[bool]int{}, map[bool]int{}
 	for _, q := range sent {
-		stream := q.route == "brief" || q.route == "query"
+		stream := q.isPrompt() // both routes of prompts stream
 		requestCounts[stream]++
 		retryCounts[stream] += max(0, len(runs[q.id])-1)
 	}
@@ -85,3 +93,78 @@
 		}
 	}
 }
+
+// checkStaleness checks that no prompt began to run on weights older than a version that
+// was published more than the maximum staleness before. It returns how many runs came that
+// late, and how many of those on outdated weights were exempt.
+func (in *installation) checkStaleness(sent []*request) string {
+	bounded, exempt := 0, 0
+	runs := in.executionsByID()
+	for _, q := range sent {
+		if !q.isPrompt() {
+			continue
+		}
+		for _, run := range runs[q.id] {
+			required := in.requiredWeights(run.StartedAt)
+			if required > 0 {
+				bounded++
+			}
+			if run.WeightsVersion >= required {
+				continue
+			}
+			if !in.inTouch(q.host.ID, run.StartedAt) {
+				exempt++
+				continue
+			}
+			in.addViolation("%s %s began at %s on weights %d, more than %v after version %d was published; %s was in touch",
+				q.route, q.id, run.StartedAt.Format(time.StampMilli), run.WeightsVersion, standin.MaxWeightsStaleness, required, q.host.ID)
+		}
+	}
+	return fmt.Sprintf("%d prompts began later than %v after a version was published; exempt with older weights: %d; versions: %d",
+		bounded, standin.MaxWeightsStaleness, exempt, len(in.publications))
+}
+
+// requiredWeights returns the newest version that was published more than the maximum
+// staleness before the given time, or 0 if there is none.
+func (in *installation) requiredWeights(at time.Time) int64 {
+	var required int64
+	for _, p := range in.publications {
+		if at.Sub(p.at) > standin.MaxWeightsStaleness {
+			required = p.version
+		}
+	}
+	return required
+}
+
+// inTouch reports whether no impairment of the host or of the store has occurred in the
+// contact time before the given time. Only then do bounds of time hold:
+//   - a host that was killed, stopped or paused, or whose link to the store was cut, may not
+//     know the published version, or may have chosen the target long before;
+//   - while the store is down no host can renew or take over the lease, so that no engine
+//     may be ordered to load.
+//
+// Faults of targets and their links, reloads, new configurations and a dropped history
+// exempt nothing.
+func (in *installation) inTouch(host string, at time.Time) bool {
+	for _, i := range in.impairments {
+		if (i.host == host || i.host == everyHost) && !at.Before(i.begin) && at.Before(i.end.Add(standin.ContactTime)) {
+			return false
+		}
+	}
+	return true
+}
+
+// waitWeights waits until all engines have the newest published version, and reports those
+// that have not by the deadline.
+func (in *installation) waitWeights(deadline time.Time) {
+	newest := in.publications[len(in.publications)-1].version
+	for _, r := range in.replicas {
+		for r.isEngine && r.WeightsVersion() < newest {
+			if time.Now().After(deadline) {
+				in.addViolation("%s has weights %d instead of %d, %v after the last fault", r.id, r.WeightsVersion(), newest, standin.MaxWeightsStaleness)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -16,6 +16,24 @@
 	name string
 	at   time.Duration
 	run  func()
+	// impairs is the host that the fault puts out of touch, or everyHost if it makes the
+	// store unstable; empty for other faults.
+	impairs string
+}
+
+// everyHost stands for all hosts: none is in touch while the store is unstable.
+const everyHost = "every host"
+
+// impairment is the time of a fault during which hosts are out of touch.
+type impairment struct {
+	host       string // or everyHost
+	begin, end time.Time
+}
+
+// publication is a weights version and when the store had acknowledged it.
+type publication struct {
+	version int64
+	at      time.Time
 }
 
 // schedule returns the faults of a seed. They begin at random intervals and may overlap.
@@ -51,17 +69,17 @@
 		return func() { r.SetFaults(f); time.Sleep(duration); r.SetFaults(standin.ReplicaFaults{}) }
 	}
 	faults := []fault{
-		{name: "kill " + h.ID, run: exclusive(func() { in.restart(program, h, syscall.SIGKILL) })},
-		{name: "stop " + h.ID, run: exclusive(func() { in.restart(program, h, syscall.SIGTERM) })},
-		{name: "pause " + h.ID, run: exclusive(func() { h.signal(syscall.SIGSTOP); time.Sleep(duration); h.signal(syscall.SIGCONT) })},
+		{name: "kill " + h.ID, impairs: h.ID, run: exclusive(func() { in.restart(program, h, syscall.SIGKILL) })},
+		{name: "stop " + h.ID, impairs: h.ID, run: exclusive(func() { in.restart(program, h, syscall.SIGTERM) })},
+		{name: "pause " + h.ID, impairs: h.ID, run: exclusive(func() { h.signal(syscall.SIGSTOP); time.Sleep(duration); h.signal(syscall.SIGCONT) })},
 		{name: "reload " + h.ID, run: exclusive(func() { h.signal(syscall.SIGHUP) })},
-		{name: "drop store traffic of " + h.ID, run: cutLink(h.storeLink, relay.Drop)},
-		{name: "reset store connections of " + h.ID, run: cutLink(h.storeLink, relay.Reset)},
-		{name: "drop store responses to " + h.ID, run: cutLink(h.storeLink, relay.DropResponses)},
-		{name: "take the store down", run: func() { in.store.SetDown(true); time.Sleep(duration); in.store.SetDown(false) }},
+		{name: "drop store traffic of " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.Drop)},
+		{name: "reset store connections of " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.Reset)},
+		{name: "drop store responses to " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.DropResponses)},
+		{name: "take the store down", impairs: everyHost, run: func() { in.store.SetDown(true); time.Sleep(duration); in.store.SetDown(false) }},
 		{name: "compact the store's history", run: in.store.CompactHistory},
 		{name: "publish the configuration", run: in.publishConfig},
-		{name: "set the weights version", run: func() { in.setNextWeightsVersion() }},
+		{name: "set the weights version", run: in.publishNextWeights},
 		{name: "drop traffic of " + r.id, run: cutLink(r.link, relay.Drop)},
 		{name: "reset connections of " + r.id, run: cutLink(r.link, relay.Reset)},
 		{name: "drop responses of " + r.id, run: cutLink(r.link, relay.DropResponses)},
@@ -76,12 +94,13 @@
 	return faults[random.IntN(len(faults))]
 }
 
-// setNextWeightsVersion writes the model's next weights version to the store.
-func (in *installation) setNextWeightsVersion() {
+// publishNextWeights writes the model's next weights version to the store.
+func (in *installation) publishNextWeights() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.weightsUpdates++
-	in.store.Put("op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, 1+in.weightsUpdates))
+	version := int64(2 + len(in.publications)) // engines start with version 1
+	in.store.Put("op", "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
+	in.publications = append(in.publications, publication{version, time.Now()})
 }
 
 // drainTemporarily marks a target as draining and, after the duration, as ready again.
@@ -96,14 +115,23 @@
 	}
 }
 
-// inject runs each fault at its time and returns when all are over.
-func inject(faults []fault, log func(string)) {
+// inject runs each fault at its time, records the impairments and returns when all faults
+// are over.
+func (in *installation) inject(faults []fault, log func(string)) {
 	var wg sync.WaitGroup
 	start := time.Now()
 	for _, f := range faults {
 		time.Sleep(time.Until(start.Add(f.at)))
 		log(fmt.Sprintf("%6d ms %s", time.Since(start).Milliseconds(), f.name))
-		wg.Go(f.run)
+		begin := time.Now()
+		wg.Go(func() {
+			f.run()
+			in.mu.Lock()
+			defer in.mu.Unlock()
+			if f.impairs != "" {
+				in.impairments = append(in.impairments, impairment{f.impairs, begin, time.Now()})
+			}
+		})
 	}
 	wg.Wait()
 }
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -50,8 +50,9 @@
 // replica is a target and the relay through which hosts reach it.
 type replica struct {
 	*standin.Replica
-	id   string
-	link *relay.Relay
+	id       string
+	isEngine bool
+	link     *relay.Relay
 }
 
 // installation holds the stand-ins and the hosts of one seed.
@@ -63,9 +64,10 @@
 	cleanups      []func()
 	configVersion atomic.Int64
 
-	mu             sync.Mutex
-	weightsUpdates int64
-	violations     []string
+	mu           sync.Mutex
+	publications []publication // in the order of their versions
+	impairments  []impairment
+	violations   []string
 }
 
 // addViolation records a violation.
@@ -134,7 +136,7 @@
 }
 
 func (in *installation) addReplica(o standin.ReplicaOptions) error {
-	r := &replica{Replica: standin.NewReplica(o), id: o.ID}
+	r := &replica{Replica: standin.NewReplica(o), id: o.ID, isEngine: o.Model != ""}
 	address, stop, err := standin.Serve(r)
 	if err != nil {
 		return err
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
 var (
@@ -47,8 +49,9 @@
 	return program
 }
 
-// Guards against wrong responses, repeated executions and hosts that don't recover while
-// processes, network links, the store and targets fail one after another and together.
+// Guards against wrong responses, repeated executions, outdated weights and hosts that
+// don't recover while processes, network links, the store and targets fail one after
+// another and together.
 func TestSoak(t *testing.T) {
 	program := buildProgram(t)
 	seeds := append([]uint64(nil), regressionSeeds...)
@@ -80,12 +83,17 @@
 		defer close(done)
 		generator.run(seed, *requestRate, stop)
 	}()
-	inject(in.schedule(program, seed, *faultPeriod), func(line string) { t.Log(line) })
+	// A version that is published at once is older than the maximum staleness before the
+	// end of an 8 s fault period.
+	in.publishNextWeights()
+	in.inject(in.schedule(program, seed, *faultPeriod), func(line string) { t.Log(line) })
+	in.waitWeights(time.Now().Add(standin.MaxWeightsStaleness))
 	in.waitReady(recoveryTimeout)
 	close(stop)
 	<-done
 	in.checkRecovery(generator)
 	in.checkRequests(generator.requests)
+	t.Log(in.checkStaleness(generator.requests))
 	for _, violation := range in.violations {
 		t.Error(violation)
 	}
