--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -50,8 +50,9 @@
 // replica is a target and the relay through which hosts reach it.
 type replica struct {
 	*standin.Replica
-	id   string
-	link *relay.Relay
+	id       string
+	isEngine bool
+	link     *relay.Relay
 }
 
 // installation holds the stand-ins and the hosts of one seed.
@@ -63,9 +64,10 @@
 	cleanups      []func()
 	configVersion atomic.Int64
 
-	mu             sync.Mutex
-	weightsUpdates int64
-	violations     []string
+	mu           sync.Mutex
+	publications []publication // in the order of their versions
+	impairments  []impairment
+	violations   []string
 }
 
 // addViolation records a violation.
@@ -81,7 +83,7 @@
 	in := &installation{store: standin.NewStore(), logDir: dir}
 	in.publishConfig()
 	for i := range 3 {
-		engine := standin.ReplicaOptions{Service: "engines", Model: model, StreamEvents: streamEvents, EventInterval: 10 * time.Millisecond, LoadTime: 100 * time.Millisecond}
+		engine := standin.ReplicaOptions{Service: "engines", Model: model, StreamEvents: streamEvents, EventInterval: 10 * time.Millisecond, LoadTime: 300 * time.Millisecond}
 		desk := standin.ReplicaOptions{Service: "desk", ProcessingTime: 20 * time.Millisecond}
 		for _, o := range []standin.ReplicaOptions{engine, desk} {
 			o.ID, o.Zone = fmt.Sprintf("%s-%d", o.Service, i), fmt.Sprintf("zone-%d", i%2)
@@ -134,7 +136,7 @@
 }
 
 func (in *installation) addReplica(o standin.ReplicaOptions) error {
-	r := &replica{Replica: standin.NewReplica(o), id: o.ID}
+	r := &replica{Replica: standin.NewReplica(o), id: o.ID, isEngine: o.Model != ""}
 	address, stop, err := standin.Serve(r)
 	if err != nil {
 		return err
