Withdraw requests that wait for a target until its weights are too old

What callers saw: requests were sent in time, waited in the queue of a crowded engine and began there on weights that had been replaced more than 8 s before. A long prompt waited for 2.4 s where the choice had allowed 2 s for the way.

Cause: the staleness was checked when the target was chosen and never again. How long a request waits at the target is only estimated.

Change: an attempt at a target with outdated weights carries the time at which it must have begun. If no event has arrived by then, the attempt is ended, which takes it out of the target's queue. Retryable requests go elsewhere within their budget; others end with 504, since the target may just have begun.

The stand-in of a target can now hold requests in its queue and lose reports. TestQueuedRequestDoesNotBeginOnOutdatedWeights failed before: both requests got 200 from runs that began after the bound.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,10 +57,10 @@
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
-	if err != nil && w.hasAborted() {
-		return r.timeoutFailure(c, p)
-	}
 	if err != nil {
+		if f := w.abortFailure(c, p); f != nil {
+			return f
+		}
 		return r.handleSendError(ctx, c, p, err, connected)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -28,6 +28,9 @@
 	prompt      *balance.Prompt
 	// tooOutdated is the number of targets whose weights exceed the maximum staleness.
 	tooOutdated int
+	// latestStart is when the target must have begun, so that its weights don't exceed
+	// the maximum staleness; zero if there is no such bound.
+	latestStart time.Time
 }
 
 // planAttempt chooses a target and builds the envelope for it.
@@ -79,6 +82,7 @@
 		return
 	}
 	p.prefillDone = r.balancer.AddPrefill(p.target, choice.PrefillMs, now)
+	p.latestStart = choice.LatestStart
 	p.envelope.WeightsVersion = choice.WeightsVersion
 	p.envelope.CacheSalt = balance.Salt(choice.WeightsVersion, p.prompt.IsolatedAccount)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -130,8 +130,10 @@
 		event, err := readEvent(reader)
 		if first {
 			w.stop()
-			if err != nil && w.hasAborted() {
-				return r.timeoutFailure(c, p)
+			if err != nil {
+				if f := w.abortFailure(c, p); f != nil {
+					return f
+				}
 			}
 			r.recordFirstEvent(c, p)
 			first = false
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -30,17 +30,23 @@
 	// retryable means that another target may execute the request.
 	retryable bool
 
-	mu        sync.Mutex
-	timer     *time.Timer
-	responded bool
-	// aborted means that the attempt was cancelled and its retry charged to the budget.
-	aborted atomic.Bool
+	mu         sync.Mutex
+	timer      *time.Timer
+	startTimer *time.Timer
+	responded  bool
+	// aborted is the failure of an attempt that the watchdog has cancelled.
+	aborted atomic.Pointer[failure]
 }
 
 // startWatchdog starts the watchdog of an attempt. A request that must not be retried
 // waits until its deadline, but an unreachable target is recorded all the same.
 func (r *Router) startWatchdog(c *call, p *plan, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{retryable: c.route.Kind.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !p.latestStart.IsZero() {
+		w.startTimer = time.AfterFunc(time.Until(p.latestStart), func() { r.withdraw(c, p, w, cancel) })
+	}
 	if c.route.LatencyObjective <= 0 || c.responseStarted {
 		return w
 	}
@@ -48,8 +54,6 @@
 	if !p.prefillDone.IsZero() {
 		wait = max(wait, time.Until(p.prefillDone)+prefillMargin)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(wait, func() { r.handleTimeout(c, p, w, cancel) })
 	return w
 }
@@ -69,7 +73,23 @@
 	if !w.retryable || !r.takeRetry(c, reasonNoResponse) {
 		return
 	}
-	w.aborted.Store(true)
+	w.aborted.Store(timeoutFailure(c, p))
+	cancel()
+}
+
+// withdraw ends an attempt that has not begun while the target's weights are recent
+// enough. The request would otherwise leave the target's queue later and run on weights
+// beyond the maximum staleness.
+func (r *Router) withdraw(c *call, p *plan, w *watchdog, cancel context.CancelFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.responded {
+		return
+	}
+	w.aborted.Store(&failure{
+		status: http.StatusGatewayTimeout, reason: "the target did not begin before its weights were too old",
+		cause: errors.Errorf("target %s had weights %d and was sent the request %d ms before", p.target.ID, p.envelope.WeightsVersion, time.Since(p.sentAt).Milliseconds()),
+	})
 	cancel()
 }
 
@@ -104,17 +124,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.responded = true
-	if w.timer != nil {
-		w.timer.Stop()
+	for _, t := range [...]*time.Timer{w.timer, w.startTimer} {
+		if t != nil {
+			t.Stop()
+		}
 	}
 }
 
-func (w *watchdog) hasAborted() bool { return w.aborted.Load() }
+// abortFailure returns the failure of an attempt that the watchdog has cancelled, or nil
+// if it has not.
+func (w *watchdog) abortFailure(c *call, p *plan) *failure {
+	f := w.aborted.Load()
+	if f != nil {
+		c.tried[p.target.ID] = true
+		c.possibleExecutions++
+	}
+	return f
+}
 
-// timeoutFailure returns the failure of an attempt that the watchdog aborted.
-func (r *Router) timeoutFailure(c *call, p *plan) *failure {
-	c.tried[p.target.ID] = true
-	c.possibleExecutions++
+// timeoutFailure returns the failure of an attempt whose target has not begun to respond
+// in time. Its retry is already charged.
+func timeoutFailure(c *call, p *plan) *failure {
 	return &failure{
 		status: http.StatusGatewayTimeout, reason: reasonNoResponse, retryCharged: true,
 		cause: errors.Errorf("target %s was sent the request %d ms after its arrival", p.target.ID, p.sentAt.Sub(c.started).Milliseconds()),
--- a/policy/balance/cost.go
+++ b/policy/balance/cost.go
@@ -25,6 +25,9 @@
 // target fetches shared parts from that it does not have cached.
 func (b *Balancer) evaluate(p *Prompt, t *topology.Target, v *variant, now time.Time) Choice {
 	c := Choice{Target: t, WeightsVersion: v.version, OutdatedFor: p.DesiredWeights.OutdatedFor(v.version, now)}
+	if c.OutdatedFor > 0 && p.MaxStaleness > 0 && p.DesiredWeights.StoreLostAt.IsZero() {
+		c.LatestStart = now.Add(p.MaxStaleness - latestStartMargin - c.OutdatedFor)
+	}
 	shared := p.SharedTokens()
 	missing := shared - p.cached(b.cache, v.keys, t.ID, now)
 	cost := b.waitMs(p, t, now) + b.networkMs(t, p.BodyBytes)
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -47,6 +47,10 @@
 	// to start. It covers the delay with which this host received the version and the
 	// way to the target.
 	startMargin = 700 * time.Millisecond
+	// latestStartMargin is how long before the maximum staleness a request that has not
+	// started is withdrawn. It covers the delay with which this host received the
+	// version and the way to the target.
+	latestStartMargin = 400 * time.Millisecond
 	// maxStartWait bounds the expected wait at a target that counts against the maximum
 	// staleness, so that a wrong estimate excludes no target much too early.
 	maxStartWait = 3 * time.Second
@@ -163,6 +167,9 @@
 	WeightsVersion int64
 	// OutdatedFor is the time since newer weights were published; zero for the newest.
 	OutdatedFor time.Duration
+	// LatestStart is when the request must have started at the target, so that its
+	// weights don't exceed the maximum staleness; zero if there is no such bound.
+	LatestStart time.Time
 	// UncachedTokens is the number of tokens that the target is expected to compute,
 	// and PrefillMs the estimated time for them.
 	UncachedTokens int
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -26,8 +26,16 @@
 	// FailRequests is the number of next requests that are executed and fail with status
 	// 500.
 	FailRequests int
+	// Hold keeps requests in the queue until the fault ends or their caller leaves.
+	Hold bool
+	// LoseReports closes the connections of reads of the replica's report without a
+	// response, so that no host orders weights.
+	LoseReports bool
 }
 
+// holdCheckInterval is the interval at which a held request checks whether it may start.
+const holdCheckInterval = 5 * time.Millisecond
+
 // Execution is a request that a replica executed.
 type Execution struct {
 	ID, Method, URI, Body string
@@ -168,6 +176,9 @@
 func (r *Replica) handleReport(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.faults.LoseReports {
+		panic(http.ErrAbortHandler)
+	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"models": []modelState{{r.options.Model, r.weightsVersion}}, "busy": r.loading, "seq": r.sequence, "born": 1,
 	})
@@ -281,11 +292,31 @@
 	return r.faults, r.weightsVersion, http.StatusOK
 }
 
+// waitInQueue waits while requests are held. It returns false if the caller has left.
+func (r *Replica) waitInQueue(req *http.Request) bool {
+	held := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.faults.Hold
+	}
+	for held() {
+		select {
+		case <-req.Context().Done():
+			return false
+		case <-time.After(holdCheckInterval):
+		}
+	}
+	return true
+}
+
 func (r *Replica) handleRequest(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
 	}
+	if !r.waitInQueue(req) {
+		return
+	}
 	faults, version, status := r.admit(req, body)
 	id := req.Header.Get("X-Request-Id")
 	if faults.WrongID {
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -162,11 +162,6 @@
 		engines = append(engines, f.startEngine(fmt.Sprintf("engine-%d", i), 2))
 	}
 	h1, h2 := f.startHost("host-1"), f.startHost("host-2")
-	setVersion := func(version int) {
-		value, err := json.Marshal(object{"model": model, "version": version})
-		f.g.Expect(err).NotTo(HaveOccurred())
-		f.store.Put("op", "version/"+model, value)
-	}
 	enginesAtVersion := func(version int64) func() int {
 		return func() int {
 			n := 0
@@ -178,7 +173,7 @@
 			return n
 		}
 	}
-	setVersion(2)
+	f.publishWeights(2)
 	for range 20 {
 		f.g.Expect(f.send(h1, promptRequest("/query/1")).status).To(Equal(http.StatusOK))
 		f.g.Expect(f.send(h2, promptRequest("/query/1")).status).To(Equal(http.StatusOK))
@@ -198,7 +193,7 @@
 	stopped.stop()
 	f.g.Eventually(stopped.done, "10s").Should(Receive())
 	stopped.done <- nil
-	setVersion(3)
+	f.publishWeights(3)
 	f.g.Eventually(enginesAtVersion(3), "10s", "20ms").Should(Equal(4))
 	secondFencingTokens := engines[0].AcceptedFencingTokens()
 	f.g.Expect(secondFencingTokens[len(secondFencingTokens)-1]).To(BeNumerically(">", firstFencingTokens[0]))
--- /dev/null
+++ b/test/site/weights_test.go
@@ -0,0 +1,61 @@
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
+)
+
+// publishWeights publishes a weights version of the model and returns the time of it.
+func (f *fixture) publishWeights(version int) time.Time {
+	value, err := json.Marshal(object{"model": model, "version": version})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.store.Put("op", "version/"+model, value)
+	return time.Now()
+}
+
+// expectNoLateRuns expects that the engine began no request on old weights later than
+// the maximum staleness after a newer version was published.
+func (f *fixture) expectNoLateRuns(engine *standin.Replica, publishedAt time.Time) {
+	for _, run := range engine.Executions() {
+		f.g.Expect(run.StartedAt).To(BeTemporally("<", publishedAt.Add(standin.MaxWeightsStaleness)), run.ID)
+	}
+}
+
+// Guards against requests that are sent before the maximum staleness of the engine's
+// weights, wait in its queue and begin after it, and against requests that are not
+// rejected at once when all engines have too old weights.
+func TestQueuedRequestDoesNotBeginOnOutdatedWeights(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := f.startEngine("engine-1", 2)
+	h := f.startHost("host-1")
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	publishedAt := f.publishWeights(2)
+	f.g.Expect(f.send(h, promptRequest("/brief/1")).status).To(Equal(http.StatusOK))
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness - 2400*time.Millisecond)))
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true, Hold: true})
+	queued := make(chan result, 2)
+	for _, uri := range [...]string{"/brief/2", "/query/2"} {
+		go func() { queued <- f.send(h, promptRequest(uri)) }()
+	}
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness)))
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	for range 2 {
+		r := <-queued
+		f.g.Expect(r.status).To(BeElementOf(http.StatusBadGateway, http.StatusGatewayTimeout))
+	}
+	sentAt := time.Now()
+	r := f.send(h, promptRequest("/query/3"))
+	f.g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	f.g.Expect(time.Since(sentAt)).To(BeNumerically("<", 500*time.Millisecond))
+	f.expectNoLateRuns(engine, publishedAt)
+	engine.SetFaults(standin.ReplicaFaults{})
+	f.g.Eventually(func() int { return f.send(h, promptRequest("/query/4")).status }, "5s", "100ms").Should(Equal(http.StatusOK))
+}
