Record when weights were published, so that restarts keep their age

What callers saw: requests began on replaced weights more than 8 s after newer ones were acknowledged, sent by hosts that had started in between.

Cause: staleness was counted from the moment at which the process first received the version. A host that is killed or stopped in turn after a publication takes engines with old weights for newly outdated and uses them for another 8 s. The same class: the steady clock of a process stands still while its machine is suspended.

Change: the host that holds the lease records each publication by the store's clock in sequoiaroad.publications, one read and one conditional write a version. A host reads the table once after its first listing of the operator's table. Time for which the machine was suspended is added from CLOCK_BOOTTIME. policy/storeclock relates the two clocks; the responses of the store already carry its time.

TestRestartedHostKnowsTheAgeOfWeights failed before: "Expected 200 to equal 503".

Ruled out: passing the age between hosts only, since all hosts may be killed together.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -29,6 +30,15 @@
 	Deleted bool
 }
 
+// Page is a response with rows of a table.
+type Page struct {
+	Rows []Row
+	// Version is the version up to which the rows are complete.
+	Version uint64
+	// Clock is the time of the store's steady clock when it responded.
+	Clock time.Duration
+}
+
 // Condition holds if the row has exactly this version; 0 means that it is absent.
 type Condition struct {
 	Table   string
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/policy/storeclock"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -47,10 +48,10 @@
 // Source lists the tables of the store and watches their changes.
 type Source interface {
 	// List returns all rows of a table, and the version from which to watch its changes.
-	List(ctx context.Context, table string) ([]store.Row, uint64, error)
+	List(ctx context.Context, table string) (store.Page, error)
 	// Changes returns the rows that changed after a version, and the version up to which
 	// they are complete. If there are none, it waits for them up to wait.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]store.Row, uint64, error)
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error)
 }
 
 // Decoder decodes rows that the platform wrote. DecodeOperatorRow returns nil values
@@ -103,9 +104,17 @@
 	// storeRecoveredAt is when the store last responded again after an outage.
 	storeRecoveredAt time.Time
 	// removeAt is when targets whose entries expired are removed.
-	removeAt  map[string]time.Time
-	snapshot  atomic.Pointer[Snapshot]
-	listeners []func(*Snapshot)
+	removeAt map[string]time.Time
+	// clock relates the store's clock to that of this process.
+	clock storeclock.Clock
+	// publicationsRead means that the recorded publications were applied.
+	publicationsRead bool
+	// started and bootStarted are the start by the clock of this process and by the one
+	// that goes on while the machine is suspended; suspended is their difference since.
+	started, bootStarted time.Time
+	suspended            time.Duration
+	snapshot             atomic.Pointer[Snapshot]
+	listeners            []func(*Snapshot)
 	// watchesStore reports whether this host watches the store or receives rows from
 	// hosts that do.
 	watchesStore func() bool
@@ -119,6 +128,7 @@
 		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostsTable),
 		desired: map[string]topology.DesiredWeights{}, targets: map[string]*topology.Target{},
 		hosts: map[string]Host{}, removeAt: map[string]time.Time{},
+		started: time.Now(), bootStarted: clock.BootTimeNow(),
 		watchesStore: func() bool { return true }, onStoreRows: func(*Table, uint64) {},
 	}
 	v.snapshot.Store(&Snapshot{})
@@ -165,6 +175,7 @@
 func (v *View) watch(ctx context.Context, t *Table) {
 	retry := minRetry
 	for ctx.Err() == nil {
+		v.recordSuspension(time.Now(), clock.BootTimeNow())
 		if _, listed := t.position(); listed && t != v.Hosts && !v.watchesStore() {
 			t.recordIdle(time.Now())
 			clock.Sleep(ctx, idleCheckInterval)
@@ -204,24 +215,28 @@
 		listed = false
 	}
 	if !listed {
-		rows, version, err := v.source.List(ctx, t.name)
+		page, err := v.source.List(ctx, t.name)
 		if err != nil {
 			return err
 		}
 		v.recordContact(t)
-		v.applyRows(t, t.applyList(rows, version, time.Now()))
+		v.observeClock(page.Clock, time.Now())
+		v.applyRows(t, t.applyList(page.Rows, page.Version, time.Now()))
+		v.readPublications(ctx, t)
 		return nil
 	}
-	rows, version, err := v.source.Changes(ctx, t.name, cursor, longPollTimeout)
+	page, err := v.source.Changes(ctx, t.name, cursor, longPollTimeout)
 	if err != nil {
 		return err
 	}
 	v.recordContact(t)
-	if changed, before := t.applyChanges(rows, version, time.Now()); len(changed) > 0 {
+	v.observeClock(page.Clock, time.Now())
+	if changed, before := t.applyChanges(page.Rows, page.Version, time.Now()); len(changed) > 0 {
 		v.applyRows(t, changed)
 		v.onStoreRows(t, before)
 	}
-	if len(rows) > 0 {
+	v.readPublications(ctx, t)
+	if len(page.Rows) > 0 {
 		clock.Sleep(ctx, watchBatchDelay)
 	}
 	return nil
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -16,12 +16,12 @@
 
 type emptySource struct{}
 
-func (emptySource) List(context.Context, string) ([]store.Row, uint64, error) {
-	return nil, 1, nil
+func (emptySource) List(context.Context, string) (store.Page, error) {
+	return store.Page{Version: 1}, nil
 }
 
-func (emptySource) Changes(context.Context, string, uint64, time.Duration) ([]store.Row, uint64, error) {
-	return nil, 1, nil
+func (emptySource) Changes(context.Context, string, uint64, time.Duration) (store.Page, error) {
+	return store.Page{Version: 1}, nil
 }
 
 func newTestView() *View {
@@ -105,15 +105,15 @@
 	after atomic.Uint64
 }
 
-func (s *countingSource) List(context.Context, string) ([]store.Row, uint64, error) {
-	return nil, 3, nil
+func (s *countingSource) List(context.Context, string) (store.Page, error) {
+	return store.Page{Version: 3}, nil
 }
 
-func (s *countingSource) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]store.Row, uint64, error) {
+func (s *countingSource) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (store.Page, error) {
 	s.calls.Add(1)
 	s.after.Store(after)
 	<-ctx.Done()
-	return nil, after, ctx.Err()
+	return store.Page{Version: after}, ctx.Err()
 }
 
 // Guards against a host that calls the store although other hosts send it the changes,
@@ -163,3 +163,19 @@
 	v.recordReachability(at(25))
 	g.Expect(outdatedFor(27)).To(Equal(4 * time.Second))
 }
+
+// Guards against weights that stay recent while the machine is suspended, since the
+// clock of the process stands still meanwhile.
+func TestSuspensionCountsAsStaleness(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView()
+	at := func(ms int) time.Time { return v.started.Add(time.Duration(ms) * time.Millisecond) }
+	boot := func(ms int) time.Time { return v.bootStarted.Add(time.Duration(ms) * time.Millisecond) }
+	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, at(0))
+	v.recordSuspension(at(1000), boot(1010))
+	v.publish()
+	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, at(1000))).To(Equal(time.Second))
+	v.recordSuspension(at(2000), boot(5010))
+	v.recordSuspension(at(2100), boot(5110))
+	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, at(2000))).To(BeNumerically("~", 5*time.Second, 20*time.Millisecond))
+}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -98,6 +98,8 @@
 	// by any host.
 	stalledSince   time.Time
 	nextLeaseCheck time.Time
+	// recorded holds the publications that this host has recorded, by model.
+	recorded map[string]*recorded
 
 	mu           sync.Mutex
 	busy         map[string]bool
@@ -113,7 +115,7 @@
 		Options: o,
 		row:     leasestore.New(o.Store, LeaseTable, leaseKey, o.HostID, o.Clock),
 		params:  lease.Params{Duration: o.LeaseDuration, Drift: leaseDrift, Settle: o.SettleTime},
-		busy:    map[string]bool{}, retryAt: map[string]time.Time{},
+		busy:    map[string]bool{}, retryAt: map[string]time.Time{}, recorded: map[string]*recorded{},
 	}
 }
 
@@ -177,6 +179,7 @@
 	}
 	now := time.Now()
 	for _, r := range pending {
+		c.recordPublication(ctx, r.desired, running)
 		for _, id := range rollout.Next(r.engines, r.desired.Version, c.Limits, now) {
 			t := c.View.Snapshot().Targets[id]
 			if t == nil || !c.held.MayAct(c.Clock(), orderDeliveryTime+noticeTimeout) {
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -3,6 +3,8 @@
 package topology
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -215,11 +217,42 @@
 
 // WithVersion returns the desired weights after a newer version has been published.
 func (d DesiredWeights) WithVersion(version int64, now time.Time) DesiredWeights {
-	published := append(append([]PublishedVersion(nil), d.Published...), PublishedVersion{version, now})
+	d.Version = version
+	return d.WithPublication(PublishedVersion{version, now})
+}
+
+// Shifted returns the desired weights with all versions published earlier by the given
+// time, which the clock of this host has lost.
+func (d DesiredWeights) Shifted(lost time.Duration) DesiredWeights {
+	published := make([]PublishedVersion, 0, len(d.Published))
+	for _, v := range d.Published {
+		v.Since = v.Since.Add(-lost)
+		published = append(published, v)
+	}
+	d.Published = published
+	return d
+}
+
+// WithPublication returns the desired weights after it became known when a version was
+// published. It adds versions that this host has not received, since older weights are
+// outdated from their publication on.
+func (d DesiredWeights) WithPublication(p PublishedVersion) DesiredWeights {
+	published := make([]PublishedVersion, 0, len(d.Published)+1)
+	for _, v := range d.Published {
+		if v.Version == p.Version && v.Since.Before(p.Since) {
+			p = v
+		}
+		if v.Version != p.Version {
+			published = append(published, v)
+		}
+	}
+	published = append(published, p)
+	slices.SortFunc(published, func(a, b PublishedVersion) int { return cmp.Compare(a.Version, b.Version) })
 	if len(published) > maxPublished {
 		published = published[1:]
 	}
-	return DesiredWeights{Model: d.Model, Version: version, Published: published, StoreLostAt: d.StoreLostAt}
+	d.Published = published
+	return d
 }
 
 // AfterOutage returns the desired weights after the store has not answered since lostAt:
--- a/policy/topology/topology_test.go
+++ b/policy/topology/topology_test.go
@@ -26,3 +26,18 @@
 	g.Expect(d.OutdatedFor(2, at(32))).To(Equal(2 * time.Second))
 	g.Expect(d.OutdatedFor(3, at(32))).To(BeZero())
 }
+
+// Guards against a version that counts as new at a host which received it late, and
+// against one that is received again and loses its age.
+func TestPublicationKeepsItsAge(t *testing.T) {
+	g := NewWithT(t)
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	received := DesiredWeights{}.WithVersion(3, at(10))
+	g.Expect(received.OutdatedFor(1, at(11))).To(Equal(time.Second))
+	known := received.WithPublication(PublishedVersion{2, at(0)}).WithPublication(PublishedVersion{3, at(5)})
+	g.Expect(known.Version).To(BeEquivalentTo(3))
+	g.Expect(known.OutdatedFor(1, at(11))).To(Equal(11 * time.Second))
+	g.Expect(known.OutdatedFor(2, at(11))).To(Equal(6 * time.Second))
+	g.Expect(known.WithVersion(3, at(11)).OutdatedFor(2, at(11))).To(Equal(6 * time.Second))
+	g.Expect(known.Shifted(4 * time.Second).OutdatedFor(2, at(11))).To(Equal(10 * time.Second))
+}
--- a/test/site/weights_test.go
+++ b/test/site/weights_test.go
@@ -59,3 +59,21 @@
 	engine.SetFaults(standin.ReplicaFaults{})
 	f.g.Eventually(func() int { return f.send(h, promptRequest("/query/4")).status }, "5s", "100ms").Should(Equal(http.StatusOK))
 }
+
+// Guards against a host that starts after a publication and takes old weights for newly
+// outdated, so that it sends requests to engines beyond the maximum staleness.
+func TestRestartedHostKnowsTheAgeOfWeights(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := f.startEngine("engine-1", 2)
+	f.startHost("host-1")
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	publishedAt := f.publishWeights(2)
+	time.Sleep(time.Until(publishedAt.Add(4 * time.Second)))
+	started := f.startHost("host-2")
+	f.g.Expect(f.send(started, promptRequest("/query/1")).status).To(Equal(http.StatusOK))
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness)))
+	r := f.send(started, promptRequest("/query/2"))
+	f.g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	f.expectNoLateRuns(engine, publishedAt)
+}
