--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,8 @@
 	response *bufferedResponse
 	// retryAfter is the delay after which the caller may retry; zero sends no hint.
 	retryAfter time.Duration
+	// began means that the target had begun to respond, without an event of a stream.
+	began bool
 	// closeConn means that the caller's connection can't be reused.
 	closeConn bool
 }
@@ -102,6 +105,9 @@
 	if c.route != nil {
 		args = append(args, "route", c.route.Name)
 	}
+	if f.began {
+		args = append(args, "response_began", true, "parts", strings.Join(c.sharedParts(), " "))
+	}
 	if c.account != nil {
 		args = append(args, "account", c.account.Name)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -169,6 +169,19 @@
 	log               hclog.Logger
 }
 
+// sharedParts returns the parts of the prompt that other requests may have in common with
+// it, with the model: all but the last.
+func (c *call) sharedParts() []string {
+	if len(c.meta.Parts) < 2 {
+		return nil
+	}
+	parts := make([]string, 0, len(c.meta.Parts)-1)
+	for _, part := range c.meta.Parts[:len(c.meta.Parts)-1] {
+		parts = append(parts, c.meta.Model+"/"+part.ID)
+	}
+	return parts
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.active.Add(1)
@@ -215,7 +228,7 @@
 		if !r.mayRetry(ctx, c, f) {
 			break
 		}
-		c.log.Info("request is sent again", "route", c.route.Name, "after", f.reason, "target", p.target.ID, "sends", c.sends)
+		c.log.Info("request is sent again", "route", c.route.Name, "after", f.reason, "target", p.target.ID, "sends", c.sends, "response_began", f.began)
 	}
 	r.finishFailed(c, last)
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -125,7 +125,7 @@
 func (r *Router) relayStream(ctx context.Context, c *call, p *plan, resp *http.Response, w *watchdog) *failure {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
 	controller := http.NewResponseController(c.w)
-	first := true
+	first, relayed := true, false
 	for {
 		event, err := readEvent(reader)
 		if first {
@@ -147,11 +147,14 @@
 		}
 		if err != nil {
 			c.tried[p.target.ID] = true
-			return r.streamFailure(ctx, p, err)
+			f := r.streamFailure(ctx, p, err)
+			f.began = !relayed
+			return f
 		}
 		if !c.responseStarted {
 			r.startStream(c, resp)
 		}
+		relayed = true
 		r.recordActivity(p)
 		if id := eventID(event); id != "" {
 			c.lastEventID = id
--- /dev/null
+++ b/policy/quarantine/quarantine.go
@@ -0,0 +1,285 @@
+// Package quarantine finds parts of prompts that crash targets, from attempts in which a
+// target ended after it had begun to respond and before it sent an event. It does no I/O;
+// the current time is an argument.
+//
+// Invariant: a part of a request that has completed recently is not a suspect. A request
+// is rejected only if it has all parts that the crashes have in common, so that requests
+// which share some of them with the cause are served.
+package quarantine
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashesToQuarantine is the number of different targets that must have crashed on a
+	// part. Two may be a coincidence of requests that a crash interrupts.
+	crashesToQuarantine = 3
+	// Duration is how long parts stay in quarantine after the last crash.
+	Duration = 10 * time.Minute
+	// completionTTL is how long a completed request exonerates its parts.
+	completionTTL = time.Minute
+	// crashTTL is how long a crash counts.
+	crashTTL = 5 * time.Minute
+	// maxParts bounds the memory for suspects and for completions.
+	maxParts = 20_000
+)
+
+// Crash is an attempt that a target did not survive.
+type Crash struct {
+	// Parts are the parts that other requests may share, with their model.
+	Parts []string
+	// Target identifies the incarnation of the target.
+	Target string
+}
+
+// Entry is a set of parts in quarantine: requests that have all of them are rejected.
+type Entry struct {
+	ID    string
+	Parts []string
+	Until time.Time
+}
+
+// suspect is a part that some crashes have in common.
+type suspect struct {
+	targets map[string]time.Time
+	// common are the parts that all crashes of this part share.
+	common []string
+	last   time.Time
+}
+
+// Registry holds the suspects and the entries. It is not safe for concurrent use.
+type Registry struct {
+	suspects  map[string]*suspect
+	completed map[string]time.Time
+	entries   map[string]Entry
+	// entriesOf lists the IDs of the entries that have a part.
+	entriesOf map[string][]string
+	lastSweep time.Time
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{
+		suspects: map[string]*suspect{}, completed: map[string]time.Time{},
+		entries: map[string]Entry{}, entriesOf: map[string][]string{},
+	}
+}
+
+// Match returns the entry that rejects a request with the given parts.
+func (r *Registry) Match(parts []string, now time.Time) (Entry, bool) {
+	if len(r.entries) == 0 {
+		return Entry{}, false
+	}
+	for _, part := range parts {
+		for _, id := range r.entriesOf[part] {
+			e := r.entries[id]
+			if now.Before(e.Until) && containsAll(parts, e.Parts) {
+				return e, true
+			}
+		}
+	}
+	return Entry{}, false
+}
+
+// Suspected reports whether a part has crashed more than one target, so that a request
+// with it must not be retried.
+func (r *Registry) Suspected(parts []string) bool {
+	return slices.ContainsFunc(parts, func(p string) bool {
+		s := r.suspects[p]
+		return s != nil && len(s.targets) > 1
+	})
+}
+
+// RecordCompletion records that a target completed a request with the given parts, here
+// or at a peer. It returns the parts that were suspected or in quarantine.
+func (r *Registry) RecordCompletion(parts []string, now time.Time) []string {
+	r.sweep(now)
+	var cleared []string
+	for _, part := range parts {
+		if len(r.completed) < maxParts {
+			r.completed[part] = now
+		}
+		if r.suspects[part] != nil || len(r.entriesOf[part]) > 0 {
+			cleared = append(cleared, part)
+		}
+		delete(r.suspects, part)
+		r.removeFromEntries(part)
+	}
+	for _, part := range cleared {
+		for _, s := range r.suspects {
+			s.common = without(s.common, part)
+		}
+	}
+	return cleared
+}
+
+// RecordCrash records a crash. It returns the entries that it adds, and the parts that
+// this host knows to be innocent.
+func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []string) {
+	r.sweep(now)
+	var parts []string
+	for _, part := range c.Parts {
+		if at, ok := r.completed[part]; ok && now.Sub(at) < completionTTL {
+			innocent = append(innocent, part)
+			continue
+		}
+		parts = append(parts, part)
+	}
+	for _, part := range parts {
+		r.suspect(part, parts).crash(c.Target, parts, now)
+	}
+	for _, part := range parts {
+		if e, ok := r.judge(part, now); ok {
+			added = append(added, e)
+		}
+	}
+	return added, innocent
+}
+
+func (r *Registry) suspect(part string, common []string) *suspect {
+	s := r.suspects[part]
+	if s == nil {
+		s = &suspect{targets: map[string]time.Time{}, common: common}
+		if len(r.suspects) < maxParts {
+			r.suspects[part] = s
+		}
+	}
+	return s
+}
+
+func (s *suspect) crash(target string, parts []string, now time.Time) {
+	s.targets[target], s.last = now, now
+	var common []string
+	for _, part := range s.common {
+		if slices.Contains(parts, part) {
+			common = append(common, part)
+		}
+	}
+	s.common = common
+}
+
+// judge puts a part in quarantine if enough targets crashed on it and its crashes are not
+// explained by a more specific suspect.
+func (r *Registry) judge(part string, now time.Time) (Entry, bool) {
+	s := r.suspects[part]
+	if s == nil || len(s.targets) < crashesToQuarantine || r.isExplained(s) {
+		return Entry{}, false
+	}
+	e := Entry{ID: entryID(s.common), Parts: s.common, Until: now.Add(Duration)}
+	_, known := r.entries[e.ID]
+	r.AddEntry(e)
+	return e, !known
+}
+
+// isExplained reports whether another suspect shares all parts that the crashes of s have
+// in common, and more: s is then only what several causes have in common.
+func (r *Registry) isExplained(s *suspect) bool {
+	for _, other := range r.suspects {
+		if len(other.targets) > 1 && len(other.common) > len(s.common) && containsAll(other.common, s.common) {
+			return true
+		}
+	}
+	return false
+}
+
+// AddEntry adds an entry, or extends one that is known. Parts that have completed here
+// are left out.
+func (r *Registry) AddEntry(e Entry) {
+	known, ok := r.entries[e.ID]
+	if ok {
+		if known.Until.Before(e.Until) {
+			known.Until = e.Until
+			r.entries[e.ID] = known
+		}
+		return
+	}
+	e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool {
+		_, completed := r.completed[part]
+		return completed
+	})
+	if len(e.Parts) == 0 {
+		return
+	}
+	r.entries[e.ID] = e
+	for _, part := range e.Parts {
+		r.entriesOf[part] = append(r.entriesOf[part], e.ID)
+	}
+}
+
+// removeFromEntries removes an innocent part from all entries.
+func (r *Registry) removeFromEntries(part string) {
+	for _, id := range r.entriesOf[part] {
+		e := r.entries[id]
+		e.Parts = without(e.Parts, part)
+		if len(e.Parts) == 0 {
+			delete(r.entries, id)
+			continue
+		}
+		r.entries[id] = e
+	}
+	delete(r.entriesOf, part)
+}
+
+func (r *Registry) removeEntry(id string) {
+	for _, part := range r.entries[id].Parts {
+		r.entriesOf[part] = without(r.entriesOf[part], id)
+		if len(r.entriesOf[part]) == 0 {
+			delete(r.entriesOf, part)
+		}
+	}
+	delete(r.entries, id)
+}
+
+// sweep drops what has expired, at most once per second.
+func (r *Registry) sweep(now time.Time) {
+	if now.Sub(r.lastSweep) < time.Second {
+		return
+	}
+	r.lastSweep = now
+	for part, at := range r.completed {
+		if now.Sub(at) >= completionTTL {
+			delete(r.completed, part)
+		}
+	}
+	for part, s := range r.suspects {
+		if now.Sub(s.last) >= crashTTL {
+			delete(r.suspects, part)
+		}
+	}
+	for id, e := range r.entries {
+		if !now.Before(e.Until) {
+			r.removeEntry(id)
+		}
+	}
+}
+
+func containsAll(parts, wanted []string) bool {
+	for _, part := range wanted {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+func without(parts []string, part string) []string {
+	var out []string
+	for _, p := range parts {
+		if p != part {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// entryID returns the same ID on all hosts for the same parts.
+func entryID(parts []string) string {
+	sorted := slices.Sorted(slices.Values(parts))
+	return strconv.FormatUint(xxhash.Sum64String(strings.Join(sorted, "\x00")), 16)
+}
--- a/policy/topology/topology_test.go
+++ b/policy/topology/topology_test.go
@@ -39,5 +39,5 @@
 	g.Expect(known.OutdatedFor(1, at(11))).To(Equal(11 * time.Second))
 	g.Expect(known.OutdatedFor(2, at(11))).To(Equal(6 * time.Second))
 	g.Expect(known.WithVersion(3, at(11)).OutdatedFor(2, at(11))).To(Equal(6 * time.Second))
-	g.Expect(known.Shifted(4 * time.Second).OutdatedFor(2, at(11))).To(Equal(10 * time.Second))
+	g.Expect(known.Shifted(4*time.Second).OutdatedFor(2, at(11))).To(Equal(10 * time.Second))
 }
