Quarantine parts of prompts that crash engines

What callers saw: requests that share one part crash each engine that begins to answer them, one after the other, and break off 6 to 55 other requests a crash.

Cause: failures count for targets only. Nothing links crashes of different engines to what was sent there, and no host knows of the crashes that others saw. Resumable requests were sent on to a second engine by the host itself.

Change: a response that ends between its head and its first event is a crash of its shared parts. Hosts tell each other of crashes. After three engines the parts that their crashes have in common go into quarantine for ten minutes: requests with all of them get 503 and Retry-After at once, those that wait at engines are withdrawn. Parts of a request that completed within a minute are never suspects, and what several causes have in common is not quarantined, so that sound requests with the same account and other parts are served. Entries are kept in sequoiaroad.quarantine and read at the start and after each crash, so that restarted hosts and hosts that missed a notice know them.

Evidence: the crashing request gets the head and no event in 237 of 237 attempts; sound first events come with the head.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -52,6 +52,8 @@
 	c.sends++
 	w := r.startWatchdog(c, p, cancel)
 	defer w.stop()
+	r.trackPrompt(&promptAttempt{c, p, w, cancel})
+	defer r.untrackPrompt(p)
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -57,6 +57,9 @@
 	if ctx.Err() != nil || c.sends >= maxSends {
 		return false
 	}
+	if f.began && r.Quarantine.Suspected(c.parts) {
+		return false
+	}
 	if !f.notExecuted && (!c.route.Kind.Retryable() || c.possibleExecutions >= c.route.MaxAttempts) {
 		return false
 	}
@@ -106,7 +109,7 @@
 		args = append(args, "route", c.route.Name)
 	}
 	if f.began {
-		args = append(args, "response_began", true, "parts", strings.Join(c.sharedParts(), " "))
+		args = append(args, "response_began", true, "parts", strings.Join(c.parts, " "))
 	}
 	if c.account != nil {
 		args = append(args, "account", c.account.Name)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -63,6 +63,7 @@
 	Tracer              trace.Tracer
 	Meter               metric.Meter
 	CopyResponseHeaders func(to, from http.Header)
+	Quarantine          Quarantine
 
 	Zone         string
 	RegionOfZone map[string]string
@@ -93,6 +94,8 @@
 	// notified is when the use of a part at a target was last announced to peers.
 	notified  map[notifiedKey]time.Time
 	lastSweep time.Time
+	// prompts holds the attempts of prompts that have sent no event.
+	prompts map[*plan]*promptAttempt
 }
 
 type notifiedKey struct {
@@ -110,7 +113,7 @@
 		Options: o, clients: newClients(), metrics: m,
 		balancer: balance.New(o.Zone, o.RegionOfZone),
 		buckets:  map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
-		notified: map[notifiedKey]time.Time{},
+		notified: map[notifiedKey]time.Time{}, prompts: map[*plan]*promptAttempt{},
 	}
 	o.View.OnChange(r.applySnapshot)
 	return r, nil
@@ -144,10 +147,12 @@
 
 // call is one request of a caller.
 type call struct {
-	w       http.ResponseWriter
-	req     *http.Request
-	meta    message.Request
-	body    []byte
+	w    http.ResponseWriter
+	req  *http.Request
+	meta message.Request
+	body []byte
+	// parts are the parts of the prompt that other requests may share.
+	parts   []string
 	route   *topology.Route
 	account *topology.Account
 	service *topology.Service
@@ -169,15 +174,15 @@
 	log               hclog.Logger
 }
 
-// sharedParts returns the parts of the prompt that other requests may have in common with
+// sharedParts returns the parts of a prompt that other requests may have in common with
 // it, with the model: all but the last.
-func (c *call) sharedParts() []string {
-	if len(c.meta.Parts) < 2 {
+func sharedParts(m *message.Request) []string {
+	if len(m.Parts) < 2 {
 		return nil
 	}
-	parts := make([]string, 0, len(c.meta.Parts)-1)
-	for _, part := range c.meta.Parts[:len(c.meta.Parts)-1] {
-		parts = append(parts, c.meta.Model+"/"+part.ID)
+	parts := make([]string, 0, len(m.Parts)-1)
+	for _, part := range m.Parts[:len(m.Parts)-1] {
+		parts = append(parts, m.Model+"/"+part.ID)
 	}
 	return parts
 }
@@ -193,6 +198,7 @@
 	}
 	c := &call{w: w, req: req, started: time.Now(), meta: r.Codec.Request(req.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
+	c.parts = sharedParts(&c.meta)
 	defer func() { r.bufferedBytes.Add(-int64(len(c.body))) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -35,6 +35,9 @@
 
 // planAttempt chooses a target and builds the envelope for it.
 func (r *Router) planAttempt(c *call) (*plan, *failure) {
+	if f := r.checkQuarantine(c); f != nil {
+		return nil, f
+	}
 	s := r.View.Snapshot()
 	targets := s.ByService[c.service.Name]
 	hosts, _ := r.Fleet.CountHosts()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -148,7 +148,9 @@
 		if err != nil {
 			c.tried[p.target.ID] = true
 			f := r.streamFailure(ctx, p, err)
-			f.began = !relayed
+			if f.began = !relayed; f.began && ctx.Err() == nil {
+				r.recordCrash(c, p)
+			}
 			return f
 		}
 		if !c.responseStarted {
@@ -201,6 +203,9 @@
 // recordCompletion records a request whose response was relayed.
 func (r *Router) recordCompletion(c *call, p *plan, status int) {
 	r.metrics.recordResponse(c, status, time.Since(c.started))
+	if status == http.StatusOK && len(c.parts) > 0 {
+		r.Quarantine.RecordCompletion(c.parts)
+	}
 	c.log.Info("answered", "route", c.route.Name, "config", c.config.Version, "target", p.target.ID, "status", status, "sends", c.sends,
 		"first_event_ms", c.firstEventLatency.Milliseconds(), "elapsed_ms", time.Since(c.started).Milliseconds())
 }
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -45,7 +45,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !p.latestStart.IsZero() {
-		w.startTimer = time.AfterFunc(time.Until(p.latestStart), func() { r.withdraw(c, p, w, cancel) })
+		w.startTimer = time.AfterFunc(time.Until(p.latestStart), func() { w.withdraw(p, cancel) })
 	}
 	if c.route.LatencyObjective <= 0 || c.responseStarted {
 		return w
@@ -80,16 +80,21 @@
 // withdraw ends an attempt that has not begun while the target's weights are recent
 // enough. The request would otherwise leave the target's queue later and run on weights
 // beyond the maximum staleness.
-func (r *Router) withdraw(c *call, p *plan, w *watchdog, cancel context.CancelFunc) {
+func (w *watchdog) withdraw(p *plan, cancel context.CancelFunc) {
+	w.abort(&failure{
+		status: http.StatusGatewayTimeout, reason: "the target did not begin before its weights were too old",
+		cause: errors.Errorf("target %s had weights %d and was sent the request %d ms before", p.target.ID, p.envelope.WeightsVersion, time.Since(p.sentAt).Milliseconds()),
+	}, cancel)
+}
+
+// abort cancels an attempt with a failure, unless its target has begun to respond.
+func (w *watchdog) abort(f *failure, cancel context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.responded {
+	if w.responded || w.aborted.Load() != nil {
 		return
 	}
-	w.aborted.Store(&failure{
-		status: http.StatusGatewayTimeout, reason: "the target did not begin before its weights were too old",
-		cause: errors.Errorf("target %s had weights %d and was sent the request %d ms before", p.target.ID, p.envelope.WeightsVersion, time.Since(p.sentAt).Milliseconds()),
-	})
+	w.aborted.Store(f)
 	cancel()
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -5,6 +5,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 )
 
 // TargetLoad is the number of requests that the sender has in flight at a target.
@@ -137,3 +138,23 @@
 
 // WireType implements wire.Message.
 func (*EngineNotice) WireType() wire.Type { return wire.TypeEngineNotice }
+
+// QuarantineNotice reports crashes of targets, the parts of prompts that are innocent of
+// them, and those that are in quarantine.
+type QuarantineNotice struct {
+	Crashes  []quarantine.Crash `msgpack:"c,omitempty"`
+	Innocent []string           `msgpack:"n,omitempty"`
+	Entries  []QuarantineEntry  `msgpack:"e,omitempty"`
+	// Relay asks the receiver to relay the notice to its group.
+	Relay bool `msgpack:"o,omitempty"`
+}
+
+// QuarantineEntry is a set of parts in quarantine.
+type QuarantineEntry struct {
+	ID          string   `msgpack:"i"`
+	Parts       []string `msgpack:"p"`
+	RemainingMs int64    `msgpack:"r"`
+}
+
+// WireType implements wire.Message.
+func (*QuarantineNotice) WireType() wire.Type { return wire.TypeQuarantineNotice }
--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -46,13 +46,27 @@
 // have acknowledged it or ctx ends. Two contacts in each group relay it, since it is
 // sent only once.
 func (e *Exchange) BroadcastEngineNotice(ctx context.Context, n *EngineNotice) {
-	layout, addresses := e.layout()
 	toContact := *n
 	toContact.Relay = true
+	e.broadcastToAll(ctx, n, &toContact)
+}
+
+// BroadcastQuarantineNotice sends a quarantine notice to all hosts, in the same way as an
+// engine notice.
+func (e *Exchange) BroadcastQuarantineNotice(ctx context.Context, n *QuarantineNotice) {
+	toContact := *n
+	toContact.Relay = true
+	e.broadcastToAll(ctx, n, &toContact)
+}
+
+// broadcastToAll sends one message to the hosts of the group, and another one to two
+// contacts in each other group, which relay it there.
+func (e *Exchange) broadcastToAll(ctx context.Context, toGroup, toContact wire.Message) {
+	layout, addresses := e.layout()
 	var running sync.WaitGroup
-	running.Go(func() { e.broadcast(ctx, responsive(layout.Group()), addresses, n) })
+	running.Go(func() { e.broadcast(ctx, responsive(layout.Group()), addresses, toGroup) })
 	for round := range uint64(2) {
-		running.Go(func() { e.broadcast(ctx, responsive(layout.Contacts(round)), addresses, &toContact) })
+		running.Go(func() { e.broadcast(ctx, responsive(layout.Contacts(round)), addresses, toContact) })
 	}
 	running.Wait()
 }
@@ -63,10 +77,23 @@
 		return
 	}
 	n.Relay = false
+	e.relayToGroup(ctx, n)
+}
+
+func (e *Exchange) handleQuarantineNotice(ctx context.Context, n *QuarantineNotice) {
+	e.local.HandleQuarantineNotice(n)
+	if !n.Relay {
+		return
+	}
+	n.Relay = false
+	e.relayToGroup(ctx, n)
+}
+
+func (e *Exchange) relayToGroup(ctx context.Context, m wire.Message) {
 	layout, addresses := e.layout()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	e.broadcast(ctx, responsive(layout.Group()), addresses, n)
+	e.broadcast(ctx, responsive(layout.Group()), addresses, m)
 }
 
 // QueueCacheNotice queues a cache notice for the peers.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -52,6 +52,8 @@
 	HandleCacheNotices(notices []balance.CacheNotice)
 	// HandleEngineNotice handles the notice of an order to a target.
 	HandleEngineNotice(n *EngineNotice)
+	// HandleQuarantineNotice handles a peer's notice of crashes of targets.
+	HandleQuarantineNotice(n *QuarantineNotice)
 }
 
 // Exchange sends the state of this host to the other hosts and receives theirs.
@@ -126,6 +128,14 @@
 		e.handleEngineNotice(ctx, &n)
 		return &wire.Ack{}, nil
 	})
+	r.Handle(wire.TypeQuarantineNotice, func(ctx context.Context, _ wire.Peer, request wire.Request) (wire.Message, error) {
+		var n QuarantineNotice
+		if err := request.Decode(&n); err != nil {
+			return nil, err
+		}
+		e.handleQuarantineNotice(ctx, &n)
+		return &wire.Ack{}, nil
+	})
 }
 
 // knownHosts returns the recorded hosts and those of the store's table, with their
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -53,6 +53,8 @@
 	h.cacheNotices += len(notices)
 }
 
+func (h *testHost) HandleQuarantineNotice(*QuarantineNotice) {}
+
 func (h *testHost) HandleEngineNotice(*EngineNotice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/routehost/routehost.go
+++ b/internal/routehost/routehost.go
@@ -21,12 +21,14 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/leasestore"
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/peers"
+	"github.com/sequoiaroad/sequoiaroad/internal/quarantine"
 	"github.com/sequoiaroad/sequoiaroad/internal/settings"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/weights"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	policy "github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 	"github.com/sequoiaroad/sequoiaroad/policy/retry"
 	"github.com/sequoiaroad/sequoiaroad/policy/rollout"
 )
@@ -76,17 +78,18 @@
 
 // Host is one running host.
 type Host struct {
-	options  Options
-	log      hclog.Logger
-	self     view.Host
-	view     *view.View
-	router   *forward.Router
-	peers    *peers.Exchange
-	weights  *weights.Controller
-	feed     *cachefeed.Feed
-	wire     *wire.Server
-	client   *wire.Client
-	draining atomic.Bool
+	options    Options
+	log        hclog.Logger
+	self       view.Host
+	view       *view.View
+	router     *forward.Router
+	quarantine *quarantine.Keeper
+	peers      *peers.Exchange
+	weights    *weights.Controller
+	feed       *cachefeed.Feed
+	wire       *wire.Server
+	client     *wire.Client
+	draining   atomic.Bool
 	// stopping is closed when the planned stop begins.
 	stopping chan struct{}
 }
@@ -109,6 +112,11 @@
 	h.client = wire.NewClient(wire.ClientOptions{Self: from, Credentials: credentials, Traffic: traffic, Logger: wireLog})
 	h.wire = wire.NewServer(wire.ServerOptions{Self: from, Credentials: credentials, Traffic: traffic, Logger: wireLog})
 	h.view = view.New(o.Platform.Source, o.Platform.Decoder, o.Telemetry.Logger.Named("view"))
+	h.quarantine = quarantine.New(quarantine.Options{
+		Store: o.Platform.Store, Source: o.Platform.Source, View: h.view, Fleet: (*localHost)(h),
+		Log:     o.Telemetry.Logger.Named("quarantine"),
+		OnEntry: func(e policy.Entry) { h.router.WithdrawMatching(e) },
+	})
 	if h.router, err = forward.New(h.routerOptions()); err != nil {
 		return nil, err
 	}
@@ -124,7 +132,7 @@
 	return forward.Options{
 		Codec: h.options.Platform.Codec, View: h.view, Fleet: (*localHost)(h),
 		Log: h.options.Telemetry.Logger.Named("forward"), Tracer: h.options.Telemetry.Tracer,
-		Meter: h.options.Telemetry.Meter, CopyResponseHeaders: h.options.Platform.CopyResponseHeaders,
+		Meter: h.options.Telemetry.Meter, CopyResponseHeaders: h.options.Platform.CopyResponseHeaders, Quarantine: h.quarantine,
 		Zone: d.Zone, RegionOfZone: d.RegionOfZone,
 		RetryLimits:         retry.Limits{Ratio: d.RetryBudgetRatio, Slack: d.RetryBudgetSlack, Window: d.RetryBudgetWindow},
 		UsageSlack:          d.QuotaSlack * usageSlackRatio,
@@ -159,8 +167,12 @@
 func (l *localHost) HandleCacheNotices(notices []balance.CacheNotice) {
 	l.router.HandleCacheNotices(notices)
 }
-func (l *localHost) CountHosts() (int, float64)             { return l.peers.CountHosts() }
-func (l *localHost) QueueCacheNotice(n balance.CacheNotice) { l.peers.QueueCacheNotice(n) }
+func (l *localHost) CountHosts() (int, float64)                       { return l.peers.CountHosts() }
+func (l *localHost) QueueCacheNotice(n balance.CacheNotice)           { l.peers.QueueCacheNotice(n) }
+func (l *localHost) HandleQuarantineNotice(n *peers.QuarantineNotice) { l.quarantine.HandleNotice(n) }
+func (l *localHost) BroadcastQuarantineNotice(ctx context.Context, n *peers.QuarantineNotice) {
+	l.peers.BroadcastQuarantineNotice(ctx, n)
+}
 func (l *localHost) HandleEngineNotice(n *peers.EngineNotice) {
 	l.weights.RecordProgress()
 	l.router.HandleEngineNotice(n)
@@ -192,6 +204,7 @@
 	add("peers", h.peers.Run)
 	add("weights", h.weights.Run)
 	add("cachefeed", h.feed.Run)
+	add("quarantine", h.quarantine.Run)
 	add("entry", h.maintainEntry)
 	if _, err := h.wire.Listen(h.options.Deployment.InnerListen); err != nil {
 		return err
--- a/internal/view/publications.go
+++ b/internal/view/publications.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -42,6 +44,19 @@
 	return out, true
 }
 
+// errClockUnknown means that the store has not answered since the start.
+var errClockUnknown = errors.New("the store's clock is not known")
+
+// StoreTime returns the time of the store's clock at a local time.
+func (v *View) StoreTime(at time.Time) (time.Duration, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.clock.Known() {
+		return 0, errClockUnknown
+	}
+	return v.clock.Store(at), nil
+}
+
 func (v *View) observeClock(store time.Duration, receivedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/wire/contract.go
+++ b/internal/wire/contract.go
@@ -35,6 +35,7 @@
 	TypeCacheNotices
 	TypeEngineNotice
 	TypeRowsPush
+	TypeQuarantineNotice
 )
 
 // Message is a body that can be sent in a frame.
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -33,9 +33,9 @@
 // Crash is an attempt that a target did not survive.
 type Crash struct {
 	// Parts are the parts that other requests may share, with their model.
-	Parts []string
+	Parts []string `msgpack:"p"`
 	// Target identifies the incarnation of the target.
-	Target string
+	Target string `msgpack:"t"`
 }
 
 // Entry is a set of parts in quarantine: requests that have all of them are rejected.
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -26,6 +26,9 @@
 	// FailRequests is the number of next requests that are executed and fail with status
 	// 500.
 	FailRequests int
+	// CrashPart is a part of prompts on which the replica crashes after the head of its
+	// response. It answers nothing afterwards.
+	CrashPart string
 	// Hold keeps requests in the queue until the fault ends or their caller leaves.
 	Hold bool
 	// LoseReports closes the connections of reads of the replica's report without a
@@ -73,6 +76,7 @@
 	acceptedFencingTokens []uint64
 	weightsVersion        int64
 	loading               bool
+	crashed               bool
 	running               int
 	loadWhenIdle          func() // starts the load of an accepted order; nil if none waits
 	store                 *Store // the store in which the replica is registered
@@ -153,6 +157,9 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.hasCrashed() {
+		panic(http.ErrAbortHandler)
+	}
 	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != r.options.ID {
 		w.Header().Set("X-Instance-Id", r.options.ID)
 		w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
@@ -292,6 +299,18 @@
 	return r.faults, r.weightsVersion, http.StatusOK
 }
 
+func (r *Replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed = true
+}
+
+func (r *Replica) hasCrashed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashed
+}
+
 // waitInQueue waits while requests are held. It returns false if the caller has left.
 func (r *Replica) waitInQueue(req *http.Request) bool {
 	held := func() bool {
@@ -346,6 +365,11 @@
 func (r *Replica) writeStream(w http.ResponseWriter, req *http.Request, faults ReplicaFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	if faults.CrashPart != "" && strings.Contains(req.Header.Get("X-Prefix-Hash"), faults.CrashPart) {
+		_ = http.NewResponseController(w).Flush()
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	lastEventID, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
 		lastEventID = 0
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -238,6 +238,23 @@
 	f.g.Expect(refused).To(BeNumerically(">", 0))
 }
 
+// locate returns the hosts to which the host directs callers.
+func (h *host) locate() []string {
+	resp, err := http.Get("http://" + h.locatorAddress + "/api/resolve?name=x&region=north&zone=zone-a")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var body struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&body) != nil || body.TTL <= 0 {
+		return nil
+	}
+	return body.Addresses
+}
+
 // Guards against a locator that returns stopped hosts, or no hosts while the store is
 // down.
 func TestLocatorReturnsLiveHosts(t *testing.T) {
@@ -245,27 +262,12 @@
 	f := newFixture(t)
 	f.startDesk("desk-1")
 	h1, h2 := f.startHost("host-1"), f.startHost("host-2")
-	addresses := func() []string {
-		resp, err := http.Get("http://" + h1.locatorAddress + "/api/resolve?name=x&region=north&zone=zone-a")
-		if err != nil {
-			return nil
-		}
-		defer func() { _ = resp.Body.Close() }()
-		var body struct {
-			Addresses []string `json:"addresses"`
-			TTL       float64  `json:"ttl_s"`
-		}
-		if json.NewDecoder(resp.Body).Decode(&body) != nil || body.TTL <= 0 {
-			return nil
-		}
-		return body.Addresses
-	}
-	f.g.Eventually(addresses, "3s", "50ms").Should(ConsistOf(h1.callerAddress, h2.callerAddress))
+	f.g.Eventually(h1.locate, "3s", "50ms").Should(ConsistOf(h1.callerAddress, h2.callerAddress))
 	f.store.SetDown(true)
 	time.Sleep(500 * time.Millisecond)
-	f.g.Expect(addresses()).To(ConsistOf(h1.callerAddress, h2.callerAddress))
+	f.g.Expect(h1.locate()).To(ConsistOf(h1.callerAddress, h2.callerAddress))
 	h2.stop()
-	f.g.Eventually(addresses, "2s", "50ms").Should(ConsistOf(h1.callerAddress))
+	f.g.Eventually(h1.locate, "2s", "50ms").Should(ConsistOf(h1.callerAddress))
 }
 
 // Guards against a large fleet in which every host requests each change from the store,
