End an outage of the store with the first answer instead of the next long poll

Outages of the store are kept out of the age of published weights. After one failed call, for example a 429, the next call was a long poll of up to 4 s, so that the age lost that time for good, and prompts on old weights went on up to 11.3 s after a publication. Until the store answers again a call now asks for changes without waiting. Whether the store is lost is read under the lock that guards the decision.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -225,7 +225,12 @@
 		v.readPublications(ctx, t)
 		return nil
 	}
-	page, err := v.source.Changes(ctx, t.name, cursor, longPollTimeout)
+	wait := longPollTimeout
+	if t.isUnreachable() {
+		// A long poll would prolong the outage by the time that it waits.
+		wait = 0
+	}
+	page, err := v.source.Changes(ctx, t.name, cursor, wait)
 	if err != nil {
 		return err
 	}
@@ -246,9 +251,9 @@
 // outage begins with the first failed call, not with the last answer: a single failure
 // after a long poll is not an outage of the time that the poll waited.
 func (v *View) recordReachability(now time.Time) {
-	lost := v.StoreUnreachable()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	lost := v.StoreUnreachable()
 	if lost != v.storeLostAt.IsZero() {
 		return
 	}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -179,3 +179,35 @@
 	v.recordSuspension(at(2100), boot(5110))
 	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, at(2000))).To(BeNumerically("~", 5*time.Second, 20*time.Millisecond))
 }
+
+// failingSource fails one call for changes of the operator's table.
+type failingSource struct {
+	emptySource
+	failed atomic.Bool
+}
+
+func (s *failingSource) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (store.Page, error) {
+	if table == "operator" && s.failed.CompareAndSwap(false, true) {
+		return store.Page{}, errors.New("status 429")
+	}
+	select {
+	case <-ctx.Done():
+		return store.Page{}, ctx.Err()
+	case <-time.After(wait):
+		return store.Page{Version: after}, nil
+	}
+}
+
+// Guards against one failed call of the store that takes the time of a whole long poll
+// off the age of published weights.
+func TestFailedCallIsAShortOutage(t *testing.T) {
+	g := NewWithT(t)
+	v := New(&failingSource{}, newTestView().decoder, hclog.NewNullLogger())
+	start := time.Now()
+	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, start)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	g.Expect(v.Run(ctx)).To(Succeed())
+	now := time.Now()
+	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, now)).To(BeNumerically(">", now.Sub(start)-2*minRetry))
+}
