Record publications without a rollout, by several hosts, and keep the earliest time

The time of a publication was recorded only by the holder of the lease while an engine was to be loaded. With all engines away nothing was recorded, a host that started meanwhile counted from its own start, and its late time then stayed in the row. A failed first read was never repeated on hosts that don't watch the store.

Now the first four live hosts in ID order compare the row with what they received, 0.7 s apart, and write the earlier time; all others read it after 2.8 s. A failed call is repeated each second. Versions that the operator's table lacks are ignored. The suspension of a machine is checked each 0.5 s, and not when the process was frozen between the two readings.

TestPublicationIsRecordedWithoutRollout failed before: no row 2 s after the publication.

--- a/internal/view/publications.go
+++ b/internal/view/publications.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -14,6 +15,10 @@
 // A host that starts later learns the staleness of older weights from it.
 const PublicationsTable = "sequoiaroad.publications"
 
+// recordToleranceMs is how much later than this host another one may have received a
+// version without a correction of the record.
+const recordToleranceMs = 100
+
 // minSuspension is the shortest suspension of the machine that matters for staleness.
 const minSuspension = 100 * time.Millisecond
 
@@ -29,19 +34,30 @@
 	ClockMs int64 `json:"clock_ms"`
 }
 
-// Publications returns the row to record for a model; false if the store's clock is not
-// known or the row that was read at the start was not applied yet.
-func (v *View) Publications(model string) (Publications, bool) {
+// MergePublications applies the recorded publications of a model and returns the row
+// with those that this host has received earlier; false if the row lacks none.
+func (v *View) MergePublications(model string, row Publications) (merged Publications, changed bool, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out Publications
-	if !v.publicationsRead || !v.clock.Known() {
-		return out, false
+	if !v.clock.Known() {
+		return row, false, errClockUnknown
 	}
+	recorded := map[int64]int64{}
+	for _, p := range row.Versions {
+		recorded[p.Version] = p.ClockMs
+	}
+	v.applyPublications(model, row)
+	v.publish()
 	for _, p := range v.desired[model].Published {
-		out.Versions = append(out.Versions, Publication{p.Version, v.clock.Store(p.Since).Milliseconds()})
+		clockMs := v.clock.Store(p.Since).Milliseconds()
+		if old, ok := recorded[p.Version]; ok && old <= clockMs+recordToleranceMs {
+			clockMs = old
+		} else {
+			changed = true
+		}
+		merged.Versions = append(merged.Versions, Publication{p.Version, clockMs})
 	}
-	return out, true
+	return merged, changed, nil
 }
 
 // errClockUnknown means that the store has not answered since the start.
@@ -92,16 +108,38 @@
 }
 
 func (v *View) applyPublications(model string, p Publications) {
-	d := v.desired[model]
-	d.Model, d.StoreLostAt = model, v.storeLostAt
+	d, known := v.desired[model]
+	if !known {
+		return
+	}
 	for _, publication := range p.Versions {
+		if publication.Version > d.Version {
+			continue // the operator's table does not have it
+		}
 		since := v.clock.Local(time.Duration(publication.ClockMs) * time.Millisecond)
+		before := d.OutdatedFor(publication.Version-1, time.Now())
 		d = d.WithPublication(topology.PublishedVersion{Version: publication.Version, Since: since})
-		v.log.Info("publication of weights was recorded", "model", model, "weights", publication.Version, "age_ms", time.Since(since).Milliseconds())
+		if after := d.OutdatedFor(publication.Version-1, time.Now()); after > before+minSuspension {
+			v.log.Info("weights were published earlier than this host received them", "model", model, "weights", publication.Version, "age_ms", after.Milliseconds())
+		}
 	}
 	v.desired[model] = d
 }
 
+// maxClockReading is how far apart two readings of clocks may be to be compared. The
+// process may be frozen in between.
+const maxClockReading = 10 * time.Millisecond
+
+// checkSuspension compares the clock of this process with the one that goes on while the
+// machine is suspended.
+func (v *View) checkSuspension() {
+	before := time.Now()
+	bootNow := clock.BootTimeNow()
+	if now := time.Now(); now.Sub(before) < maxClockReading {
+		v.recordSuspension(now, bootNow)
+	}
+}
+
 // recordSuspension adds the time for which the machine was suspended to the staleness of
 // weights: the clock of this process stood still meanwhile.
 func (v *View) recordSuspension(now, bootNow time.Time) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -40,6 +40,9 @@
 	// idleCheckInterval is the interval between checks whether this host should watch the
 	// store.
 	idleCheckInterval = 100 * time.Millisecond
+	// suspensionCheckInterval is the interval between checks whether the machine was
+	// suspended.
+	suspensionCheckInterval = 500 * time.Millisecond
 )
 
 // HostsTable holds an entry for each host of the system.
@@ -168,6 +171,7 @@
 	for _, t := range []*Table{v.Operator, v.Targets, v.Hosts} {
 		running.Go(func() { v.watch(ctx, t) })
 	}
+	running.Go(func() { clock.Every(ctx, suspensionCheckInterval, v.checkSuspension) })
 	running.Wait()
 	return nil
 }
@@ -175,7 +179,6 @@
 func (v *View) watch(ctx context.Context, t *Table) {
 	retry := minRetry
 	for ctx.Err() == nil {
-		v.recordSuspension(time.Now(), clock.BootTimeNow())
 		if _, listed := t.position(); listed && t != v.Hosts && !v.watchesStore() {
 			t.recordIdle(time.Now())
 			clock.Sleep(ctx, idleCheckInterval)
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -211,3 +211,27 @@
 	now := time.Now()
 	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, now)).To(BeNumerically(">", now.Sub(start)-2*minRetry))
 }
+
+// Guards against a host that records its late receipt of a version over the time at which
+// others received it, and against records of versions that the operator's table lacks.
+func TestEarlierPublicationWins(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView()
+	now := time.Now()
+	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, now)
+	_, _, err := v.MergePublications("m", Publications{})
+	g.Expect(err).To(MatchError(errClockUnknown))
+	v.observeClock(100*time.Second, now)
+	merged, changed, err := v.MergePublications("m", Publications{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(BeTrue())
+	g.Expect(merged.Versions).To(Equal([]Publication{{2, 100_000}}))
+	earlier := Publications{Versions: []Publication{{2, 96_000}, {9, 90_000}}}
+	merged, changed, err = v.MergePublications("m", earlier)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(BeFalse())
+	g.Expect(merged.Versions).To(Equal(earlier.Versions[:1]))
+	g.Expect(v.Snapshot().DesiredWeights["m"].OutdatedFor(1, now)).To(Equal(4 * time.Second))
+	_, changed, _ = v.MergePublications("m", Publications{Versions: []Publication{{2, 99_000}}})
+	g.Expect(changed).To(BeTrue())
+}
--- a/internal/weights/publications.go
+++ b/internal/weights/publications.go
@@ -10,69 +10,79 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/policy/rollout"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
-// recordRetryDelay follows a failed record of a publication.
-const recordRetryDelay = time.Second
+const (
+	// recordRetryDelay follows a failed record of a publication.
+	recordRetryDelay = time.Second
+	// maxRecorders is the number of hosts that record a publication, one after the
+	// other, so that it does not depend on one host. All others only read the record.
+	maxRecorders = 4
+)
 
-// recorded is the newest version of a model whose publication this host has recorded.
-type recorded struct {
+// record is what this host has done about the newest publication of a model.
+type record struct {
 	version int64
 	busy    bool
-	retryAt time.Time
+	// dueAt is when this host compares its record with the store.
+	dueAt time.Time
 }
 
-// recordPublication records in the store when the desired version was published, so that
-// hosts that start later know how long older weights have been outdated. It does not
-// delay the rollout.
-func (c *Controller) recordPublication(ctx context.Context, desired topology.DesiredWeights, running *sync.WaitGroup) {
-	r := c.recorded[desired.Model]
-	if r == nil {
-		r = &recorded{}
-		c.recorded[desired.Model] = r
+// recordPublications records in the store when the desired versions were published, and
+// reads what other hosts have recorded, so that hosts that start later know how long
+// older weights have been outdated. It depends neither on a rollout nor on the lease.
+func (c *Controller) recordPublications(ctx context.Context, running *sync.WaitGroup) {
+	for _, desired := range c.View.Snapshot().DesiredWeights {
+		c.recordPublication(ctx, desired, running)
 	}
+}
+
+func (c *Controller) recordPublication(ctx context.Context, desired topology.DesiredWeights, running *sync.WaitGroup) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r.version >= desired.Version || r.busy || c.Clock().Before(r.retryAt) {
-		return
+	r := c.records[desired.Model]
+	now := c.Clock()
+	if r == nil || r.version < desired.Version && !r.busy {
+		position := min(c.takeoverPosition(), maxRecorders)
+		r = &record{version: desired.Version, dueAt: now.Add(rollout.TakeoverDelay(position))}
+		c.records[desired.Model] = r
 	}
-	row, known := c.View.Publications(desired.Model)
-	if !known {
+	if r.busy || r.dueAt.IsZero() || now.Before(r.dueAt) {
 		return
 	}
 	r.busy = true
 	running.Go(func() {
-		err := c.writePublications(ctx, desired.Model, row)
+		err := c.syncPublications(ctx, desired.Model)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		r.busy = false
+		r.busy, r.dueAt = false, time.Time{}
 		if err != nil {
 			c.Log.Warn("failed to record when weights were published", "model", desired.Model, "weights", desired.Version, "error", err)
-			r.retryAt = c.Clock().Add(recordRetryDelay)
-			return
+			r.dueAt = c.Clock().Add(recordRetryDelay)
 		}
-		r.version = desired.Version
 	})
 }
 
-// writePublications writes the row unless it already has the newest version. The write
-// is conditional, so that a late one does not replace a newer row.
-func (c *Controller) writePublications(ctx context.Context, model string, row view.Publications) error {
+// syncPublications reads the row of a model and adds what this host knows better. The
+// write is conditional, so that a late one does not replace a newer row.
+func (c *Controller) syncPublications(ctx context.Context, model string) error {
 	stored, err := c.Store.Get(ctx, view.PublicationsTable, model)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	var before view.Publications
+	var row view.Publications
 	if err == nil {
-		if err := json.Unmarshal(stored.Value, &before); err != nil {
+		if err := json.Unmarshal(stored.Value, &row); err != nil {
 			c.Log.Warn("row of publications is replaced", "model", model, "error", err)
 		}
 	}
-	if newestVersion(before) >= newestVersion(row) {
-		return nil
+	merged, changed, err := c.View.MergePublications(model, row)
+	if err != nil || !changed || c.takeoverPosition() >= maxRecorders {
+		return err
 	}
-	value, err := json.Marshal(row)
+	value, err := json.Marshal(merged)
 	if err != nil {
 		return errors.Wrap(err, "encode publications")
 	}
@@ -81,11 +91,3 @@
 		[]platform.Write{{Table: view.PublicationsTable, Key: model, Value: value}})
 	return err
 }
-
-func newestVersion(p view.Publications) int64 {
-	var newest int64
-	for _, v := range p.Versions {
-		newest = max(newest, v.Version)
-	}
-	return newest
-}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -98,13 +98,12 @@
 	// by any host.
 	stalledSince   time.Time
 	nextLeaseCheck time.Time
-	// recorded holds the publications that this host has recorded, by model.
-	recorded map[string]*recorded
-
-	mu           sync.Mutex
-	busy         map[string]bool
-	retryAt      map[string]time.Time
-	lastProgress time.Time
+	mu             sync.Mutex
+	busy           map[string]bool
+	retryAt        map[string]time.Time
+	lastProgress   time.Time
+	// records holds what this host has done about the newest publication, by model.
+	records map[string]*record
 	// highestFenced is the highest fencing token of this host that an engine rejected.
 	highestFenced uint64
 }
@@ -115,7 +114,7 @@
 		Options: o,
 		row:     leasestore.New(o.Store, LeaseTable, leaseKey, o.HostID, o.Clock),
 		params:  lease.Params{Duration: o.LeaseDuration, Drift: leaseDrift, Settle: o.SettleTime},
-		busy:    map[string]bool{}, retryAt: map[string]time.Time{}, recorded: map[string]*recorded{},
+		busy:    map[string]bool{}, retryAt: map[string]time.Time{}, records: map[string]*record{},
 	}
 }
 
@@ -169,6 +168,7 @@
 }
 
 func (c *Controller) reconcile(ctx context.Context, running *sync.WaitGroup) {
+	c.recordPublications(ctx, running)
 	pending := c.pendingRollouts()
 	if len(pending) == 0 {
 		c.stalledSince = time.Time{}
@@ -179,7 +179,6 @@
 	}
 	now := time.Now()
 	for _, r := range pending {
-		c.recordPublication(ctx, r.desired, running)
 		for _, id := range rollout.Next(r.engines, r.desired.Version, c.Limits, now) {
 			t := c.View.Snapshot().Targets[id]
 			if t == nil || !c.held.MayAct(c.Clock(), orderDeliveryTime+noticeTimeout) {
--- a/test/site/weights_test.go
+++ b/test/site/weights_test.go
@@ -77,3 +77,26 @@
 	f.g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
 	f.expectNoLateRuns(engine, publishedAt)
 }
+
+// Guards against publications that are recorded only when an engine is to load them: a
+// host that starts while all engines are away would not know the age of their weights.
+func TestPublicationIsRecordedWithoutRollout(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.startEngine("engine-1", 2)
+	f.startDesk("desk-1")
+	first := f.startHost("host-1")
+	f.store.Delete("servers", "engine-1")
+	time.Sleep(time.Second)
+	publishedAt := f.publishWeights(2)
+	f.g.Eventually(func() int { return len(f.store.Rows("sequoiaroad.publications")) }, "2s", "20ms").Should(Equal(1))
+	first.stop()
+	f.g.Eventually(first.done, "10s").Should(Receive())
+	first.done <- nil
+	second := f.startHost("host-2")
+	engine := f.startEngine("engine-2", 2)
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness)))
+	f.g.Expect(f.send(second, promptRequest("/query/1")).status).To(Equal(http.StatusServiceUnavailable))
+	f.expectNoLateRuns(engine, publishedAt)
+}
