--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -238,6 +238,32 @@
 	f.g.Expect(refused).To(BeNumerically(">", 0))
 }
 
+// Guards against an account that gets its burst again after each restart of a host.
+func TestRateLimitOutlivesRestart(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	const rate, burst, cost, window, tolerance, slack = 100.0, 5000.0, 100.0, 8.0, 0.1, 1000.0
+	f.updateConfig(func(c object) {
+		account := c["tenants"].([]any)[0].(object)
+		account["rate_per_s"], account["burst"] = rate, burst
+	})
+	f.startDesk("desk-1")
+	admitted := 0.0
+	sendUntilRefused := func(h *host) {
+		for f.send(h, request{method: "GET", uri: "/status/1", key: clubKey}).status == http.StatusOK {
+			admitted += cost
+		}
+	}
+	first := f.startHost("host-1")
+	sendUntilRefused(first)
+	refusedAt := time.Now()
+	first.stop()
+	second := f.startHost("host-2")
+	sendUntilRefused(second)
+	f.g.Expect(time.Since(refusedAt).Seconds()).To(BeNumerically("<", window))
+	f.g.Expect(admitted).To(BeNumerically("<=", (rate*window+burst)*(1+tolerance)+slack))
+}
+
 // locate returns the hosts to which the host directs callers.
 func (h *host) locate() []string {
 	resp, err := http.Get("http://" + h.locatorAddress + "/api/resolve?name=x&region=north&zone=zone-a")
