Let the quarantine end, reach all hosts and forget innocent parts

Found by the review of the quarantine, each shown by its trials: - A wrong entry held for ten minutes with no way back, since what is rejected can't complete. It now holds for a minute; a crash after that resumes it for five times as long, up to an hour. - A part beside ever new other parts was taken for what these have in common: 102 of 102 requests crashed. Suspects now explain a part only if they account for all but two of its engines. - Notices of innocence renewed each other, so that a part which had completed once could crash an engine a minute for good. They carry the age of the completion, which counts for 15 s. - A host that missed the one notice learned of an entry only by a crash of its own. Heartbeats carry a digest of the entries, and a host with others reads the table. - Rows of cleared entries came back in hosts that started later. They are rewritten or deleted; a known entry no longer withdraws requests again. - 100 hosts sent 300 notices of innocence and wrote one row 100 times for three crashes. About four hosts report innocence, and only the host that saw the last crash announces and writes.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -33,6 +33,8 @@
 	Usage           []AccountUsage `msgpack:"u,omitempty"`
 	// EjectedTargets are targets that the sender has ejected after failures.
 	EjectedTargets []string `msgpack:"x,omitempty"`
+	// QuarantineDigest identifies the entries in quarantine that the sender has.
+	QuarantineDigest uint64 `msgpack:"q,omitempty"`
 	// StoreUnreachable means that the store does not respond to the sender.
 	StoreUnreachable bool `msgpack:"c,omitempty"`
 	// Sequence counts the heartbeats of an incarnation, so that a relayed heartbeat
@@ -143,17 +145,25 @@
 // them, and those that are in quarantine.
 type QuarantineNotice struct {
 	Crashes  []quarantine.Crash `msgpack:"c,omitempty"`
-	Innocent []string           `msgpack:"n,omitempty"`
+	Innocent []InnocentPart     `msgpack:"n,omitempty"`
 	Entries  []QuarantineEntry  `msgpack:"e,omitempty"`
 	// Relay asks the receiver to relay the notice to its group.
 	Relay bool `msgpack:"o,omitempty"`
 }
 
+// InnocentPart is a part of a request that a target has completed.
+type InnocentPart struct {
+	Part string `msgpack:"p"`
+	// AgeMs is how long ago the request was completed.
+	AgeMs int64 `msgpack:"a"`
+}
+
 // QuarantineEntry is a set of parts in quarantine.
 type QuarantineEntry struct {
 	ID          string   `msgpack:"i"`
 	Parts       []string `msgpack:"p"`
 	RemainingMs int64    `msgpack:"r"`
+	DurationMs  int64    `msgpack:"d"`
 }
 
 // WireType implements wire.Message.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/leasestore"
@@ -27,6 +29,14 @@
 	// since notices of other hosts may be lost.
 	minReadInterval = time.Second
 	retryInterval   = time.Second
+	// digestInterval is the interval between reads because of the same digest.
+	digestInterval = 5 * time.Second
+	// maxWrites bounds the attempts to write an entry. Peers keep it too, and hosts that
+	// start later learn it from crashes of their own.
+	maxWrites = 10
+	// innocenceReporters is the expected number of hosts that report a completed part
+	// after a crash.
+	innocenceReporters = 4
 	// queueSize bounds the notices that wait to be sent.
 	queueSize = 256
 )
@@ -36,6 +46,9 @@
 	// BroadcastQuarantineNotice sends a notice to all other hosts, and waits until they
 	// have acknowledged it or ctx ends.
 	BroadcastQuarantineNotice(ctx context.Context, n *peers.QuarantineNotice)
+	// CountHosts returns the number of hosts and the share of them that is
+	// unresponsive.
+	CountHosts() (hosts int, unresponsiveShare float64)
 }
 
 // Options configure a Keeper.
@@ -45,7 +58,7 @@
 	View   *view.View
 	Fleet  Fleet
 	Log    hclog.Logger
-	// OnEntry is called after an entry was added. It must not block.
+	// OnEntry is called after an entry was added or prolonged. It must not block.
 	OnEntry func(e quarantine.Entry)
 }
 
@@ -53,7 +66,14 @@
 type row struct {
 	Parts []string `json:"parts"`
 	// UntilMs is the end of the quarantine by the store's clock.
-	UntilMs int64 `json:"until_ms"`
+	UntilMs    int64 `json:"until_ms"`
+	DurationMs int64 `json:"duration_ms"`
+}
+
+// outgoing is a notice for the peers, and the entries that change with it.
+type outgoing struct {
+	notice *peers.QuarantineNotice
+	rows   []quarantine.Entry
 }
 
 // Keeper decides for this host which requests are in quarantine.
@@ -62,16 +82,19 @@
 
 	mu       sync.Mutex
 	registry *quarantine.Registry
+	// lastDigest is the last digest of a peer for which the table was read.
+	lastDigest   uint64
+	lastDigestAt time.Time
 
-	notices chan *peers.QuarantineNotice
-	reads   chan struct{}
+	outgoing chan outgoing
+	reads    chan struct{}
 }
 
 // New returns a keeper that has read no entry.
 func New(o Options) *Keeper {
 	return &Keeper{
 		Options: o, registry: quarantine.New(),
-		notices: make(chan *peers.QuarantineNotice, queueSize), reads: make(chan struct{}, 1),
+		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 }
 
@@ -91,13 +114,19 @@
 
 // RecordCompletion records that a target completed a request.
 func (k *Keeper) RecordCompletion(parts []string) {
+	now := time.Now()
 	k.mu.Lock()
-	cleared := k.registry.RecordCompletion(parts, time.Now())
+	cleared, changed := k.registry.RecordCompletion(parts, now)
 	k.mu.Unlock()
-	if len(cleared) > 0 {
-		k.Log.Info("parts are no longer suspected of crashes", "parts", cleared)
-		k.enqueue(&peers.QuarantineNotice{Innocent: cleared})
+	if len(cleared) == 0 {
+		return
+	}
+	k.Log.Info("parts are no longer suspected of crashes", "parts", cleared)
+	n := &peers.QuarantineNotice{}
+	for _, part := range cleared {
+		n.Innocent = append(n.Innocent, peers.InnocentPart{Part: part})
 	}
+	k.enqueue(outgoing{notice: n, rows: changed})
 }
 
 // RecordCrash records that a target ended after it had begun to respond to a request of
@@ -106,59 +135,119 @@
 	if len(c.Parts) == 0 {
 		return
 	}
-	k.enqueue(&peers.QuarantineNotice{Crashes: []quarantine.Crash{c}})
-	k.applyCrash(c)
-	select {
-	case k.reads <- struct{}{}:
-	default:
+	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: []quarantine.Crash{c}}})
+	added := k.applyCrash(c)
+	if len(added) > 0 {
+		k.announce(added)
 	}
+	k.requestRead()
 }
 
-func (k *Keeper) applyCrash(c quarantine.Crash) {
+// applyCrash records a crash that this host or a peer has seen. It returns the entries
+// that this adds.
+func (k *Keeper) applyCrash(c quarantine.Crash) []quarantine.Entry {
+	now := time.Now()
 	k.mu.Lock()
-	added, innocent := k.registry.RecordCrash(c, time.Now())
+	added, innocent := k.registry.RecordCrash(c, now)
 	k.mu.Unlock()
-	k.Log.Info("a target ended as it began to respond", "target", c.Target, "parts", c.Parts, "innocent", innocent)
-	if len(innocent) > 0 {
-		k.enqueue(&peers.QuarantineNotice{Innocent: innocent})
-	}
+	k.Log.Info("a target ended as it began to respond", "target", c.Target, "parts", c.Parts, "innocent", len(innocent))
+	k.reportInnocent(innocent, now)
 	for _, e := range added {
-		k.announce(e)
+		k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", e.Parts, "for_s", int(e.Duration.Seconds()))
+		k.OnEntry(e)
 	}
+	return added
 }
 
-// announce logs a new entry, withdraws what it rejects and sends it to the peers.
-func (k *Keeper) announce(e quarantine.Entry) {
-	k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", e.Parts, "for_s", int(time.Until(e.Until).Seconds()))
-	k.OnEntry(e)
-	k.enqueue(&peers.QuarantineNotice{Entries: []peers.QuarantineEntry{{ID: e.ID, Parts: e.Parts, RemainingMs: time.Until(e.Until).Milliseconds()}}})
+// reportInnocent tells the peers which parts have completed here. In a large fleet a few
+// hosts do so, since a part in steady use has completed at most of them.
+func (k *Keeper) reportInnocent(innocent []quarantine.Completion, now time.Time) {
+	hosts, _ := k.Fleet.CountHosts()
+	if len(innocent) == 0 || rand.IntN(max(1, hosts)) >= innocenceReporters {
+		return
+	}
+	n := &peers.QuarantineNotice{}
+	for _, c := range innocent {
+		n.Innocent = append(n.Innocent, peers.InnocentPart{Part: c.Part, AgeMs: now.Sub(c.At).Milliseconds()})
+	}
+	k.enqueue(outgoing{notice: n})
+}
+
+// announce sends new entries to the peers and keeps them in the store. Only the host that
+// saw the last crash does so.
+func (k *Keeper) announce(added []quarantine.Entry) {
+	n := &peers.QuarantineNotice{}
+	for _, e := range added {
+		n.Entries = append(n.Entries, peers.QuarantineEntry{
+			ID: e.ID, Parts: e.Parts, RemainingMs: time.Until(e.Until).Milliseconds(), DurationMs: e.Duration.Milliseconds(),
+		})
+	}
+	k.enqueue(outgoing{notice: n, rows: added})
 }
 
 // HandleNotice handles the notice of a peer.
 func (k *Keeper) HandleNotice(n *peers.QuarantineNotice) {
-	if len(n.Innocent) > 0 {
+	now := time.Now()
+	for _, i := range n.Innocent {
 		k.mu.Lock()
-		k.registry.RecordCompletion(n.Innocent, time.Now())
+		k.registry.RecordCompletion([]string{i.Part}, now.Add(-milliseconds(i.AgeMs)))
 		k.mu.Unlock()
 	}
 	for _, c := range n.Crashes {
 		k.applyCrash(c)
 	}
 	for _, e := range n.Entries {
-		k.addEntry(quarantine.Entry{ID: e.ID, Parts: e.Parts, Until: time.Now().Add(time.Duration(e.RemainingMs) * time.Millisecond)})
+		k.addEntry(quarantine.Entry{ID: e.ID, Parts: e.Parts, Until: now.Add(milliseconds(e.RemainingMs)), Duration: milliseconds(e.DurationMs)})
+	}
+}
+
+// Digest identifies the entries of this host; zero if it has none.
+func (k *Keeper) Digest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.Digest()
+}
+
+// HandleDigest reads the table if a peer has other entries than this host, at most once
+// per digestInterval for the same entries: the table may lack them.
+func (k *Keeper) HandleDigest(digest uint64) {
+	if digest == 0 || digest == k.Digest() {
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	repeated := digest == k.lastDigest && now.Sub(k.lastDigestAt) < digestInterval
+	if !repeated {
+		k.lastDigest, k.lastDigestAt = digest, now
+	}
+	k.mu.Unlock()
+	if !repeated {
+		k.requestRead()
+	}
+}
+
+func (k *Keeper) requestRead() {
+	select {
+	case k.reads <- struct{}{}:
+	default:
 	}
 }
 
 func (k *Keeper) addEntry(e quarantine.Entry) {
 	k.mu.Lock()
-	k.registry.AddEntry(e)
+	e, added := k.registry.AddEntry(e, time.Now())
 	k.mu.Unlock()
-	k.OnEntry(e)
+	if added {
+		k.Log.Info("entry of the quarantine received", "entry", e.ID, "parts", e.Parts, "for_s", int(time.Until(e.Until).Seconds()))
+		k.OnEntry(e)
+	}
 }
 
-func (k *Keeper) enqueue(n *peers.QuarantineNotice) {
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func (k *Keeper) enqueue(o outgoing) {
 	select {
-	case k.notices <- n:
+	case k.outgoing <- o:
 	default:
 		k.Log.Warn("quarantine notice dropped: the queue is full")
 	}
@@ -168,7 +257,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	var running sync.WaitGroup
 	running.Go(func() { k.readEntries(ctx) })
-	running.Go(func() { k.sendNotices(ctx) })
+	running.Go(func() { k.send(ctx) })
 	running.Wait()
 	return nil
 }
@@ -201,22 +290,22 @@
 			k.Log.Warn("row of the quarantine is ignored", "key", r.Key, "row_version", r.Version, "error", err)
 			continue
 		}
-		remaining := time.Duration(value.UntilMs)*time.Millisecond - page.Clock
-		k.addEntry(quarantine.Entry{ID: r.Key, Parts: value.Parts, Until: now.Add(remaining)})
+		remaining := milliseconds(value.UntilMs) - page.Clock
+		k.addEntry(quarantine.Entry{ID: r.Key, Parts: value.Parts, Until: now.Add(remaining), Duration: milliseconds(value.DurationMs)})
 	}
 	return nil
 }
 
-// sendNotices sends queued notices to the peers and writes new entries to the store.
-func (k *Keeper) sendNotices(ctx context.Context) {
+// send sends queued notices to the peers and writes changed entries to the store.
+func (k *Keeper) send(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case n := <-k.notices:
-			go k.broadcast(ctx, n)
-			for _, e := range n.Entries {
-				go k.write(ctx, e)
+		case o := <-k.outgoing:
+			go k.broadcast(ctx, o.notice)
+			for _, e := range o.rows {
+				k.write(ctx, e)
 			}
 		}
 	}
@@ -228,13 +317,11 @@
 	k.Fleet.BroadcastQuarantineNotice(ctx, n)
 }
 
-// write keeps an entry in the store until it is written or has ended. Several hosts may
-// write the same entry.
-func (k *Keeper) write(ctx context.Context, e peers.QuarantineEntry) {
-	until := time.Now().Add(time.Duration(e.RemainingMs) * time.Millisecond)
-	for ctx.Err() == nil && time.Now().Before(until) {
-		err := k.tryWrite(ctx, e, until)
-		if err == nil {
+// write keeps an entry in the store, or removes it if no part is left.
+func (k *Keeper) write(ctx context.Context, e quarantine.Entry) {
+	for range maxWrites {
+		err := k.tryWrite(ctx, e)
+		if err == nil || ctx.Err() != nil {
 			return
 		}
 		k.Log.Warn("failed to write to the quarantine", "entry", e.ID, "error", err)
@@ -242,15 +329,15 @@
 	}
 }
 
-func (k *Keeper) tryWrite(ctx context.Context, e peers.QuarantineEntry, until time.Time) error {
-	storeTime, err := k.View.StoreTime(until)
+func (k *Keeper) tryWrite(ctx context.Context, e quarantine.Entry) error {
+	until, err := k.View.StoreTime(e.Until)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(row{Parts: e.Parts, UntilMs: storeTime.Milliseconds()})
+	value, err := json.Marshal(row{Parts: e.Parts, UntilMs: until.Milliseconds(), DurationMs: e.Duration.Milliseconds()})
 	if err != nil {
-		return err
+		return errors.Wrap(err, "encode an entry of the quarantine")
 	}
-	_, err = k.Store.Commit(ctx, nil, []platform.Write{{Table: Table, Key: e.ID, Value: value}})
+	_, err = k.Store.Commit(ctx, nil, []platform.Write{{Table: Table, Key: e.ID, Value: value, Delete: len(e.Parts) == 0}})
 	return err
 }
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/peers"
+	"github.com/sequoiaroad/sequoiaroad/internal/platform"
+	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/policy/quarantine"
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+// table is a store with one table. Its clock is the time since its start.
+type table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	started time.Time
+}
+
+func newTable() *table { return &table{rows: map[string]platform.Row{}, started: time.Now()} }
+
+func (t *table) List(_ context.Context, name string) (platform.Page, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	page := platform.Page{Version: 1, Clock: time.Since(t.started)}
+	for _, r := range t.rows {
+		if name == Table {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page, nil
+}
+
+func (t *table) Changes(ctx context.Context, name string, _ uint64, _ time.Duration) (platform.Page, error) {
+	<-ctx.Done()
+	return platform.Page{}, ctx.Err()
+}
+
+func (t *table) Get(context.Context, string, string) (platform.Row, error) {
+	return platform.Row{}, errors.New("not used")
+}
+
+func (t *table) Commit(_ context.Context, _ []platform.Condition, writes []platform.Write) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Table: Table, Key: w.Key, Value: w.Value}
+	}
+	return 1, nil
+}
+
+func (t *table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
+// fleet delivers notices to the keepers that are connected.
+type fleet struct{ keepers []*Keeper }
+
+func (f *fleet) BroadcastQuarantineNotice(_ context.Context, n *peers.QuarantineNotice) {
+	for _, k := range f.keepers {
+		k.HandleNotice(n)
+	}
+}
+
+func (f *fleet) CountHosts() (int, float64) { return len(f.keepers) + 1, 0 }
+
+// startKeeper starts a keeper on the table that sends its notices to the fleet.
+func startKeeper(t *testing.T, store *table, f *fleet) *Keeper {
+	v := view.New(store, view.Decoder{
+		OperatorTable: "operator", TargetTable: "targets", ErrCompacted: errors.New("compacted"),
+		DecodeOperatorRow: func(string, []byte) (*topology.Config, *topology.DesiredWeights, error) { return nil, nil, nil },
+	}, hclog.NewNullLogger())
+	k := New(Options{
+		Store: store, Source: store, View: v, Fleet: f, Log: hclog.NewNullLogger(), OnEntry: func(quarantine.Entry) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = v.Run(ctx) })
+	running.Go(func() { _ = k.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return k
+}
+
+func crash(k *Keeper, n int, parts ...string) {
+	k.RecordCrash(quarantine.Crash{Parts: parts, Target: fmt.Sprint("engine-", n)})
+}
+
+func rejects(k *Keeper, parts ...string) func() bool {
+	return func() bool {
+		_, ok := k.Match(parts)
+		return ok
+	}
+}
+
+// Guards against hosts that reject a part only after a crash of their own: hosts that
+// start later, and hosts that were cut off from the others and missed a notice.
+func TestEntryReachesHostsThatMissedTheNotice(t *testing.T) {
+	g := NewWithT(t)
+	store, connected := newTable(), &fleet{}
+	one, cut := startKeeper(t, store, connected), startKeeper(t, store, &fleet{})
+	for n := range 3 {
+		crash(one, n, "manual", "deadly")
+	}
+	g.Expect(rejects(one, "manual", "deadly")()).To(BeTrue())
+	g.Eventually(store.size, "3s", "20ms").Should(Equal(1))
+	later := startKeeper(t, store, &fleet{})
+	g.Eventually(rejects(later, "manual", "deadly"), "2s", "20ms").Should(BeTrue())
+	g.Expect(rejects(cut, "manual", "deadly")()).To(BeFalse())
+	cut.HandleDigest(one.Digest())
+	g.Eventually(rejects(cut, "manual", "deadly"), "3s", "20ms").Should(BeTrue())
+	g.Expect(cut.Digest()).To(Equal(one.Digest()))
+}
+
+// Guards against sound parts that are rejected by hosts that start after a completion has
+// cleared them.
+func TestClearedEntryIsRemovedFromTheStore(t *testing.T) {
+	g := NewWithT(t)
+	store := newTable()
+	one := startKeeper(t, store, &fleet{})
+	for n := range 3 {
+		crash(one, n, "p", "q")
+	}
+	g.Eventually(store.size, "3s", "20ms").Should(Equal(1))
+	one.RecordCompletion([]string{"p"})
+	one.RecordCompletion([]string{"q"})
+	g.Expect(rejects(one, "p", "q")()).To(BeFalse())
+	g.Eventually(store.size, "3s", "20ms").Should(BeZero())
+}
--- a/internal/routehost/routehost.go
+++ b/internal/routehost/routehost.go
@@ -161,9 +161,13 @@
 func (l *localHost) LocalState() peers.Heartbeat {
 	h := l.router.LocalState()
 	h.Ready, h.Draining = (*Host)(l).ready(), l.draining.Load()
+	h.QuarantineDigest = l.quarantine.Digest()
 	return h
 }
-func (l *localHost) HandleHeartbeat(h *peers.Heartbeat) { l.router.HandleHeartbeat(h) }
+func (l *localHost) HandleHeartbeat(h *peers.Heartbeat) {
+	l.router.HandleHeartbeat(h)
+	l.quarantine.HandleDigest(h.QuarantineDigest)
+}
 func (l *localHost) HandleCacheNotices(notices []balance.CacheNotice) {
 	l.router.HandleCacheNotices(notices)
 }
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,10 +21,17 @@
 	// crashesToQuarantine is the number of different targets that must have crashed on a
 	// part. Two may be a coincidence of requests that a crash interrupts.
 	crashesToQuarantine = 3
-	// Duration is how long parts stay in quarantine after the last crash.
-	Duration = 10 * time.Minute
+	// FirstDuration is the duration of the first quarantine of parts. Requests are then
+	// tried again, since targets may have broken off responses for another reason. The
+	// first crash after that prolongs the quarantine by durationFactor, up to
+	// maxDuration.
+	FirstDuration  = time.Minute
+	durationFactor = 5
+	maxDuration    = time.Hour
+	// probation is how long after its end a quarantine is resumed by a single crash.
+	probation = time.Hour
 	// completionTTL is how long a completed request exonerates its parts.
-	completionTTL = time.Minute
+	completionTTL = 15 * time.Second
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
 	// maxParts bounds the memory for suspects and for completions.
@@ -38,11 +46,19 @@
 	Target string `msgpack:"t"`
 }
 
-// Entry is a set of parts in quarantine: requests that have all of them are rejected.
+// Entry is a set of parts in quarantine: requests that have all of them are rejected
+// until its end.
 type Entry struct {
-	ID    string
-	Parts []string
-	Until time.Time
+	ID       string
+	Parts    []string
+	Until    time.Time
+	Duration time.Duration
+}
+
+// Completion is a part of a request that a target completed.
+type Completion struct {
+	Part string
+	At   time.Time
 }
 
 // suspect is a part that some crashes have in common.
@@ -96,37 +112,43 @@
 	})
 }
 
-// RecordCompletion records that a target completed a request with the given parts, here
-// or at a peer. It returns the parts that were suspected or in quarantine.
-func (r *Registry) RecordCompletion(parts []string, now time.Time) []string {
-	r.sweep(now)
-	var cleared []string
+// RecordCompletion records that a target completed a request with the given parts at a
+// time, here or at a peer. It returns the parts that were suspected or in quarantine, and
+// the entries that had any of them, without these parts.
+func (r *Registry) RecordCompletion(parts []string, at time.Time) (cleared []string, changed []Entry) {
+	r.sweep(at)
 	for _, part := range parts {
-		if len(r.completed) < maxParts {
-			r.completed[part] = now
+		known, ok := r.completed[part]
+		if (ok || len(r.completed) < maxParts) && known.Before(at) {
+			r.completed[part] = at
 		}
 		if r.suspects[part] != nil || len(r.entriesOf[part]) > 0 {
 			cleared = append(cleared, part)
 		}
 		delete(r.suspects, part)
-		r.removeFromEntries(part)
+		changed = append(changed, r.removeFromEntries(part)...)
 	}
 	for _, part := range cleared {
 		for _, s := range r.suspects {
 			s.common = without(s.common, part)
 		}
 	}
-	return cleared
+	return cleared, changed
 }
 
-// RecordCrash records a crash. It returns the entries that it adds, and the parts that
-// this host knows to be innocent.
-func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []string) {
+func (r *Registry) isInnocent(part string, now time.Time) bool {
+	at, ok := r.completed[part]
+	return ok && now.Sub(at) < completionTTL
+}
+
+// RecordCrash records a crash. It returns the entries that it adds or resumes, and the
+// completions that prove parts innocent.
+func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []Completion) {
 	r.sweep(now)
 	var parts []string
 	for _, part := range c.Parts {
-		if at, ok := r.completed[part]; ok && now.Sub(at) < completionTTL {
-			innocent = append(innocent, part)
+		if r.isInnocent(part, now) {
+			innocent = append(innocent, Completion{part, r.completed[part]})
 			continue
 		}
 		parts = append(parts, part)
@@ -134,6 +156,9 @@
 	for _, part := range parts {
 		r.suspect(part, parts).crash(c.Target, parts, now)
 	}
+	if resumed := r.resume(parts, now); len(resumed) > 0 {
+		return resumed, innocent
+	}
 	for _, part := range parts {
 		if e, ok := r.judge(part, now); ok {
 			added = append(added, e)
@@ -142,6 +167,21 @@
 	return added, innocent
 }
 
+// resume prolongs the entries that have ended and whose parts have crashed a target again.
+func (r *Registry) resume(parts []string, now time.Time) []Entry {
+	var out []Entry
+	for id, e := range r.entries {
+		if now.Before(e.Until) || !containsAll(parts, e.Parts) {
+			continue
+		}
+		e.Duration = min(e.Duration*durationFactor, maxDuration)
+		e.Until = now.Add(e.Duration)
+		r.entries[id] = e
+		out = append(out, e)
+	}
+	return out
+}
+
 func (r *Registry) suspect(part string, common []string) *suspect {
 	s := r.suspects[part]
 	if s == nil {
@@ -155,6 +195,7 @@
 
 func (s *suspect) crash(target string, parts []string, now time.Time) {
 	s.targets[target], s.last = now, now
+	maps.DeleteFunc(s.targets, func(_ string, at time.Time) bool { return now.Sub(at) >= crashTTL })
 	var common []string
 	for _, part := range s.common {
 		if slices.Contains(parts, part) {
@@ -171,52 +212,72 @@
 	if s == nil || len(s.targets) < crashesToQuarantine || r.isExplained(s) {
 		return Entry{}, false
 	}
-	e := Entry{ID: entryID(s.common), Parts: s.common, Until: now.Add(Duration)}
-	_, known := r.entries[e.ID]
-	r.AddEntry(e)
-	return e, !known
+	return r.AddEntry(Entry{ID: entryID(s.common), Parts: s.common, Until: now.Add(FirstDuration), Duration: FirstDuration}, now)
 }
 
-// isExplained reports whether another suspect shares all parts that the crashes of s have
-// in common, and more: s is then only what several causes have in common.
+// isExplained reports whether s is only what several causes have in common: suspects that
+// share all parts of its crashes, and more, account for all but a few of its targets.
+// Suspects with a single crash explain nothing, since each request has parts of its own.
 func (r *Registry) isExplained(s *suspect) bool {
+	explained := map[string]bool{}
 	for _, other := range r.suspects {
-		if len(other.targets) > 1 && len(other.common) > len(s.common) && containsAll(other.common, s.common) {
-			return true
+		if len(other.targets) < 2 || len(other.common) <= len(s.common) || !containsAll(other.common, s.common) {
+			continue
+		}
+		for target := range other.targets {
+			explained[target] = true
 		}
 	}
-	return false
+	unexplained := 0
+	for target := range s.targets {
+		if !explained[target] {
+			unexplained++
+		}
+	}
+	return unexplained < crashesToQuarantine
 }
 
 // AddEntry adds an entry, or extends one that is known. Parts that have completed here
-// are left out.
-func (r *Registry) AddEntry(e Entry) {
+// are left out. It returns the entry as it holds here, and false if nothing changed.
+func (r *Registry) AddEntry(e Entry, now time.Time) (Entry, bool) {
 	known, ok := r.entries[e.ID]
 	if ok {
-		if known.Until.Before(e.Until) {
-			known.Until = e.Until
-			r.entries[e.ID] = known
+		if !known.Until.Before(e.Until) {
+			return known, false
 		}
-		return
+		prolonged := e.Until.Sub(known.Until) > time.Second
+		known.Until, known.Duration = e.Until, max(known.Duration, e.Duration)
+		r.entries[e.ID] = known
+		return known, prolonged
 	}
-	e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool {
-		_, completed := r.completed[part]
-		return completed
-	})
-	if len(e.Parts) == 0 {
-		return
+	e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool { return r.isInnocent(part, now) })
+	if len(e.Parts) == 0 || now.Sub(e.Until) >= probation {
+		return e, false
 	}
 	r.entries[e.ID] = e
 	for _, part := range e.Parts {
 		r.entriesOf[part] = append(r.entriesOf[part], e.ID)
 	}
+	return e, true
+}
+
+// Digest identifies the set of entries; zero if there is none.
+func (r *Registry) Digest() uint64 {
+	var digest uint64
+	for id, e := range r.entries {
+		digest ^= xxhash.Sum64String(id + "/" + e.Duration.String())
+	}
+	return digest
 }
 
-// removeFromEntries removes an innocent part from all entries.
-func (r *Registry) removeFromEntries(part string) {
+// removeFromEntries removes an innocent part from all entries, and returns them. Entries
+// without parts have ended.
+func (r *Registry) removeFromEntries(part string) []Entry {
+	var changed []Entry
 	for _, id := range r.entriesOf[part] {
 		e := r.entries[id]
 		e.Parts = without(e.Parts, part)
+		changed = append(changed, e)
 		if len(e.Parts) == 0 {
 			delete(r.entries, id)
 			continue
@@ -224,6 +285,7 @@
 		r.entries[id] = e
 	}
 	delete(r.entriesOf, part)
+	return changed
 }
 
 func (r *Registry) removeEntry(id string) {
@@ -253,7 +315,7 @@
 		}
 	}
 	for id, e := range r.entries {
-		if !now.Before(e.Until) {
+		if now.Sub(e.Until) >= probation {
 			r.removeEntry(id)
 		}
 	}
