Report withdrawn requests that were never sent as not executed

What callers saw: requests that waited at a host for a free connection to a target and were withdrawn there got 504 without Retry-After, which says that a target may have run them.

Cause: attempt looked at the watchdog's failure before it looked at whether the attempt ever got a connection, and counted a possible execution in any case.

Change: a withdrawn attempt without a connection is not executed and unsent: 503 with a retry hint, no possible execution, so that the cost is refunded and another target may take it. The hint is the time of a load of weights, of a usable target or the end of the entry in quarantine, whichever caused the withdrawal; finishFailed already drops it if an earlier attempt may have been executed. net/http calls the hook for a connection from within RoundTrip; the flag is atomic so that nothing depends on it.

TestWithdrawnRequestThatWasNotSentMayBeSentAgain failed before: "Expected 504 to equal 503" for requests that the engine never ran. It keeps all connections to the engine busy with streams that outlast the withdrawal.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,16 +55,16 @@
 	defer w.stop()
 	r.trackPrompt(&promptAttempt{c, p, w, cancel})
 	defer r.untrackPrompt(p)
-	connected := false
+	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
 	if err != nil {
-		if f := w.abortFailure(c, p); f != nil {
+		if f := w.abortFailure(c, p, connected.Load()); f != nil {
 			return f
 		}
-		return r.handleSendError(ctx, c, p, err, connected)
+		return r.handleSendError(ctx, c, p, err, connected.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	response := r.Codec.Response(resp)
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -29,7 +29,8 @@
 	unsent bool
 	// response is the error response of a target that executed the request, or nil.
 	response *bufferedResponse
-	// retryAfter is the delay after which the caller may retry; zero sends no hint.
+	// retryAfter is the delay after which the caller may retry; zero sends no hint. It is
+	// not sent if a target may have executed the request.
 	retryAfter time.Duration
 	// began means that the target had begun to respond, without an event of a stream.
 	began bool
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -82,7 +82,7 @@
 	r.mu.Unlock()
 	for _, a := range matching {
 		a.watchdog.abort(&failure{
-			status: http.StatusBadGateway, reason: "the prompt has parts on which several targets crashed",
+			status: http.StatusBadGateway, reason: "the prompt has parts on which several targets crashed", retryAfter: time.Until(e.Until),
 			cause: errors.Errorf("withdrawn from target %s: entry %s", a.plan.target.ID, e.ID),
 		}, a.cancel)
 	}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -82,7 +82,7 @@
 // beyond the maximum staleness.
 func (w *watchdog) withdraw(p *plan, cancel context.CancelFunc) {
 	w.abort(&failure{
-		status: http.StatusGatewayTimeout, reason: "the target did not begin before its weights were too old",
+		status: http.StatusGatewayTimeout, reason: "the target did not begin before its weights were too old", retryAfter: outdatedRetryAfter,
 		cause: errors.Errorf("target %s had weights %d and was sent the request %d ms before", p.target.ID, p.envelope.WeightsVersion, time.Since(p.sentAt).Milliseconds()),
 	}, cancel)
 }
@@ -137,12 +137,17 @@
 }
 
 // abortFailure returns the failure of an attempt that the watchdog has cancelled, or nil
-// if it has not.
-func (w *watchdog) abortFailure(c *call, p *plan) *failure {
+// if it has not. An attempt that never got a connection was not executed.
+func (w *watchdog) abortFailure(c *call, p *plan, connected bool) *failure {
 	f := w.aborted.Load()
-	if f != nil {
-		c.tried[p.target.ID] = true
+	if f == nil {
+		return nil
+	}
+	c.tried[p.target.ID] = true
+	if connected {
 		c.possibleExecutions++
+	} else {
+		f.status, f.notExecuted, f.unsent = http.StatusServiceUnavailable, true, true
 	}
 	return f
 }
@@ -151,7 +156,7 @@
 // in time. Its retry is already charged.
 func timeoutFailure(c *call, p *plan) *failure {
 	return &failure{
-		status: http.StatusGatewayTimeout, reason: reasonNoResponse, retryCharged: true,
+		status: http.StatusGatewayTimeout, reason: reasonNoResponse, retryCharged: true, retryAfter: noTargetRetryAfter,
 		cause: errors.Errorf("target %s was sent the request %d ms after its arrival", p.target.ID, p.sentAt.Sub(c.started).Milliseconds()),
 	}
 }
--- a/test/site/weights_test.go
+++ b/test/site/weights_test.go
@@ -60,6 +60,38 @@
 	f.g.Eventually(func() int { return f.send(h, promptRequest("/query/4")).status }, "5s", "100ms").Should(Equal(http.StatusOK))
 }
 
+// Guards against a request that never got a connection and is reported as possibly run
+// when it is withdrawn.
+func TestWithdrawnRequestThatWasNotSentMayBeSentAgain(t *testing.T) {
+	t.Parallel()
+	const connections, waiting = 6, 10
+	f := newFixture(t)
+	engine, _ := f.startReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, StreamEvents: 25, EventInterval: 100 * time.Millisecond})
+	f.updateConfig(func(c object) { c["services"].([]any)[0].(object)["max_conns"] = 1 })
+	h := f.startHost("host-1")
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	publishedAt := f.publishWeights(2)
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness - 2*time.Second)))
+	running, got := make(chan result, connections), make(chan result, waiting)
+	for range connections {
+		go func() { running <- f.send(h, promptRequest("/brief/running")) }()
+	}
+	f.g.Eventually(engine.Executions, "1s", "10ms").Should(HaveLen(connections))
+	for range waiting {
+		go func() { got <- f.send(h, promptRequest("/brief/waiting")) }()
+	}
+	for range waiting {
+		r := <-got
+		f.g.Expect(r.body).To(ContainSubstring("the target did not begin before its weights were too old"))
+		f.g.Expect(countRuns(r.id, engine)).To(BeZero())
+		f.g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		f.g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+	for range connections {
+		f.g.Expect((<-running).body).To(Equal(standin.StreamBody(25)))
+	}
+}
+
 // Guards against a host that starts after a publication and takes old weights for newly
 // outdated, so that it sends requests to engines beyond the maximum staleness.
 func TestRestartedHostKnowsTheAgeOfWeights(t *testing.T) {
