Count a possible execution once for each attempt

What callers saw: a resumable request that may be sent twice got 504 although another target was usable, when the first target sent the head of its stream and no event.

Cause: attempt counts a possible execution when the head arrives, and abortFailure counted the same attempt again when the watchdog cancelled it before the first event, so that max_attempts of 2 was reached after one attempt.

TestStreamThatStallsAfterItsHeadIsRetried failed before: "Expected 504 to equal 200", body "target shows no sign of an answer". The stand-in has the fault StallAfterHead.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,8 +61,8 @@
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
 	if err != nil {
-		if f := w.abortFailure(c, p, connected.Load()); f != nil {
-			return f
+		if f := w.abortFailure(c, p); f != nil {
+			return countAborted(c, f, connected.Load())
 		}
 		return r.handleSendError(ctx, c, p, err, connected.Load())
 	}
@@ -94,6 +94,17 @@
 	r.balancer.End(p.target)
 }
 
+// countAborted completes the failure of an attempt that the watchdog has cancelled before
+// its response. Without a connection the target can't have executed the request.
+func countAborted(c *call, f *failure, connected bool) *failure {
+	if connected {
+		c.possibleExecutions++
+		return f
+	}
+	f.status, f.notExecuted, f.unsent = http.StatusServiceUnavailable, true, true
+	return f
+}
+
 // handleSendError handles an attempt without a response.
 func (r *Router) handleSendError(ctx context.Context, c *call, p *plan, err error, connected bool) *failure {
 	c.tried[p.target.ID] = true
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -137,17 +137,11 @@
 }
 
 // abortFailure returns the failure of an attempt that the watchdog has cancelled, or nil
-// if it has not. An attempt that never got a connection was not executed.
-func (w *watchdog) abortFailure(c *call, p *plan, connected bool) *failure {
+// if it has not.
+func (w *watchdog) abortFailure(c *call, p *plan) *failure {
 	f := w.aborted.Load()
-	if f == nil {
-		return nil
-	}
-	c.tried[p.target.ID] = true
-	if connected {
-		c.possibleExecutions++
-	} else {
-		f.status, f.notExecuted, f.unsent = http.StatusServiceUnavailable, true, true
+	if f != nil {
+		c.tried[p.target.ID] = true
 	}
 	return f
 }
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -29,6 +29,8 @@
 	// CrashPart is a part of prompts on which the replica crashes after the head of its
 	// response. It answers nothing afterwards.
 	CrashPart string
+	// StallAfterHead sends the head of a stream and no event until the caller leaves.
+	StallAfterHead bool
 	// Hold keeps requests in the queue until the fault ends or their caller leaves.
 	Hold bool
 	// LoseReports closes the connections of reads of the replica's report without a
@@ -370,6 +372,11 @@
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if faults.StallAfterHead {
+		_ = http.NewResponseController(w).Flush()
+		<-req.Context().Done()
+		return
+	}
 	lastEventID, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
 		lastEventID = 0
--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Guards against a target that sends a head and no event and is counted twice, so that a
+// resumable request isn't sent to another target.
+func TestStreamThatStallsAfterItsHeadIsRetried(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	stalled := f.startEngine("engine-1", 2)
+	stalled.SetFaults(standin.ReplicaFaults{StallAfterHead: true})
+	h := f.startHost("host-1")
+	got := make(chan result, 1)
+	go func() { got <- f.send(h, promptRequest("/query/1")) }()
+	f.g.Eventually(stalled.Executions, "1s", "5ms").Should(HaveLen(1))
+	sound := f.startEngine("engine-2", 2)
+	r := <-got
+	f.g.Expect(r.status).To(Equal(http.StatusOK), r.body)
+	f.g.Expect(r.body).To(Equal(standin.StreamBody(2)))
+	f.g.Expect(countRuns(r.id, stalled)).To(Equal(1))
+	f.g.Expect(countRuns(r.id, sound)).To(Equal(1))
+}
+
 // Guards against an idempotent request that fails although another target can run it,
 // and against more attempts than the route allows.
 func TestIdempotentRequestIsRetried(t *testing.T) {
