Keep the failure of a withdrawal when a timeout follows

What callers saw: a withdrawn attempt could be answered, logged and retried for the reason of a timeout, and a retry was taken from the budget for it.

Cause: handleTimeout, unlike abort, didn't check whether the attempt was already cancelled. It ran on and stored its own failure over the first one.

Change: both check ended under the mutex, so that the first failure stays and only its retry is charged. abortFailure changes the call, so it is called takeAbort now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,7 +61,7 @@
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
 	if err != nil {
-		if f := w.abortFailure(c, p); f != nil {
+		if f := w.takeAbort(c, p); f != nil {
 			return countAborted(c, f, connected.Load())
 		}
 		return r.handleSendError(ctx, c, p, err, connected.Load())
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -131,7 +131,7 @@
 		if first {
 			w.stop()
 			if err != nil {
-				if f := w.abortFailure(c, p); f != nil {
+				if f := w.takeAbort(c, p); f != nil {
 					return f
 				}
 			}
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -63,7 +63,7 @@
 	unreachable := r.isUnreachable(p)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.responded {
+	if w.ended() {
 		return
 	}
 	if busy := time.Duration(float64(c.route.LatencyObjective)*busyFactor) - time.Since(p.sentAt); !unreachable && busy > 0 {
@@ -87,17 +87,22 @@
 	}, cancel)
 }
 
-// abort cancels an attempt with a failure, unless its target has begun to respond.
+// abort cancels an attempt with a failure, unless its target has begun to respond or it
+// was cancelled with another failure.
 func (w *watchdog) abort(f *failure, cancel context.CancelFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.responded || w.aborted.Load() != nil {
+	if w.ended() {
 		return
 	}
 	w.aborted.Store(f)
 	cancel()
 }
 
+// ended reports whether the target has begun to respond or the attempt was cancelled. The
+// caller holds the mutex.
+func (w *watchdog) ended() bool { return w.responded || w.aborted.Load() != nil }
+
 // isUnreachable reports whether a target that has sent nothing since the attempt began
 // also accepts no connections, and records the result. A target that computes a long
 // prefill accepts them. Without this check, targets that were only busy were ejected,
@@ -136,9 +141,10 @@
 	}
 }
 
-// abortFailure returns the failure of an attempt that the watchdog has cancelled, or nil
-// if it has not.
-func (w *watchdog) abortFailure(c *call, p *plan) *failure {
+// takeAbort returns the failure of an attempt that the watchdog has cancelled and excludes
+// its target from further attempts of the call. It returns nil if the watchdog has not
+// cancelled the attempt.
+func (w *watchdog) takeAbort(c *call, p *plan) *failure {
 	f := w.aborted.Load()
 	if f != nil {
 		c.tried[p.target.ID] = true
