--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,16 +55,16 @@
 	defer w.stop()
 	r.trackPrompt(&promptAttempt{c, p, w, cancel})
 	defer r.untrackPrompt(p)
-	connected := false
+	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
 	if err != nil {
-		if f := w.abortFailure(c, p); f != nil {
-			return f
+		if f := w.takeAbort(c, p); f != nil {
+			return countAborted(c, f, connected.Load())
 		}
-		return r.handleSendError(ctx, c, p, err, connected)
+		return r.handleSendError(ctx, c, p, err, connected.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	response := r.Codec.Response(resp)
@@ -93,6 +94,17 @@
 	r.balancer.End(p.target)
 }
 
+// countAborted completes the failure of an attempt that the watchdog has cancelled before
+// its response. Without a connection the target can't have executed the request.
+func countAborted(c *call, f *failure, connected bool) *failure {
+	if connected {
+		c.possibleExecutions++
+		return f
+	}
+	f.status, f.notExecuted, f.unsent = http.StatusServiceUnavailable, true, true
+	return f
+}
+
 // handleSendError handles an attempt without a response.
 func (r *Router) handleSendError(ctx context.Context, c *call, p *plan, err error, connected bool) *failure {
 	c.tried[p.target.ID] = true
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -29,6 +29,8 @@
 	// CrashPart is a part of prompts on which the replica crashes after the head of its
 	// response. It answers nothing afterwards.
 	CrashPart string
+	// StallAfterHead sends the head of a stream and no event until the caller leaves.
+	StallAfterHead bool
 	// Hold keeps requests in the queue until the fault ends or their caller leaves.
 	Hold bool
 	// LoseReports closes the connections of reads of the replica's report without a
@@ -57,6 +59,8 @@
 	// between them. Zero events make the replica send plain responses.
 	StreamEvents  int
 	EventInterval time.Duration
+	// Unframed streams have neither a length nor chunks and end with their connection.
+	Unframed bool
 	// ProcessingTime is the duration of a request with a plain response.
 	ProcessingTime time.Duration
 	// LoadTime is the duration of a load of weights. It begins once the requests that
@@ -364,12 +368,20 @@
 
 func (r *Replica) writeStream(w http.ResponseWriter, req *http.Request, faults ReplicaFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.options.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no framing then
+	}
 	w.WriteHeader(http.StatusOK)
 	if faults.CrashPart != "" && strings.Contains(req.Header.Get("X-Prefix-Hash"), faults.CrashPart) {
 		_ = http.NewResponseController(w).Flush()
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if faults.StallAfterHead {
+		_ = http.NewResponseController(w).Flush()
+		<-req.Context().Done()
+		return
+	}
 	lastEventID, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
 		lastEventID = 0
