Check the quarantine again before a prompt is sent, and retry nothing it withdrew

Found by the review, by reading: an entry that was added between the plan of an attempt and its registration did not reach it, and a withdrawn request took a retry from the budget before it was refused.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,8 +53,12 @@
 	c.sends++
 	w := r.startWatchdog(c, p, cancel)
 	defer w.stop()
-	r.trackPrompt(&promptAttempt{c, p, w, cancel})
+	r.trackPrompt(&promptAttempt{call: c, plan: p, watchdog: w, cancel: cancel})
 	defer r.untrackPrompt(p)
+	// An entry that was added since the plan has not found this attempt.
+	if f := r.checkQuarantine(c); f != nil {
+		return f
+	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -25,6 +25,8 @@
 	notExecuted bool
 	// retryCharged means that the retry was already taken from the retry budget.
 	retryCharged bool
+	// final means that the request must not be retried.
+	final bool
 	// unsent means that no byte of this attempt reached a target.
 	unsent bool
 	// response is the error response of a target that executed the request, or nil.
@@ -55,7 +57,7 @@
 
 // mayRetry decides whether a request is retried after a failure.
 func (r *Router) mayRetry(ctx context.Context, c *call, f *failure) bool {
-	if ctx.Err() != nil || c.sends >= maxSends {
+	if ctx.Err() != nil || c.sends >= maxSends || f.final {
 		return false
 	}
 	if f.began && r.Quarantine.Suspected(c.parts) {
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -42,6 +42,7 @@
 		return nil
 	}
 	f := notExecutedFailure(http.StatusServiceUnavailable, "the prompt has parts on which several targets crashed", time.Until(e.Until))
+	f.final = true
 	f.cause = errors.Errorf("entry %s: %s", e.ID, strings.Join(e.Parts, " "))
 	return f
 }
@@ -82,7 +83,7 @@
 	r.mu.Unlock()
 	for _, a := range matching {
 		a.watchdog.abort(&failure{
-			status: http.StatusBadGateway, reason: "the prompt has parts on which several targets crashed", retryAfter: time.Until(e.Until),
+			status: http.StatusBadGateway, reason: "the prompt has parts on which several targets crashed", retryAfter: time.Until(e.Until), final: true,
 			cause: errors.Errorf("withdrawn from target %s: entry %s", a.plan.target.ID, e.ID),
 		}, a.cancel)
 	}
