--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -222,6 +222,9 @@
 		if err != nil {
 			return err
 		}
+		if page.Version < cursor {
+			v.log.Warn("listing is older than the rows of this host", "table", t.name, "version", page.Version, "known", cursor)
+		}
 		v.recordContact(t)
 		v.observeClock(page.Clock, time.Now())
 		v.applyRows(t, t.applyList(page.Rows, page.Version, time.Now()))
