--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,6 +103,16 @@
 	}
 }
 
+// Silence makes the open connections silent for good: they stay open and carry nothing in
+// either direction. New connections work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.connections {
+		c.silent.Store(true)
+	}
+}
+
 // BlockSources resets existing and new connections from these IP addresses until the
 // next call. It simulates a network partition between hosts.
 func (r *Relay) BlockSources(addresses []string) {
@@ -243,6 +254,9 @@
 		if !r.awaitOpen(conn, d) {
 			continue
 		}
+		if conn.silent.Load() {
+			continue
+		}
 		data := c.data
 		if limit >= 0 && int64(len(data)) >= limit {
 			_, _ = to.Write(data[:limit])
@@ -257,7 +271,7 @@
 			conn.reset()
 		}
 	}
-	if tcp, ok := to.(*net.TCPConn); ok {
+	if tcp, ok := to.(*net.TCPConn); ok && !conn.silent.Load() {
 		_ = tcp.CloseWrite()
 	}
 }
@@ -289,6 +303,8 @@
 	client net.Conn
 	closed chan struct{}
 	once   sync.Once
+	// silent means that the connection carries nothing any more.
+	silent atomic.Bool
 
 	mu     sync.Mutex
 	server net.Conn
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -101,3 +102,23 @@
 	r.Restore()
 	g.Eventually(response).Should(Receive(Equal(byte('x'))))
 }
+
+// Guards against a silent connection that still carries data or is closed, and against
+// new connections that are silent too.
+func TestSilenceAppliesToOpenConnections(t *testing.T) {
+	g := NewWithT(t)
+	r, conn := connect(t, g)
+	lines := bufio.NewReader(conn)
+	_, _ = conn.Write([]byte("one\n"))
+	g.Expect(lines.ReadString('\n')).To(Equal("one\n"))
+	r.Silence()
+	_, _ = conn.Write([]byte("two\n"))
+	_ = conn.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+	_, err := lines.ReadString('\n')
+	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+	later, err := net.Dial("tcp", r.Addr())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = later.Close() }()
+	_, _ = later.Write([]byte("three\n"))
+	g.Expect(bufio.NewReader(later).ReadString('\n')).To(Equal("three\n"))
+}
--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/routehost"
 	"github.com/sequoiaroad/sequoiaroad/internal/telemetry"
 	"github.com/sequoiaroad/sequoiaroad/platform"
+	"github.com/sequoiaroad/sequoiaroad/standin/relay"
 	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
@@ -85,8 +86,10 @@
 	metricsAddress                              string
 	log                                         *logBuffer
 	store                                       *storeProxy
-	stop                                        context.CancelFunc
-	done                                        chan error
+	// storeLink is the link from the host to the store.
+	storeLink *relay.Relay
+	stop      context.CancelFunc
+	done      chan error
 }
 
 // object is a JSON object.
@@ -192,8 +195,10 @@
 	h := &host{log: &logBuffer{}, store: &storeProxy{Handler: f.store}, done: make(chan error, 1)}
 	storeAddress, stopStore, err := standin.Serve(h.store)
 	f.g.Expect(err).NotTo(HaveOccurred())
+	h.storeLink, err = relay.New(storeAddress)
+	f.g.Expect(err).NotTo(HaveOccurred())
 	settings := standin.HostSettings{
-		ID: id, IP: standin.NewHostIP(), Zone: "zone-a", Zones: []string{"zone-a"}, StoreAddress: storeAddress, RetryBudgetSlack: 50,
+		ID: id, IP: standin.NewHostIP(), Zone: "zone-a", Zones: []string{"zone-a"}, StoreAddress: h.storeLink.Addr(), RetryBudgetSlack: 50,
 	}
 	h.callerAddress, h.readyAddress, h.locatorAddress, h.metricsAddress = settings.CallerAddress(), settings.ReadyAddress(), settings.LocatorAddress(), settings.IP+":9004"
 	f.seeds = append(f.seeds, settings.InnerAddress())
@@ -226,6 +231,7 @@
 			f.t.Error("a host did not stop in time")
 		}
 		closeAdapter()
+		h.storeLink.Close()
 		stopStore()
 	})
 	f.hosts = append(f.hosts, h)
