--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// longPollTimeout is how long the store keeps a call without changes open. It bounds
-	// the time until a dead connection is detected.
-	longPollTimeout = 4 * time.Second
+	// longPollTimeout is how long the store keeps a call without changes open. Together
+	// with the timeout of the response it bounds the time until a dead connection is
+	// detected, and must stay below the time within which a change is in force.
+	longPollTimeout = time.Second
 	// watchBatchDelay batches changes that come close together into one call.
 	watchBatchDelay = 150 * time.Millisecond
 	// minRetry and maxRetry bound the delay after a failed call.
