--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -20,7 +20,7 @@
 	// longPollTimeout is how long the store keeps a call without changes open. Together
 	// with the timeout of the response it bounds the time until a dead connection is
 	// detected, and must stay below the time within which a change is in force.
-	longPollTimeout = time.Second
+	longPollTimeout = 1500 * time.Millisecond
 	// watchBatchDelay batches changes that come close together into one call.
 	watchBatchDelay = 150 * time.Millisecond
 	// minRetry and maxRetry bound the delay after a failed call.
