Silence connections in the soak and check that configurations are in force

The soak had no silent connections and never checked that a change reached a host. Around two changes, all open connections to the store and those to one target become silent; probe keys that only one version has must be accepted and rejected within the deadline on hosts in touch. The other faults of a seed stay as they were.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -13,14 +13,14 @@
 
 // request is a request of a caller and its outcome.
 type request struct {
-	id, route string
-	host      *host
-	sentAt    time.Time
-	duration  time.Duration
-	status    int // 0 without a response
-	header    http.Header
-	body      string
-	err       error
+	id, route, key string
+	host           *host
+	sentAt         time.Time
+	duration       time.Duration
+	status         int // 0 without a response
+	header         http.Header
+	body           string
+	err            error
 }
 
 // isPrompt reports whether the request is a prompt for an engine.
@@ -43,6 +43,9 @@
 	}}
 }
 
+// ticksPerProbe is the number of requests for each pair of probes of the configuration.
+const ticksPerProbe = 4
+
 // routeMethods maps each route to the HTTP method of its requests.
 var routeMethods = map[string]string{"order": http.MethodPost, "status": http.MethodGet, "brief": http.MethodPost, "query": http.MethodPost}
 
@@ -53,7 +56,7 @@
 	var wg sync.WaitGroup
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
-	for {
+	for sent := 0; ; {
 		select {
 		case <-stop:
 			wg.Wait()
@@ -63,12 +66,27 @@
 		h, route := g.installation.hosts[random.IntN(len(g.installation.hosts))], routes[random.IntN(len(routes))]
 		prefix := random.IntN(8)
 		wg.Go(func() { g.send(h, route, prefix) })
+		if sent++; sent%ticksPerProbe == 0 {
+			wg.Go(func() { g.probe(h, g.installation.newestProbeKey()) })
+			wg.Go(func() { g.probe(h, g.installation.withdrawnProbeKey()) })
+		}
+	}
+}
+
+// probe sends a request with a probe key, unless that is empty.
+func (g *loadGenerator) probe(h *host, key string) {
+	if key != "" {
+		g.sendWithKey(h, "status", key, 0)
 	}
 }
 
 // send sends one request and records it with its outcome.
 func (g *loadGenerator) send(h *host, route string, prefix int) *request {
-	q := &request{id: fmt.Sprintf("r%06d", g.lastID.Add(1)), route: route, host: h, sentAt: time.Now()}
+	return g.sendWithKey(h, route, apiKey, prefix)
+}
+
+func (g *loadGenerator) sendWithKey(h *host, route, key string, prefix int) *request {
+	q := &request{id: fmt.Sprintf("r%06d", g.lastID.Add(1)), route: route, key: key, host: h, sentAt: time.Now()}
 	g.mu.Lock()
 	g.requests = append(g.requests, q)
 	g.mu.Unlock()
@@ -89,7 +107,7 @@
 		req.ContentLength = int64(len("body of " + q.id))
 	}
 	for name, value := range map[string]string{
-		"X-Request-Id": q.id, "X-Deadline-Ms": fmt.Sprint(requestTimeout.Milliseconds()), "Authorization": "Bearer " + apiKey,
+		"X-Request-Id": q.id, "X-Deadline-Ms": fmt.Sprint(requestTimeout.Milliseconds()), "Authorization": "Bearer " + key,
 	} {
 		req.Header.Set(name, value)
 	}
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -17,6 +17,7 @@
 	for _, q := range sent {
 		requests[q.id] = q
 		in.checkResponse(q)
+		in.checkConfig(q)
 		in.checkExecutions(q, runs[q.id])
 	}
 	for id := range runs {
@@ -78,6 +79,64 @@
 	}
 }
 
+// newestProbeKey returns the probe key of the newest configuration, if that must be in
+// force on hosts in touch, or "".
+func (in *installation) newestProbeKey() string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if newest := in.configs[len(in.configs)-1]; time.Since(newest.at) > standin.ConfigDeadline {
+		return probeKey(newest.version)
+	}
+	return ""
+}
+
+// withdrawnProbeKey returns the newest probe key that no host in touch may accept, or "".
+func (in *installation) withdrawnProbeKey() string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for i := len(in.configs) - 1; i > 0; i-- {
+		if time.Since(in.configs[i].at) > standin.ConfigDeadline {
+			return probeKey(in.configs[i-1].version)
+		}
+	}
+	return ""
+}
+
+// checkConfig checks that a host in touch rejects withdrawn keys and no others.
+func (in *installation) checkConfig(q *request) {
+	if q.status == 0 || q.status == http.StatusServiceUnavailable || !in.inTouch(q.host.ID, q.sentAt) {
+		return
+	}
+	rejected := q.status == http.StatusUnauthorized
+	if rejected && in.keyIsValid(q) || !rejected && in.keyIsWithdrawn(q) {
+		in.addViolation("%s %s with key %s received status %d from %s at %s", q.route, q.id, q.key, q.status, q.host.ID, q.sentAt.Format(time.StampMilli))
+	}
+}
+
+// keyIsValid reports whether the key of a request was valid until the response. Probe keys
+// are sent only once their configuration must be in force.
+func (in *installation) keyIsValid(q *request) bool {
+	at, withdrawn := in.withdrawal(q.key)
+	return !withdrawn || at.After(q.sentAt.Add(q.duration))
+}
+
+// keyIsWithdrawn reports whether the configuration that withdrew the key of a request had
+// to be in force when the request was sent.
+func (in *installation) keyIsWithdrawn(q *request) bool {
+	at, withdrawn := in.withdrawal(q.key)
+	return withdrawn && q.sentAt.Sub(at) > standin.ConfigDeadline
+}
+
+// withdrawal returns when the configuration that withdrew a key was acknowledged.
+func (in *installation) withdrawal(key string) (at time.Time, withdrawn bool) {
+	for i, c := range in.configs[1:] {
+		if key == probeKey(in.configs[i].version) {
+			return c.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // checkRetries checks that the retries of each service stay within the retry budget,
 // applied to the whole run.
 func (in *installation) checkRetries(sent []*request, runs map[string][]standin.Execution) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -46,9 +48,32 @@
 		f.at = at
 		out = append(out, f)
 	}
+	out = append(out, in.silences(seed, period)...)
+	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
 
+// silences returns faults that make open connections silent around changes of the
+// configuration. They have a random stream of their own, so that the other faults of a seed
+// stay the same.
+func (in *installation) silences(seed uint64, period time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	r := in.replicas[random.IntN(len(in.replicas))]
+	at := time.Duration(random.Int64N(int64(period / 2)))
+	silenceStore := func() {
+		for _, h := range in.hosts {
+			h.storeLink.Silence()
+		}
+	}
+	after := time.Duration(random.Int64N(int64(time.Second)))
+	return []fault{
+		{name: "publish the configuration", at: at, run: in.publishConfig},
+		{name: "silence all connections to the store", at: at + 200*time.Millisecond, impairs: everyHost, run: silenceStore},
+		{name: "silence the connections to " + r.id, at: at + 200*time.Millisecond, run: r.link.Silence},
+		{name: "publish the configuration", at: at + 200*time.Millisecond + after, run: in.publishConfig},
+	}
+}
+
 // randomFault returns a random fault of a random host or target.
 func (in *installation) randomFault(program string, random *rand.Rand, locks *sync.Map) fault {
 	h := in.hosts[random.IntN(len(in.hosts))]
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,15 +56,15 @@
 
 // installation holds the stand-ins and the hosts of one seed.
 type installation struct {
-	store         *standin.Store
-	hosts         []*host
-	replicas      []*replica
-	logDir        string
-	cleanups      []func()
-	configVersion atomic.Int64
+	store    *standin.Store
+	hosts    []*host
+	replicas []*replica
+	logDir   string
+	cleanups []func()
 
 	mu           sync.Mutex
 	publications []publication // in the order of their versions
+	configs      []publication // in the order of their versions
 	impairments  []impairment
 	violations   []string
 }
@@ -105,9 +104,15 @@
 	return in, nil
 }
 
-// publishConfig writes the configuration to the store under the next version number; the
-// rest of the document stays the same.
+// probeKey returns the API key that only one version of the configuration has.
+func probeKey(version int64) string { return fmt.Sprintf("probe-key-%d", version) }
+
+// publishConfig writes the configuration to the store under the next version number, with
+// the probe key of that version; the rest of the document stays the same.
 func (in *installation) publishConfig() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	version := int64(len(in.configs)) + 1
 	route := func(name, kind, service string, maxAttempts int, resumable bool) object {
 		return object{
 			"name": name, "host": virtualHost, "prefix": "/" + name + "/", "kind": kind, "service": service,
@@ -115,7 +120,7 @@
 		}
 	}
 	value, err := json.Marshal(object{
-		"version": in.configVersion.Add(1),
+		"version": version,
 		"routes": []any{
 			route("order", "unsafe", "desk", 1, false), route("status", "safe", "desk", 3, false),
 			route("brief", "streaming", "engines", 1, false), route("query", "streaming", "engines", 3, true),
@@ -127,12 +132,13 @@
 			object{"name": "desk", "health_path": "/health", "max_conns": 100},
 		},
 		"limits":  object{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{object{"name": "club", "api_keys": []any{apiKey}, "unit": "tokens", "plain_tokens": 100}},
+		"tenants": []any{object{"name": "club", "api_keys": []any{apiKey, probeKey(version)}, "unit": "tokens", "plain_tokens": 100}},
 	})
 	if err != nil {
 		panic(err) // can't happen: the document holds only values that JSON can encode
 	}
 	in.store.Put("op", "config", value)
+	in.configs = append(in.configs, publication{version, time.Now()})
 }
 
 func (in *installation) addReplica(o standin.ReplicaOptions) error {
