Read and log what targets ask of the hosts in their responses

The headers Server-Limit, Server-Leaving and, on a 503, Retry-After are decoded once in platform/, kept by policy/backpressure, and logged when they change. Nothing is decided by them yet.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,6 +80,7 @@
 		c.tried[p.target.ID] = true
 		return &failure{status: http.StatusBadGateway, reason: "target answered another request", cause: errors.Errorf("target %s responded to request %q", p.target.ID, response.ID)}
 	}
+	r.recordBackpressure(c, p, &response)
 	if response.NotExecuted {
 		return r.handleRejection(c, p, resp, &response)
 	}
@@ -163,7 +164,7 @@
 	now := time.Now()
 	r.balancer.RecordActivity(p.target, now)
 	switch {
-	case response.WrongTarget && p.prompt != nil && (response.InstanceID == "" || response.InstanceID == p.target.ID):
+	case response.WrongTarget && p.prompt != nil && isFromTarget(response, p):
 		f.reason = "target has other weights"
 		r.balancer.RecordWeights(p.target, p.prompt.Model, max(response.WeightsVersion, p.prompt.DesiredWeights.Version))
 		delete(c.tried, p.target.ID)
@@ -176,6 +177,12 @@
 	return f
 }
 
+// isFromTarget reports whether the planned target sent a response. Another target that now
+// has its address names itself.
+func isFromTarget(response *message.Response, p *plan) bool {
+	return response.InstanceID == "" || response.InstanceID == p.target.ID
+}
+
 // rejectedPause is how long a target is paused after it has rejected a request.
 const rejectedPause = 150 * time.Millisecond
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,6 +20,7 @@
 
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 	"github.com/sequoiaroad/sequoiaroad/policy/ratelimit"
 	"github.com/sequoiaroad/sequoiaroad/policy/retry"
@@ -89,6 +90,7 @@
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
+	pressure *backpressure.Table
 	buckets  map[string]*ratelimit.Bucket
 	budgets  map[string]*retry.Budget
 	// notified is when the use of a part at a target was last announced to peers.
@@ -111,8 +113,8 @@
 	}
 	r := &Router{
 		Options: o, clients: newClients(), metrics: m,
-		balancer: balance.New(o.Zone, o.RegionOfZone),
-		buckets:  map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
+		balancer: balance.New(o.Zone, o.RegionOfZone), pressure: backpressure.New(),
+		buckets: map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
 		notified: map[notifiedKey]time.Time{}, prompts: map[*plan]*promptAttempt{},
 	}
 	o.View.OnChange(r.applySnapshot)
@@ -125,6 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Retain(s.Targets)
+	r.pressure.Retain(func(id string) bool { return s.Targets[id] != nil })
 	if s.Config == nil {
 		return
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -68,6 +69,8 @@
 	WeightsVersion int64
 	// KeepAlive is how long the target keeps an idle connection; zero if not stated.
 	KeepAlive time.Duration
+	// Backpressure is what the target asks of the hosts.
+	Backpressure backpressure.Statement
 }
 
 // Codec translates headers between the wire and the types of the router.
