--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -33,6 +33,13 @@
 	StallAfterHead bool
 	// Hold keeps requests in the queue until the fault ends or their caller leaves.
 	Hold bool
+	// RateLimit is the limit of requests a second that each response names; empty names
+	// none.
+	RateLimit string
+	// Leaving makes each response say that the replica leaves.
+	Leaving bool
+	// RetryAfter rejects requests and asks for a pause; zero disables it.
+	RetryAfter time.Duration
 	// LoseReports closes the connections of reads of the replica's report without a
 	// response, so that no host orders weights.
 	LoseReports bool
@@ -76,6 +83,7 @@
 
 	mu                    sync.Mutex
 	faults                ReplicaFaults
+	arrivals              []time.Time
 	executions            []Execution
 	acceptedFencingTokens []uint64
 	weightsVersion        int64
@@ -107,6 +115,13 @@
 	return append([]Execution(nil), r.executions...)
 }
 
+// Arrivals returns when requests reached the replica, including those that it rejected.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
+}
+
 // AcceptedFencingTokens returns the fencing tokens of the accepted orders.
 func (r *Replica) AcceptedFencingTokens() []uint64 {
 	r.mu.Lock()
@@ -288,7 +303,7 @@
 	if expected := req.Header.Get("X-Expect-Version"); expected != "" && expected != strconv.FormatInt(r.weightsVersion, 10) {
 		return r.faults, r.weightsVersion, http.StatusMisdirectedRequest
 	}
-	if r.faults.Shed || r.loading {
+	if r.faults.Shed || r.faults.RetryAfter > 0 || r.loading {
 		return r.faults, r.weightsVersion, http.StatusServiceUnavailable
 	}
 	r.running++
@@ -332,7 +347,27 @@
 	return true
 }
 
+func (r *Replica) recordArrival() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, time.Now())
+}
+
+// setBackpressure sets the headers in which a replica asks for fewer requests.
+func setBackpressure(h http.Header, f ReplicaFaults) {
+	if f.RateLimit != "" {
+		h.Set("Server-Limit", f.RateLimit)
+	}
+	if f.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
+	}
+}
+
 func (r *Replica) handleRequest(w http.ResponseWriter, req *http.Request) {
+	r.recordArrival()
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
@@ -347,6 +382,7 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Weight-Versions", strconv.FormatInt(version, 10))
+	setBackpressure(w.Header(), faults)
 	if status == http.StatusMisdirectedRequest || status == http.StatusServiceUnavailable {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(status)
