Keep to the limit of requests that a target names, over all hosts together

A target that had named a limit got more than ten times as many requests. Cause: no code read the limit, and nothing that hosts share could have kept it: each host chose targets by cost alone. Now hosts tell each other in heartbeats which targets have named a limit; a few hosts, the same everywhere by rendezvous hashing, take equal shares of it, at most N+3 of them for N requests a second, so that their bursts stay small in a fleet of any size. The permit is taken just before the request is sent, for retries too; requests wait for a connection in the host instead of the transport, where they could no longer be stopped. A process that starts asks its peers at once and learns the limits with the first reply. A host without a share probes, in turn, if nobody has heard from the target for 5 s. When no target takes a request, the refusal says when to return, spread over twice the wait.

Ruled out: one bucket for the fleet on every host as for client accounts, since reports are 250 ms old and more, in which 350 hosts would each send one request; a holder of the limit per target, which would need a lease.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,7 +50,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.endAttempt(p)
-	c.sends++
 	w := r.startWatchdog(c, p, cancel)
 	defer w.stop()
 	r.trackPrompt(&promptAttempt{call: c, plan: p, watchdog: w, cancel: cancel})
@@ -60,15 +59,20 @@
 		return f
 	}
 	var connected atomic.Bool
+	if err := p.client.acquire(ctx); err != nil {
+		return r.handleSendError(ctx, c, p, w, err, connected.Load())
+	}
+	defer p.client.release()
+	if f := r.takePermit(c, p); f != nil {
+		return f
+	}
+	c.sends++
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	resp, err := p.client.transport.RoundTrip(r.newTargetRequest(ctx, c, p))
 	if err != nil {
-		if f := w.takeAbort(c, p); f != nil {
-			return countAborted(c, f, connected.Load())
-		}
-		return r.handleSendError(ctx, c, p, err, connected.Load())
+		return r.handleSendError(ctx, c, p, w, err, connected.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	response := r.Codec.Response(resp)
@@ -111,7 +115,10 @@
 }
 
 // handleSendError handles an attempt without a response.
-func (r *Router) handleSendError(ctx context.Context, c *call, p *plan, err error, connected bool) *failure {
+func (r *Router) handleSendError(ctx context.Context, c *call, p *plan, w *watchdog, err error, connected bool) *failure {
+	if f := w.takeAbort(c, p); f != nil {
+		return countAborted(c, f, connected)
+	}
 	c.tried[p.target.ID] = true
 	cause := errors.Wrapf(err, "send to target %s at %s", p.target.ID, p.target.Address)
 	if ctx.Err() != nil {
--- a/internal/forward/clients.go
+++ b/internal/forward/clients.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -26,8 +27,28 @@
 type client struct {
 	target    *topology.Target
 	transport *http.Transport
+	// slots holds an element for each request in progress. A request that waits for a slot
+	// has not been sent, so that it can still be stopped; one that waits inside the
+	// transport could not.
+	slots chan struct{}
 }
 
+func newClient(t *topology.Target, idleTimeout time.Duration, maxConns int) *client {
+	return &client{target: t, transport: newTransport(idleTimeout, maxConns), slots: make(chan struct{}, maxConns)}
+}
+
+// acquire waits for a slot. The caller releases it when the request has ended.
+func (c *client) acquire(ctx context.Context) error {
+	select {
+	case c.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *client) release() { <-c.slots }
+
 // clients holds a client for each target in use.
 type clients struct {
 	mu   sync.Mutex
@@ -69,7 +90,7 @@
 	if !known {
 		idleTimeout = initialIdleTimeout
 	}
-	created := &client{target: t, transport: newTransport(idleTimeout, max(minConns, maxConns))}
+	created := newClient(t, idleTimeout, max(minConns, maxConns))
 	c.byID[t.ID] = created
 	return created
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -19,6 +19,7 @@
 		h.Loads = append(h.Loads, peers.TargetLoad{ID: id, Requests: inFlight})
 	}
 	h.EjectedTargets = r.balancer.Suspects(time.Now())
+	h.Limits = r.pressure.Reports(time.Now())
 	for name, b := range r.buckets {
 		h.Usage = append(h.Usage, peers.AccountUsage{Account: name, Total: b.Admitted()})
 	}
@@ -31,6 +32,7 @@
 	config := snapshot.Config
 	_, unresponsiveShare := r.Fleet.CountHosts()
 	now := time.Now()
+	r.HandleLimits(h.Limits)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	inFlight := make(map[string]int, len(h.Loads))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -51,6 +51,8 @@
 	// CountHosts returns the number of hosts and the share of them that is
 	// unresponsive.
 	CountHosts() (hosts int, unresponsiveShare float64)
+	// HostIDs returns the hosts that respond, including this one.
+	HostIDs() []string
 	// QueueCacheNotice queues a cache notice for the other hosts.
 	QueueCacheNotice(n balance.CacheNotice)
 }
@@ -66,6 +68,7 @@
 	CopyResponseHeaders func(to, from http.Header)
 	Quarantine          Quarantine
 
+	HostID       string
 	Zone         string
 	RegionOfZone map[string]string
 	RetryLimits  retry.Limits
@@ -91,8 +94,10 @@
 	mu       sync.Mutex
 	balancer *balance.Balancer
 	pressure *backpressure.Table
-	buckets  map[string]*ratelimit.Bucket
-	budgets  map[string]*retry.Budget
+	// hostsUpdated is when pressure was last told which hosts share limits.
+	hostsUpdated time.Time
+	buckets      map[string]*ratelimit.Bucket
+	budgets      map[string]*retry.Budget
 	// notified is when the use of a part at a target was last announced to peers.
 	notified  map[notifiedKey]time.Time
 	lastSweep time.Time
@@ -113,10 +118,11 @@
 	}
 	r := &Router{
 		Options: o, clients: newClients(), metrics: m,
-		balancer: balance.New(o.Zone, o.RegionOfZone), pressure: backpressure.New(),
+		balancer: balance.New(o.Zone, o.RegionOfZone), pressure: backpressure.New(o.HostID),
 		buckets: map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
 		notified: map[notifiedKey]time.Time{}, prompts: map[*plan]*promptAttempt{},
 	}
+	r.balancer.UseBackpressure(r.pressure)
 	o.View.OnChange(r.applySnapshot)
 	return r, nil
 }
@@ -127,7 +133,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Retain(s.Targets)
-	r.pressure.Retain(func(id string) bool { return s.Targets[id] != nil })
+	if len(s.Targets) > 0 { // a new process learns limits from its peers before the targets
+		r.pressure.Retain(func(id string) bool { return s.Targets[id] != nil })
+	}
 	if s.Config == nil {
 		return
 	}
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -41,6 +41,7 @@
 	s := r.View.Snapshot()
 	targets := s.ByService[c.service.Name]
 	hosts, _ := r.Fleet.CountHosts()
+	r.updateSharingHosts()
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -58,6 +59,9 @@
 		p.envelope.Priority = message.NoPriority
 	}
 	if p.target == nil {
+		if f := r.backpressureFailure(targets, now); f != nil {
+			return nil, f
+		}
 		return nil, noTargetFailure(len(targets), p.tooOutdated)
 	}
 	p.envelope.TargetID = p.target.ID
--- a/internal/forward/watchdog_test.go
+++ b/internal/forward/watchdog_test.go
@@ -17,6 +17,7 @@
 type singleHost struct{}
 
 func (singleHost) CountHosts() (int, float64)           { return 1, 0 }
+func (singleHost) HostIDs() []string                    { return nil }
 func (singleHost) QueueCacheNotice(balance.CacheNotice) {}
 
 // Guards against a timeout that replaces the failure of a withdrawn attempt and charges a
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -8,7 +8,8 @@
 )
 
 // handleHeartbeat records a heartbeat and those relayed with it. The reply lists the
-// known hosts if the sender's incarnation is new here, since it may lack some of them.
+// known hosts and limits of targets if the sender's incarnation is new here, since it may
+// lack some of them.
 func (e *Exchange) handleHeartbeat(ctx context.Context, h *Heartbeat) *HeartbeatReply {
 	relayed := h.Relayed
 	h.Relayed = nil
@@ -27,7 +28,7 @@
 	for host := range e.knownHosts() {
 		hosts = append(hosts, host)
 	}
-	return &HeartbeatReply{Hosts: hosts}
+	return &HeartbeatReply{Hosts: hosts, Limits: e.local.AllLimits()}
 }
 
 // record records the state of one host, and reports whether its incarnation is new
@@ -105,4 +106,5 @@
 		return
 	}
 	e.peers.addReported(reply.Hosts, e.self.ID, time.Now())
+	e.local.HandleLimits(reply.Limits)
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -107,6 +107,20 @@
 	return out
 }
 
+// responsive returns the hosts that share limits of targets: those that respond and do not
+// stop.
+func (t *peerTable) responsive(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, p := range t.byID {
+		if !p.draining && !p.unresponsive(now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (t *peerTable) contactedWithin(id string, age time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -4,6 +4,7 @@
 	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 	"github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 )
@@ -33,6 +34,8 @@
 	Usage           []AccountUsage `msgpack:"u,omitempty"`
 	// EjectedTargets are targets that the sender has ejected after failures.
 	EjectedTargets []string `msgpack:"x,omitempty"`
+	// Limits are the limits that targets have named to the sender.
+	Limits []backpressure.Report `msgpack:"b,omitempty"`
 	// QuarantineDigest identifies the entries in quarantine that the sender has.
 	QuarantineDigest uint64 `msgpack:"q,omitempty"`
 	// StoreUnreachable means that the store does not respond to the sender.
@@ -49,10 +52,12 @@
 // WireType implements wire.Message.
 func (*Heartbeat) WireType() wire.Type { return wire.TypeHeartbeat }
 
-// HeartbeatReply lists the hosts that are known to the receiver of a heartbeat, if the
-// sender may lack some of them.
+// HeartbeatReply lists the hosts and limits that are known to the receiver of a heartbeat,
+// if the sender may lack some of them.
 type HeartbeatReply struct {
 	Hosts []view.Host `msgpack:"h,omitempty"`
+	// Limits are all limits of targets that the receiver knows.
+	Limits []backpressure.Report `msgpack:"b,omitempty"`
 }
 
 // WireType implements wire.Message.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 	"github.com/sequoiaroad/sequoiaroad/policy/fanout"
 )
@@ -48,6 +49,11 @@
 	LocalState() Heartbeat
 	// HandleHeartbeat handles a peer's heartbeat.
 	HandleHeartbeat(h *Heartbeat)
+	// AllLimits returns all limits that targets have named, for a host that has just
+	// started.
+	AllLimits() []backpressure.Report
+	// HandleLimits handles limits of targets that a peer reports.
+	HandleLimits(reports []backpressure.Report)
 	// HandleCacheNotices handles cache notices of a peer.
 	HandleCacheNotices(notices []balance.CacheNotice)
 	// HandleEngineNotice handles the notice of an order to a target.
@@ -179,6 +185,9 @@
 	return e.peers.contactedWithin(id, age, time.Now())
 }
 
+// HostIDs returns the hosts that respond, including this one.
+func (e *Exchange) HostIDs() []string { return append(e.peers.responsive(time.Now()), e.self.ID) }
+
 // CountHosts returns the number of hosts that share limits, including this one, and the
 // share of them that is unresponsive.
 func (e *Exchange) CountHosts() (hosts int, unresponsiveShare float64) {
@@ -186,8 +195,10 @@
 	return count.hosts, count.unresponsiveShare
 }
 
-// Run sends heartbeats and cache notices until ctx ends.
+// Run sends heartbeats and cache notices until ctx ends. The first heartbeat is sent at
+// once, since its reply tells a new process which hosts and limits there are.
 func (e *Exchange) Run(ctx context.Context) error {
+	e.sendHeartbeats(ctx)
 	var running sync.WaitGroup
 	running.Go(func() { e.sendCacheNotices(ctx) })
 	running.Go(func() { clock.Every(ctx, heartbeatInterval, func() { e.sendHeartbeats(ctx) }) })
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -13,6 +13,7 @@
 	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 )
 
@@ -53,6 +54,10 @@
 	h.cacheNotices += len(notices)
 }
 
+func (h *testHost) AllLimits() []backpressure.Report { return nil }
+
+func (h *testHost) HandleLimits([]backpressure.Report) {}
+
 func (h *testHost) HandleQuarantineNotice(*QuarantineNotice) {}
 
 func (h *testHost) HandleEngineNotice(*EngineNotice) {
--- a/internal/routehost/routehost.go
+++ b/internal/routehost/routehost.go
@@ -27,6 +27,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/internal/weights"
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
 	policy "github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 	"github.com/sequoiaroad/sequoiaroad/policy/retry"
@@ -133,7 +134,7 @@
 		Codec: h.options.Platform.Codec, View: h.view, Fleet: (*localHost)(h),
 		Log: h.options.Telemetry.Logger.Named("forward"), Tracer: h.options.Telemetry.Tracer,
 		Meter: h.options.Telemetry.Meter, CopyResponseHeaders: h.options.Platform.CopyResponseHeaders, Quarantine: h.quarantine,
-		Zone: d.Zone, RegionOfZone: d.RegionOfZone,
+		HostID: d.HostID, Zone: d.Zone, RegionOfZone: d.RegionOfZone,
 		RetryLimits:         retry.Limits{Ratio: d.RetryBudgetRatio, Slack: d.RetryBudgetSlack, Window: d.RetryBudgetWindow},
 		UsageSlack:          d.QuotaSlack * usageSlackRatio,
 		MaxWeightsStaleness: d.MaxWeightsStaleness, MemoryBytes: d.MemoryBytes,
@@ -172,6 +173,9 @@
 	l.router.HandleCacheNotices(notices)
 }
 func (l *localHost) CountHosts() (int, float64)                       { return l.peers.CountHosts() }
+func (l *localHost) HostIDs() []string                                { return l.peers.HostIDs() }
+func (l *localHost) AllLimits() []backpressure.Report                 { return l.router.AllLimits() }
+func (l *localHost) HandleLimits(reports []backpressure.Report)       { l.router.HandleLimits(reports) }
 func (l *localHost) QueueCacheNotice(n balance.CacheNotice)           { l.peers.QueueCacheNotice(n) }
 func (l *localHost) HandleQuarantineNotice(n *peers.QuarantineNotice) { l.quarantine.HandleNotice(n) }
 func (l *localHost) BroadcastQuarantineNotice(ctx context.Context, n *peers.QuarantineNotice) {
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -1,9 +1,28 @@
-// Package backpressure keeps what targets ask of the hosts in their responses: a limit of
-// requests a second, a pause, or no new requests because they leave. It does no I/O; the
-// current time is an argument.
+// Package backpressure keeps what targets ask of the hosts in their responses, and decides
+// whether a request may be sent. It does no I/O; the current time is an argument.
+//
+// A limit of requests a second holds for all hosts together, without a message for each
+// request: hosts tell each other which targets have named one, and each of a few hosts takes
+// an equal share of it. The hosts of a target are the same everywhere, by rendezvous
+// hashing. Their number grows with the limit, so that their bursts stay small in a large
+// fleet.
 package backpressure
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
+)
+
+const (
+	// maxStatementAge is the age of the newest statement of a target above which a host
+	// without a share may send a request to learn whether the limit still holds. It
+	// matters where the hosts with a share get no requests.
+	maxStatementAge = 5 * time.Second
+	// endReportPeriod is how long hosts report that a target no longer names a limit.
+	endReportPeriod = 3 * time.Second
+)
 
 // Statement is what a target asks for in one response.
 type Statement struct {
@@ -18,54 +37,95 @@
 	Leaving bool
 }
 
-// Target identifies one incarnation of a target.
-type Target struct {
-	ID      string
-	Started int64
+// Report tells another host what a target has stated to the reporter.
+type Report struct {
+	Target    topology.Incarnation `msgpack:"t"`
+	RateLimit float64              `msgpack:"r,omitempty"`
+	Limited   bool                 `msgpack:"l,omitempty"`
+	// AgeMs is how long ago the target stated it.
+	AgeMs int64 `msgpack:"a"`
 }
 
 // state is what one incarnation of a target has asked for.
 type state struct {
-	started   int64
+	target    topology.Incarnation
 	rateLimit float64
 	limited   bool
-	// statedAt is when the target last stated a limit, or none.
-	statedAt    time.Time
-	pausedUntil time.Time
-	leaving     bool
+	// statedAt is when the target last stated a limit, or none; own means that it told
+	// this host.
+	statedAt time.Time
+	own      bool
+	// limitEndedAt is when the target first stated no limit after one.
+	limitEndedAt time.Time
+	pausedUntil  time.Time
+	leaving      bool
+	share        share
 }
 
 // Table holds the state of all targets that have asked for something. It is not safe for
 // concurrent use.
 type Table struct {
-	states map[string]*state
+	self string
+	// hosts are the hosts that share limits, in order; hostsVersion counts their changes.
+	hosts        []string
+	hostsVersion int
+	states       map[string]*state
+}
+
+// New returns an empty table of a host.
+func New(self string) *Table {
+	return &Table{self: self, hosts: []string{self}, states: map[string]*state{}}
+}
+
+// SetHosts sets the hosts that share limits, including this one.
+func (t *Table) SetHosts(hosts []string) {
+	hosts = slices.Clone(hosts)
+	slices.Sort(hosts)
+	if slices.Equal(hosts, t.hosts) {
+		return
+	}
+	t.hosts = hosts
+	t.hostsVersion++
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{states: map[string]*state{}} }
+// IsLimited reports whether any target has named a limit.
+func (t *Table) IsLimited() bool {
+	for _, s := range t.states {
+		if s.limited {
+			return true
+		}
+	}
+	return false
+}
 
 // get returns the state of a target, or nil if it has asked for nothing.
-func (t *Table) get(target Target) *state {
+func (t *Table) get(target topology.Incarnation) *state {
 	s := t.states[target.ID]
-	if s == nil || s.started != target.Started {
+	if s == nil || s.target != target {
 		return nil
 	}
 	return s
 }
 
+func (t *Table) add(target topology.Incarnation) *state {
+	s := &state{target: target}
+	t.states[target.ID] = s
+	return s
+}
+
 // Record records what a target has stated in a response to this host. It reports whether
 // that differs from what it asked for before.
-func (t *Table) Record(target Target, stated Statement, now time.Time) (changed bool) {
+func (t *Table) Record(target topology.Incarnation, stated Statement, now time.Time) (changed bool) {
 	s := t.get(target)
 	if s == nil {
 		if stated == (Statement{}) {
 			return false
 		}
-		s = &state{started: target.Started}
-		t.states[target.ID] = s
+		s = t.add(target)
 	}
 	changed = s.limited != stated.Limited || s.rateLimit != stated.RateLimit || stated.Leaving && !s.leaving || stated.RetryAfter > 0
-	s.limited, s.rateLimit, s.statedAt = stated.Limited, stated.RateLimit, now
+	t.setLimit(s, stated.RateLimit, stated.Limited, now, now)
+	s.own = true
 	s.leaving = s.leaving || stated.Leaving
 	if until := now.Add(stated.RetryAfter); stated.RetryAfter > 0 && until.After(s.pausedUntil) {
 		s.pausedUntil = until
@@ -73,6 +133,80 @@
 	return changed
 }
 
+// setLimit applies a statement of a limit, or of none.
+func (t *Table) setLimit(s *state, rateLimit float64, limited bool, statedAt, now time.Time) {
+	switch {
+	case limited && !s.limited:
+		s.rateLimit = rateLimit
+		t.startShare(s, now)
+	case !limited && s.limited:
+		s.limitEndedAt = statedAt
+	}
+	s.rateLimit, s.limited, s.statedAt = rateLimit, limited, statedAt
+}
+
+// Reports returns what targets have stated to this host and others may lack.
+func (t *Table) Reports(now time.Time) []Report {
+	return t.reports(now, func(s *state) bool { return s.own })
+}
+
+// AllReports returns also what this host knows from others. It is for a host that has just
+// started.
+func (t *Table) AllReports(now time.Time) []Report {
+	return t.reports(now, func(*state) bool { return true })
+}
+
+func (t *Table) reports(now time.Time, include func(*state) bool) []Report {
+	var out []Report
+	for _, s := range t.states {
+		if include(s) && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
+			out = append(out, Report{Target: s.target, RateLimit: s.rateLimit, Limited: s.limited, AgeMs: now.Sub(s.statedAt).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// Apply applies a report of another host, unless a newer statement is known. It reports
+// whether that changes the limit.
+func (t *Table) Apply(r Report, now time.Time) (changed bool) {
+	s := t.get(r.Target)
+	if s == nil {
+		if !r.Limited {
+			return false
+		}
+		s = t.add(r.Target)
+	}
+	statedAt := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	if !statedAt.After(s.statedAt) {
+		return false
+	}
+	changed = s.limited != r.Limited || s.rateLimit != r.RateLimit
+	t.setLimit(s, r.RateLimit, r.Limited, statedAt, now)
+	s.own = false
+	return changed
+}
+
+// MaySend reports whether a request may be sent to a target now, or else how long it must
+// not; the wait is zero if that is not known.
+func (t *Table) MaySend(target topology.Incarnation, now time.Time) (wait time.Duration, ok bool) {
+	s := t.get(target)
+	if s == nil || !s.limited {
+		return 0, true
+	}
+	return t.awaitShare(s, now)
+}
+
+// Take takes the permit for one request, and reports whether there was one.
+func (t *Table) Take(target topology.Incarnation, now time.Time) bool {
+	if _, ok := t.MaySend(target, now); !ok {
+		return false
+	}
+	if s := t.get(target); s != nil && s.limited {
+		s.share.take(now)
+	}
+	return true
+}
+
 // Retain drops the state of all targets for which keep returns false.
 func (t *Table) Retain(keep func(id string) bool) {
 	for id := range t.states {
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -60,6 +61,8 @@
 	// cost of a choice independent of the number of hosts.
 	peerInFlight map[string]int
 	cache        *cacheMap
+	// pressure holds what targets have asked for.
+	pressure *backpressure.Table
 }
 
 // New returns a balancer for a host in the given availability zone.
@@ -67,10 +70,14 @@
 	return &Balancer{
 		zone: zone, regionOfZone: regionOfZone,
 		targets: map[string]*targetState{}, peers: map[string]peerLoad{},
-		peerInFlight: map[string]int{}, cache: newCacheMap(),
+		peerInFlight: map[string]int{}, cache: newCacheMap(), pressure: backpressure.New(""),
 	}
 }
 
+// UseBackpressure makes the balancer choose no target that must not be sent a request
+// according to the table.
+func (b *Balancer) UseBackpressure(table *backpressure.Table) { b.pressure = table }
+
 func (b *Balancer) state(t *topology.Target) *targetState {
 	s := b.targets[t.ID]
 	if s == nil || s.started != t.Started {
@@ -265,8 +272,9 @@
 
 func (b *Balancer) exclusion(t *topology.Target, tried map[string]bool, now time.Time) exclusion {
 	s := b.state(t)
+	_, maySend := b.pressure.MaySend(t.Incarnation(), now)
 	switch {
-	case t.Leaving || tried[t.ID]:
+	case t.Leaving || tried[t.ID] || !maySend:
 		return unusable
 	case now.Before(s.pausedUntil):
 		return paused
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -186,6 +186,15 @@
 	Revision uint64
 }
 
+// Incarnation identifies one start of a target.
+type Incarnation struct {
+	ID      string `msgpack:"i"`
+	Started int64  `msgpack:"s"`
+}
+
+// Incarnation returns the target's current incarnation.
+func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.Started} }
+
 // SameIncarnation reports whether two descriptions are of the same incarnation.
 func (t *Target) SameIncarnation(o *Target) bool {
 	return t.ID == o.ID && t.Started == o.Started && t.Address == o.Address
