Send no request to a target within the pause that it asked for

A target that rejected a request with 503 and Retry-After got more requests from the same host at once: a rejection paused it for 150 ms, and plain services used paused targets when no other was usable.

--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -190,10 +190,15 @@
 // not; the wait is zero if that is not known.
 func (t *Table) MaySend(target topology.Incarnation, now time.Time) (wait time.Duration, ok bool) {
 	s := t.get(target)
-	if s == nil || !s.limited {
+	switch {
+	case s == nil:
 		return 0, true
+	case now.Before(s.pausedUntil):
+		return s.pausedUntil.Sub(now), false
+	case s.limited:
+		return t.awaitShare(s, now)
 	}
-	return t.awaitShare(s, now)
+	return 0, true
 }
 
 // Take takes the permit for one request, and reports whether there was one.
--- a/policy/backpressure/backpressure_test.go
+++ b/policy/backpressure/backpressure_test.go
@@ -148,3 +148,18 @@
 	wait, _ = table.MaySend(target, start)
 	g.Expect(wait).To(Equal(time.Second))
 }
+
+// Guards against a request within the pause that a target asked for, against a shorter
+// pause that replaces a longer one, and against a pause that other hosts observe.
+func TestPauseHoldsForTheHostThatWasTold(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.tables[0].Record(target, Statement{RetryAfter: 2 * time.Second}, start)
+	f.tables[0].Record(target, Statement{RetryAfter: time.Second}, start)
+	f.exchangeReports(start)
+	wait, ok := f.tables[0].MaySend(target, start.Add(500*time.Millisecond))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(wait).To(Equal(1500 * time.Millisecond))
+	g.Expect(f.tables[0].Take(target, start.Add(2*time.Second))).To(BeTrue())
+	g.Expect(f.tables[1].Take(target, start)).To(BeTrue())
+}
