Send no request to a target that has said in a response that it leaves

Targets that leave say so in their responses, seconds before their entry in the store changes or without it. No code read that, so that hosts went on sending. Such a target now gets no new request until its next incarnation, not even one that waits for a connection; heartbeats tell the other hosts.

--- a/internal/forward/backpressure.go
+++ b/internal/forward/backpressure.go
@@ -101,8 +101,8 @@
 	defer r.mu.Unlock()
 	for _, report := range reports {
 		if r.pressure.Apply(report, now) {
-			r.Log.Info("a host reports the limit of a target", "target", report.Target.ID, "limited", report.Limited,
-				"rate_limit", report.RateLimit, "age_ms", report.AgeMs)
+			r.Log.Info("a host reports the backpressure of a target", "target", report.Target.ID, "limited", report.Limited,
+				"rate_limit", report.RateLimit, "age_ms", report.AgeMs, "leaving", report.Leaving)
 		}
 	}
 }
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -42,8 +42,9 @@
 	Target    topology.Incarnation `msgpack:"t"`
 	RateLimit float64              `msgpack:"r,omitempty"`
 	Limited   bool                 `msgpack:"l,omitempty"`
-	// AgeMs is how long ago the target stated it.
-	AgeMs int64 `msgpack:"a"`
+	// AgeMs is how long ago the target stated the limit, or none.
+	AgeMs   int64 `msgpack:"a"`
+	Leaving bool  `msgpack:"v,omitempty"`
 }
 
 // state is what one incarnation of a target has asked for.
@@ -145,7 +146,8 @@
 	s.rateLimit, s.limited, s.statedAt = rateLimit, limited, statedAt
 }
 
-// Reports returns what targets have stated to this host and others may lack.
+// Reports returns what targets have stated to this host and others may lack. That a target
+// leaves is reported by all hosts, since it never ends.
 func (t *Table) Reports(now time.Time) []Report {
 	return t.reports(now, func(s *state) bool { return s.own })
 }
@@ -159,28 +161,32 @@
 func (t *Table) reports(now time.Time, include func(*state) bool) []Report {
 	var out []Report
 	for _, s := range t.states {
-		if include(s) && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
-			out = append(out, Report{Target: s.target, RateLimit: s.rateLimit, Limited: s.limited, AgeMs: now.Sub(s.statedAt).Milliseconds()})
+		if s.leaving || include(s) && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
+			out = append(out, Report{
+				Target: s.target, RateLimit: s.rateLimit, Limited: s.limited, AgeMs: now.Sub(s.statedAt).Milliseconds(), Leaving: s.leaving,
+			})
 		}
 	}
 	return out
 }
 
-// Apply applies a report of another host, unless a newer statement is known. It reports
-// whether that changes the limit.
+// Apply applies a report of another host; a limit only if no newer statement is known. It
+// reports whether that changes anything.
 func (t *Table) Apply(r Report, now time.Time) (changed bool) {
 	s := t.get(r.Target)
 	if s == nil {
-		if !r.Limited {
+		if !r.Limited && !r.Leaving {
 			return false
 		}
 		s = t.add(r.Target)
 	}
+	changed = r.Leaving && !s.leaving
+	s.leaving = s.leaving || r.Leaving
 	statedAt := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 	if !statedAt.After(s.statedAt) {
-		return false
+		return changed
 	}
-	changed = s.limited != r.Limited || s.rateLimit != r.RateLimit
+	changed = changed || s.limited != r.Limited || s.rateLimit != r.RateLimit
 	t.setLimit(s, r.RateLimit, r.Limited, statedAt, now)
 	s.own = false
 	return changed
@@ -193,6 +199,8 @@
 	switch {
 	case s == nil:
 		return 0, true
+	case s.leaving:
+		return 0, false
 	case now.Before(s.pausedUntil):
 		return s.pausedUntil.Sub(now), false
 	case s.limited:
--- a/policy/backpressure/backpressure_test.go
+++ b/policy/backpressure/backpressure_test.go
@@ -163,3 +163,17 @@
 	g.Expect(f.tables[0].Take(target, start.Add(2*time.Second))).To(BeTrue())
 	g.Expect(f.tables[1].Take(target, start)).To(BeTrue())
 }
+
+// Guards against requests to a leaving target from hosts that it has not told, and against
+// a report that ends its leaving.
+func TestLeavingReachesAllHosts(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(2)
+	f.tables[0].Record(target, Statement{Leaving: true}, start)
+	f.exchangeReports(start.Add(time.Second))
+	f.tables[0].Record(target, Statement{}, start.Add(2*time.Second))
+	f.exchangeReports(start.Add(3 * time.Second))
+	for _, table := range f.tables {
+		g.Expect(table.Take(target, start.Add(4*time.Second))).To(BeFalse())
+	}
+}
