Send a request again to a target only on a new connection

Other operators report that a faulty replica writes an earlier refusal once more on a kept connection. It happened here: after a rejection for other weights the host sends the request to the same target again, on the same connection, and took the repeated rejection for the new attempt's. The request ran, was sent again and ran up to four times, and its caller was told that it had not run. The rejected connection is now closed before the next attempt; so are idle ones after a response to another request, since one without a body has already returned to the pool.

A repeated refusal of another request was recognized by its request ID before (TestRepeatedRefusalOfAnotherRequestIsNotBelieved).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,8 +78,10 @@
 	response := r.Codec.Response(resp)
 	r.clients.setKeepAlive(c.service.Name, response.KeepAlive)
 	if response.ID != c.meta.ID {
-		// The response belongs to another request, so the connection can't be trusted.
+		// The response belongs to another request, so the connection can't be trusted. It
+		// is idle already if the response has no body.
 		cancel()
+		p.client.transport.CloseIdleConnections()
 		c.possibleExecutions++
 		c.tried[p.target.ID] = true
 		return &failure{status: http.StatusBadGateway, reason: "target answered another request", cause: errors.Errorf("target %s responded to request %q", p.target.ID, response.ID)}
@@ -175,6 +177,9 @@
 		f.reason = "target has other weights"
 		r.balancer.RecordWeights(p.target, p.prompt.Model, max(response.WeightsVersion, p.prompt.DesiredWeights.Version))
 		delete(c.tried, p.target.ID)
+		// The target may write this rejection once more on its connection. The request ID
+		// would not tell it from the response to the next attempt.
+		p.client.transport.CloseIdleConnections()
 	case response.WrongTarget:
 		f.reason = "another target has the address"
 		r.balancer.Pause(p.target, now.Add(time.Second))
