Break a stream off if the next target does not go on with it

It happened here: once part of a stream was relayed, a response of the next target with a status below 500 was relayed into it and ended it properly; so was a 200 of another type, and a stream that began again with its first event. A response goes on with a started stream only with status 200, the same type, and a first event after the last one; anything else counts as a failed attempt.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -92,6 +92,10 @@
 	}
 	c.possibleExecutions++
 	r.recordResponse(p, &response, resp.StatusCode)
+	if c.responseStarted && !c.goesOnWith(resp) {
+		c.tried[p.target.ID] = true
+		return &failure{status: http.StatusBadGateway, reason: reasonNotResumed, cause: errors.Errorf("target %s responded with status %d and type %q", p.target.ID, resp.StatusCode, resp.Header.Get("Content-Type"))}
+	}
 	if resp.StatusCode == http.StatusOK && c.route.Kind.Streams() {
 		return r.relayStream(ctx, c, p, resp, w)
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -179,7 +179,9 @@
 	possibleExecutions, sends int
 	// responseStarted means that part of the response was sent to the caller.
 	responseStarted bool
-	lastEventID     string
+	// contentType is that of the response that was started.
+	contentType string
+	lastEventID string
 	// firstEventLatency is the time from the arrival of the request to the first event.
 	firstEventLatency time.Duration
 	log               hclog.Logger
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -156,6 +156,10 @@
 			}
 			return f
 		}
+		if !relayed && c.responseStarted && c.isRepetition(event) {
+			c.tried[p.target.ID] = true
+			return &failure{status: http.StatusBadGateway, reason: reasonNotResumed, cause: errors.Errorf("target %s sent event %q after %q", p.target.ID, eventID(event), c.lastEventID)}
+		}
 		if !c.responseStarted {
 			r.startStream(c, resp)
 		}
@@ -175,6 +179,25 @@
 	}
 }
 
+const reasonNotResumed = "the next target did not go on with the stream"
+
+// goesOnWith reports whether a response can go on with the stream that the caller has
+// received in part. Anything else, such as the text of an error, must not get into it.
+func (c *call) goesOnWith(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && resp.Header.Get("Content-Type") == c.contentType
+}
+
+// isRepetition reports whether the first event of a resumed stream is one that the caller
+// has already received.
+func (c *call) isRepetition(event []byte) bool {
+	last, err := strconv.ParseInt(c.lastEventID, 10, 64)
+	if err != nil {
+		return false
+	}
+	id, err := strconv.ParseInt(eventID(event), 10, 64)
+	return err == nil && id <= last
+}
+
 // mayEndStream reports whether the stream may be complete where the target ends it between
 // two events. Without a length or chunks, a target that crashed ends it like a complete
 // one, so that a stream without any event is complete only if the caller has received the
@@ -200,7 +223,7 @@
 func (r *Router) startStream(c *call, resp *http.Response) {
 	r.copyHeader(c, resp.Header)
 	c.w.WriteHeader(resp.StatusCode)
-	c.responseStarted = true
+	c.responseStarted, c.contentType = true, resp.Header.Get("Content-Type")
 }
 
 func (r *Router) recordFirstEvent(c *call, p *plan) {
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -40,11 +40,20 @@
 	Leaving bool
 	// RetryAfter rejects requests and asks for a pause; zero disables it.
 	RetryAfter time.Duration
+	// ResumeResponse replaces the response to requests that resume a stream, unless its
+	// status is zero.
+	ResumeResponse FixedResponse
 	// LoseReports closes the connections of reads of the replica's report without a
 	// response, so that no host orders weights.
 	LoseReports bool
 }
 
+// FixedResponse is a response of a faulty replica.
+type FixedResponse struct {
+	Status            int
+	ContentType, Body string
+}
+
 // holdCheckInterval is the interval at which a held request checks whether it may start.
 const holdCheckInterval = 5 * time.Millisecond
 
@@ -393,6 +402,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Response-Stamp", "stamp-"+id)
+	if fixed := faults.ResumeResponse; fixed.Status != 0 && req.Header.Get("Last-Event-Id") != "" {
+		w.Header().Set("Content-Type", fixed.ContentType)
+		w.WriteHeader(fixed.Status)
+		_, _ = io.WriteString(w, fixed.Body)
+		return
+	}
 	if r.options.StreamEvents > 0 && status == http.StatusOK {
 		r.writeStream(w, req, faults)
 		return
