Let targets of the soak ask for fewer requests, and check that they get no more

In each seed a target names a limit, another asks for pauses, and a third says that it leaves and begins a new incarnation. The other faults of a seed stay as they were.

--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -57,6 +57,17 @@
 // holdCheckInterval is the interval at which a held request checks whether it may start.
 const holdCheckInterval = 5 * time.Millisecond
 
+// Arrival is a request that reached a replica, and what the replica asked for in its
+// response.
+type Arrival struct {
+	ID         string
+	At         time.Time
+	Started    int64 // the incarnation of the replica
+	RateLimit  string
+	Leaving    bool
+	RetryAfter time.Duration
+}
+
 // Execution is a request that a replica executed.
 type Execution struct {
 	ID, Method, URI, Body string
@@ -92,7 +103,8 @@
 
 	mu                    sync.Mutex
 	faults                ReplicaFaults
-	arrivals              []time.Time
+	started               int64
+	arrivals              []Arrival
 	executions            []Execution
 	acceptedFencingTokens []uint64
 	weightsVersion        int64
@@ -107,7 +119,7 @@
 
 // NewReplica returns a replica that is not registered.
 func NewReplica(o ReplicaOptions) *Replica {
-	return &Replica{options: o, weightsVersion: max(1, o.WeightsVersion)}
+	return &Replica{options: o, weightsVersion: max(1, o.WeightsVersion), started: 1}
 }
 
 // SetFaults replaces the active faults.
@@ -124,11 +136,21 @@
 	return append([]Execution(nil), r.executions...)
 }
 
-// Arrivals returns when requests reached the replica, including those that it rejected.
-func (r *Replica) Arrivals() []time.Time {
+// Arrivals returns the requests that reached the replica, including those that it rejected.
+func (r *Replica) Arrivals() []Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]time.Time(nil), r.arrivals...)
+	return append([]Arrival(nil), r.arrivals...)
+}
+
+// Restart begins a new incarnation under the same ID, which has lost the faults and the
+// orders of the one before.
+func (r *Replica) Restart(s *Store, address string) error {
+	r.mu.Lock()
+	r.started++
+	r.faults, r.sequence, r.highestFencingToken = ReplicaFaults{}, 0, 0
+	r.mu.Unlock()
+	return r.Register(s, address, "ready")
 }
 
 // AcceptedFencingTokens returns the fencing tokens of the accepted orders.
@@ -169,7 +191,7 @@
 	r.store = s
 	reg := registration{
 		Service: r.options.Service, Address: address, Zone: r.options.Zone, Version: "v1",
-		Slots: 8, State: state, Sequence: r.sequence, Started: 1,
+		Slots: 8, State: state, Sequence: r.sequence, Started: r.started,
 	}
 	if r.options.Model != "" {
 		reg.Models = []modelState{{r.options.Model, r.weightsVersion}}
@@ -215,7 +237,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"models": []modelState{{r.options.Model, r.weightsVersion}}, "busy": r.loading, "seq": r.sequence, "born": 1,
+		"models": []modelState{{r.options.Model, r.weightsVersion}}, "busy": r.loading, "seq": r.sequence, "born": r.started,
 	})
 }
 
@@ -356,10 +378,13 @@
 	return true
 }
 
-func (r *Replica) recordArrival() {
+func (r *Replica) recordArrival(req *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, time.Now())
+	r.arrivals = append(r.arrivals, Arrival{
+		ID: req.Header.Get("X-Request-Id"), At: time.Now(), Started: r.started,
+		RateLimit: r.faults.RateLimit, Leaving: r.faults.Leaving, RetryAfter: r.faults.RetryAfter,
+	})
 }
 
 // setBackpressure sets the headers in which a replica asks for fewer requests.
@@ -376,7 +401,7 @@
 }
 
 func (r *Replica) handleRequest(w http.ResponseWriter, req *http.Request) {
-	r.recordArrival()
+	r.recordArrival(req)
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
--- a/standin/site/settings.go
+++ b/standin/site/settings.go
@@ -31,6 +31,8 @@
 	// ContactTime is how long a host and the store must have run without a fault before
 	// bounds of time hold again.
 	ContactTime = 3 * time.Second
+	// DrainBound is the time after which a leaving target must receive no requests.
+	DrainBound = 2500 * time.Millisecond
 	// ConfigDeadline is the time within which an acknowledged configuration must be in
 	// force.
 	ConfigDeadline = 2500 * time.Millisecond
@@ -71,7 +73,7 @@
 		"listen_addrs": map[string]string{"front": s.CallerAddress(), "ready": s.ReadyAddress(), "control": s.InnerAddress(), "directory": s.LocatorAddress()},
 		"seeds":        s.Seeds, "limits": map[string]int{"memory_mb": 200, "max_fds": 4100},
 		"bounds": map[string]any{
-			"drain_ms": 2500, "grace_s": StopGrace.Seconds(), "contact_ms": ContactTime.Milliseconds(), "config_deadline_ms": ConfigDeadline.Milliseconds(), "retry_budget_ratio": RetryBudgetRatio, "budget_window_s": 10,
+			"drain_ms": DrainBound.Milliseconds(), "grace_s": StopGrace.Seconds(), "contact_ms": ContactTime.Milliseconds(), "config_deadline_ms": ConfigDeadline.Milliseconds(), "retry_budget_ratio": RetryBudgetRatio, "budget_window_s": 10,
 			"budget_slack": s.RetryBudgetSlack, "quota_window_s": 8, "quota_slack": 1000, "lease_ms": 1000, "require_fence": true,
 			"ttl_max_s": 5, "version_ms": MaxWeightsStaleness.Milliseconds(),
 		},
--- a/test/site/backpressure_test.go
+++ b/test/site/backpressure_test.go
@@ -25,15 +25,15 @@
 func allowedInWindow(rateLimit float64) int { return int(1.5*rateLimit*limitWindow.Seconds()) + 5 }
 
 // maxInWindow returns the highest number of arrivals in any limitWindow from a time on.
-func maxInWindow(arrivals []time.Time, from time.Time) int {
+func maxInWindow(arrivals []standin.Arrival, from time.Time) int {
 	most := 0
 	for i, first := range arrivals {
-		if first.Before(from) {
+		if first.At.Before(from) {
 			continue
 		}
 		n := 0
-		for _, at := range arrivals[i:] {
-			if at.Sub(first) <= limitWindow {
+		for _, a := range arrivals[i:] {
+			if a.At.Sub(first.At) <= limitWindow {
 				n++
 			}
 		}
@@ -44,7 +44,7 @@
 
 // arrivalsBetween returns how many requests arrived in a period.
 func arrivalsBetween(r *standin.Replica, from, to time.Time) int {
-	return len(slices.DeleteFunc(r.Arrivals(), func(at time.Time) bool { return at.Before(from) || at.After(to) }))
+	return len(slices.DeleteFunc(r.Arrivals(), func(a standin.Arrival) bool { return a.At.Before(from) || a.At.After(to) }))
 }
 
 // sendSteadily sends requests to each host at an interval for a period and returns the
@@ -151,7 +151,7 @@
 	f.sendSteadily([]*host{h}, orderRequest, 10*time.Millisecond, pause-200*time.Millisecond)
 	arrivals := paused.Arrivals()
 	f.g.Expect(arrivals).NotTo(BeEmpty())
-	f.g.Expect(arrivalsBetween(paused, arrivals[0].Add(reactionTime), arrivals[0].Add(pause))).To(BeNumerically("<=", 2))
+	f.g.Expect(arrivalsBetween(paused, arrivals[0].At.Add(reactionTime), arrivals[0].At.Add(pause))).To(BeNumerically("<=", 2))
 	paused.SetFaults(standin.ReplicaFaults{})
 	f.sendSteadily([]*host{h}, orderRequest, 10*time.Millisecond, pause)
 	f.g.Expect(arrivalsBetween(paused, begin.Add(pause), time.Now())).To(BeNumerically(">", 10))
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -26,6 +26,9 @@
 		}
 	}
 	in.checkRetries(sent, runs)
+	for _, r := range in.replicas {
+		in.checkBackpressure(r, requests)
+	}
 }
 
 // executionsByID returns the requests that the targets ran, by request ID.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +50,7 @@
 		out = append(out, f)
 	}
 	out = append(out, in.silences(seed, period)...)
+	out = append(out, in.backpressure(seed, period)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
@@ -74,6 +76,29 @@
 	}
 }
 
+// backpressure returns faults in which targets ask for fewer requests. They have a random
+// stream of their own, like silences.
+func (in *installation) backpressure(seed uint64, period time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var out []fault
+	add := func(name string, f standin.ReplicaFaults, duration time.Duration, end func(r *replica)) {
+		r := in.replicas[random.IntN(len(in.replicas))]
+		at := time.Duration(random.Int64N(int64(period)))
+		out = append(out, fault{name: name + " of " + r.id, at: at, run: func() { r.SetFaults(f); time.Sleep(duration); end(r) }})
+	}
+	reset := func(r *replica) { r.SetFaults(standin.ReplicaFaults{}) }
+	restart := func(r *replica) {
+		if err := r.Restart(in.store, r.link.Addr()); err != nil {
+			in.addViolation("%v", err)
+		}
+	}
+	rateLimit := strconv.FormatFloat(0.5+2*random.Float64(), 'f', 1, 64)
+	add("rate limit "+rateLimit, standin.ReplicaFaults{RateLimit: rateLimit}, standin.ContactTime+limitWindow, reset)
+	add("pause", standin.ReplicaFaults{RetryAfter: time.Duration(500+random.IntN(2500)) * time.Millisecond}, 2*time.Second, reset)
+	add("leaving", standin.ReplicaFaults{Leaving: true}, standin.DrainBound+time.Second, restart)
+	return out
+}
+
 // randomFault returns a random fault of a random host or target.
 func (in *installation) randomFault(program string, random *rand.Rand, locks *sync.Map) fault {
 	h := in.hosts[random.IntN(len(in.hosts))]
