--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -291,11 +291,24 @@
 			continue
 		}
 		remaining := milliseconds(value.UntilMs) - page.Clock
+		if -remaining >= quarantine.Probation {
+			k.removeExpired(ctx, r)
+			continue
+		}
 		k.addEntry(quarantine.Entry{ID: r.Key, Parts: value.Parts, Until: now.Add(remaining), Duration: milliseconds(value.DurationMs)})
 	}
 	return nil
 }
 
+// removeExpired removes a row that no host uses any more, unless it has been written again.
+func (k *Keeper) removeExpired(ctx context.Context, r platform.Row) {
+	unchanged := platform.Condition{Table: Table, Key: r.Key, Version: r.Version}
+	_, err := k.Store.Commit(ctx, []platform.Condition{unchanged}, []platform.Write{{Table: Table, Key: r.Key, Delete: true}})
+	if err != nil {
+		k.Log.Info("failed to remove an expired row of the quarantine", "entry", r.Key, "error", err)
+	}
+}
+
 // send sends queued notices to the peers and writes changed entries to the store.
 func (k *Keeper) send(ctx context.Context) {
 	for {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -140,3 +140,21 @@
 	g.Expect(rejects(one, "p", "q")()).To(BeFalse())
 	g.Eventually(store.size, "3s", "20ms").Should(BeZero())
 }
+
+// Guards against a table that grows by a row for each entry, and against the removal of one
+// that still matters.
+func TestExpiredRowsAreRemovedFromTheStore(t *testing.T) {
+	g := NewWithT(t)
+	store := newTable()
+	store.started = time.Now().Add(-3 * time.Hour)
+	const hour = int64(time.Hour / time.Millisecond)
+	for id, untilMs := range map[string]int64{"expired": hour, "on probation": 3*hour - 1000} {
+		value := fmt.Appendf(nil, `{"parts":["manual"],"until_ms":%d,"duration_ms":60000}`, untilMs)
+		_, err := store.Commit(t.Context(), nil, []platform.Write{{Table: Table, Key: id, Value: value}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	startKeeper(t, store, &fleet{})
+	g.Eventually(store.size, "2s", "20ms").Should(Equal(1))
+	g.Consistently(store.size, "100ms", "20ms").Should(Equal(1))
+	g.Expect(store.rows).To(HaveKey("on probation"))
+}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -28,8 +28,8 @@
 	FirstDuration  = time.Minute
 	durationFactor = 5
 	maxDuration    = time.Hour
-	// probation is how long after its end a quarantine is resumed by a single crash.
-	probation = time.Hour
+	// Probation is how long after its end a quarantine is resumed by a single crash.
+	Probation = time.Hour
 	// completionTTL is how long a completed request exonerates its parts.
 	completionTTL = 15 * time.Second
 	// crashTTL is how long a crash counts.
@@ -251,7 +251,7 @@
 		return known, prolonged
 	}
 	e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool { return r.isInnocent(part, now) })
-	if len(e.Parts) == 0 || now.Sub(e.Until) >= probation {
+	if len(e.Parts) == 0 || now.Sub(e.Until) >= Probation {
 		return e, false
 	}
 	r.entries[e.ID] = e
@@ -315,7 +315,7 @@
 		}
 	}
 	for id, e := range r.entries {
-		if now.Sub(e.Until) >= probation {
+		if now.Sub(e.Until) >= Probation {
 			r.removeEntry(id)
 		}
 	}
