--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -58,15 +58,21 @@
 	if f := r.checkQuarantine(c); f != nil {
 		return f
 	}
-	var connected atomic.Bool
 	if err := p.client.acquire(ctx); err != nil {
-		return r.handleSendError(ctx, c, p, w, err, connected.Load())
+		return r.handleSendError(ctx, c, p, w, err, false)
 	}
 	defer p.client.release()
 	if f := r.takePermit(c, p); f != nil {
 		return f
 	}
 	c.sends++
+	return r.exchange(ctx, c, p, w, cancel)
+}
+
+// exchange sends the request to the planned target and relays the response. cancel ends the
+// attempt with its connection.
+func (r *Router) exchange(ctx context.Context, c *call, p *plan, w *watchdog, cancel context.CancelFunc) *failure {
+	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
@@ -78,13 +84,12 @@
 	response := r.Codec.Response(resp)
 	r.clients.setKeepAlive(c.service.Name, response.KeepAlive)
 	if response.ID != c.meta.ID {
-		// The response belongs to another request, so the connection can't be trusted. It
-		// is idle already if the response has no body.
+		// The connection can't be trusted any more. It is idle already if the response has
+		// no body.
 		cancel()
 		p.client.transport.CloseIdleConnections()
 		c.possibleExecutions++
-		c.tried[p.target.ID] = true
-		return &failure{status: http.StatusBadGateway, reason: "target answered another request", cause: errors.Errorf("target %s responded to request %q", p.target.ID, response.ID)}
+		return badResponse(c, p, "target answered another request", errors.Errorf("target %s responded to request %q", p.target.ID, response.ID))
 	}
 	r.recordBackpressure(c, p, &response)
 	if response.NotExecuted {
@@ -93,8 +98,7 @@
 	c.possibleExecutions++
 	r.recordResponse(p, &response, resp.StatusCode)
 	if c.responseStarted && !c.goesOnWith(resp) {
-		c.tried[p.target.ID] = true
-		return &failure{status: http.StatusBadGateway, reason: reasonNotResumed, cause: errors.Errorf("target %s responded with status %d and type %q", p.target.ID, resp.StatusCode, resp.Header.Get("Content-Type"))}
+		return badResponse(c, p, reasonNotResumed, errors.Errorf("target %s responded with status %d and type %q", p.target.ID, resp.StatusCode, resp.Header.Get("Content-Type")))
 	}
 	if resp.StatusCode == http.StatusOK && c.route.Kind.Streams() {
 		return r.relayStream(ctx, c, p, resp, w)
@@ -103,6 +107,13 @@
 	return r.relayResponse(c, p, resp)
 }
 
+// badResponse returns the failure of an attempt whose response can't be relayed. The target
+// may have executed the request and is not tried again.
+func badResponse(c *call, p *plan, reason string, cause error) *failure {
+	c.tried[p.target.ID] = true
+	return &failure{status: http.StatusBadGateway, reason: reason, cause: cause}
+}
+
 func (r *Router) endAttempt(p *plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -33,8 +33,7 @@
 func (r *Router) relayResponse(c *call, p *plan, resp *http.Response) *failure {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		c.tried[p.target.ID] = true
-		return &failure{status: http.StatusBadGateway, reason: "the target's answer broke off", cause: errors.Wrapf(err, "read from target %s", p.target.ID)}
+		return badResponse(c, p, "the target's answer broke off", errors.Wrapf(err, "read from target %s", p.target.ID))
 	}
 	buffered := &bufferedResponse{resp.StatusCode, resp.Header, body}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -124,7 +123,6 @@
 // complete event, so that until then the request can be sent to another target.
 func (r *Router) relayStream(ctx context.Context, c *call, p *plan, resp *http.Response, w *watchdog) *failure {
 	reader := bufio.NewReaderSize(resp.Body, 4<<10)
-	controller := http.NewResponseController(c.w)
 	first, relayed := true, false
 	for {
 		event, err := readEvent(reader)
@@ -157,25 +155,29 @@
 			return f
 		}
 		if !relayed && c.responseStarted && c.isRepetition(event) {
-			c.tried[p.target.ID] = true
-			return &failure{status: http.StatusBadGateway, reason: reasonNotResumed, cause: errors.Errorf("target %s sent event %q after %q", p.target.ID, eventID(event), c.lastEventID)}
+			return badResponse(c, p, reasonNotResumed, errors.Errorf("target %s sent event %q after %q", p.target.ID, eventID(event), c.lastEventID))
 		}
 		if !c.responseStarted {
 			r.startStream(c, resp)
 		}
 		relayed = true
 		r.recordActivity(p)
-		if id := eventID(event); id != "" {
-			c.lastEventID = id
-		}
-		if _, err := c.w.Write(event); err != nil {
-			c.log.Info("failed to write an event to the caller", "last_event", c.lastEventID, "error", err)
-			panic(http.ErrAbortHandler)
-		}
-		if err := controller.Flush(); err != nil {
-			c.log.Info("failed to write an event to the caller", "last_event", c.lastEventID, "error", err)
-			panic(http.ErrAbortHandler)
-		}
+		c.writeEvent(event)
+	}
+}
+
+// writeEvent writes an event to the caller at once. It aborts the request if that fails.
+func (c *call) writeEvent(event []byte) {
+	if id := eventID(event); id != "" {
+		c.lastEventID = id
+	}
+	_, err := c.w.Write(event)
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
+	}
+	if err != nil {
+		c.log.Info("failed to write an event to the caller", "last_event", c.lastEventID, "error", err)
+		panic(http.ErrAbortHandler)
 	}
 }
 
