Do not relay a refusal of a target that may have run the request

Found when reading the change again: a target's 408, 429 or 503 without the header that proves it was relayed as it came, so that a caller was told that its request had not run although it may have. The attempt now counts as failed, and the caller gets 502 if no other target may run the request.

TestRefusalWithoutProofIsNotRelayed failed before (408, 1 run) and passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -97,6 +97,9 @@
 	}
 	c.possibleExecutions++
 	r.recordResponse(p, &response, resp.StatusCode)
+	if promisesNotExecuted(resp.StatusCode) {
+		return badResponse(c, p, "target refused a request that it may have run", errors.Errorf("target %s responded with status %d", p.target.ID, resp.StatusCode))
+	}
 	if c.responseStarted && !c.goesOnWith(resp) {
 		return badResponse(c, p, reasonNotResumed, errors.Errorf("target %s responded with status %d and type %q", p.target.ID, resp.StatusCode, resp.Header.Get("Content-Type")))
 	}
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -55,6 +55,16 @@
 	return f
 }
 
+// promisesNotExecuted reports whether a status tells the caller that the request was not
+// executed and never will be.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // mayRetry decides whether a request is retried after a failure.
 func (r *Router) mayRetry(ctx context.Context, c *call, f *failure) bool {
 	if ctx.Err() != nil || c.sends >= maxSends || f.final {
@@ -95,7 +105,7 @@
 	}
 	if c.possibleExecutions > 0 || !f.notExecuted {
 		f.notExecuted, f.retryAfter = false, 0
-		if f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests {
+		if promisesNotExecuted(f.status) {
 			f.status = http.StatusBadGateway
 		}
 		r.refuse(c, f)
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -23,9 +23,10 @@
 	Shed bool
 	// WrongID responds with the id of another request.
 	WrongID bool
-	// FailRequests is the number of next requests that are executed and fail with status
-	// 500.
+	// FailRequests is the number of next requests that are executed and fail with
+	// FailStatus; zero means status 500.
 	FailRequests int
+	FailStatus   int
 	// CrashPart is a part of prompts on which the replica crashes after the head of its
 	// response. It answers nothing afterwards.
 	CrashPart string
@@ -423,6 +424,9 @@
 		return
 	}
 	defer r.end()
+	if status == http.StatusInternalServerError && faults.FailStatus != 0 {
+		status = faults.FailStatus
+	}
 	if faults.LoseResponse {
 		panic(http.ErrAbortHandler)
 	}
--- a/test/site/repeated_refusal_test.go
+++ b/test/site/repeated_refusal_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
 // repeatingTarget is a target that refuses the first request of each connection if refuses
@@ -135,3 +137,19 @@
 	f.g.Expect(repeating.runsOf(r.id)).To(Equal(1))
 	f.g.Expect(isPromise(r.status)).To(BeFalse(), "status %d", r.status)
 }
+
+// Guards against callers that are told that their request was not run because a target ran
+// it and failed with such a status.
+func TestRefusalWithoutProofIsNotRelayed(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	desk := f.startDesk("desk-1")
+	h := f.startHost("host-1")
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		desk.SetFaults(standin.ReplicaFaults{FailRequests: 1, FailStatus: status})
+		r := f.send(h, orderRequest)
+		f.g.Expect(countRuns(r.id, desk)).To(Equal(1))
+		f.g.Expect(r.status).To(Equal(http.StatusBadGateway), "for status %d", status)
+		f.g.Expect(r.header.Get("X-Response-Stamp")).To(BeEmpty())
+	}
+}
