Let no report of an earlier incarnation replace what a target asks for

The target had left and started again under its ID. Hosts that still held the state of the earlier incarnation went on reporting that it leaves, and each report replaced the pause that the next incarnation had asked for, since the table holds one state for each ID. A state is now replaced only by one of a later incarnation, and dropped once the target's entry shows a later one.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -134,7 +134,7 @@
 	defer r.mu.Unlock()
 	r.balancer.Retain(s.Targets)
 	if len(s.Targets) > 0 { // a new process learns limits from its peers before the targets
-		r.pressure.Retain(func(id string) bool { return s.Targets[id] != nil })
+		r.pressure.Retain(s.Targets)
 	}
 	if s.Config == nil {
 		return
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -108,6 +108,12 @@
 	return s
 }
 
+// isSuperseded reports whether a later incarnation of a target has asked for something.
+func (t *Table) isSuperseded(target topology.Incarnation) bool {
+	s := t.states[target.ID]
+	return s != nil && s.target.Started > target.Started
+}
+
 func (t *Table) add(target topology.Incarnation) *state {
 	s := &state{target: target}
 	t.states[target.ID] = s
@@ -119,7 +125,7 @@
 func (t *Table) Record(target topology.Incarnation, stated Statement, now time.Time) (changed bool) {
 	s := t.get(target)
 	if s == nil {
-		if stated == (Statement{}) {
+		if stated == (Statement{}) || t.isSuperseded(target) {
 			return false
 		}
 		s = t.add(target)
@@ -175,7 +181,7 @@
 func (t *Table) Apply(r Report, now time.Time) (changed bool) {
 	s := t.get(r.Target)
 	if s == nil {
-		if !r.Limited && !r.Leaving {
+		if !r.Limited && !r.Leaving || t.isSuperseded(r.Target) {
 			return false
 		}
 		s = t.add(r.Target)
@@ -220,10 +226,11 @@
 	return true
 }
 
-// Retain drops the state of all targets for which keep returns false.
-func (t *Table) Retain(keep func(id string) bool) {
-	for id := range t.states {
-		if !keep(id) {
+// Retain drops the state of all targets that are not in the given set, or that have begun a
+// new incarnation.
+func (t *Table) Retain(targets map[string]*topology.Target) {
+	for id, s := range t.states {
+		if current := targets[id]; current == nil || current.Started > s.target.Started {
 			delete(t.states, id)
 		}
 	}
--- a/policy/backpressure/backpressure_test.go
+++ b/policy/backpressure/backpressure_test.go
@@ -177,3 +177,29 @@
 		g.Expect(table.Take(target, start.Add(4*time.Second))).To(BeFalse())
 	}
 }
+
+// Guards against the state of a restarted target that is replaced by reports of hosts which
+// still hold that of its earlier incarnation, or by a late response of it.
+func TestEarlierIncarnationIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	table := New("host-1")
+	next := topology.Incarnation{ID: target.ID, Started: target.Started + 1}
+	table.Record(target, Statement{Leaving: true}, start)
+	table.Record(next, Statement{RetryAfter: time.Second}, start)
+	g.Expect(table.Apply(Report{Target: target, Leaving: true}, start)).To(BeFalse())
+	g.Expect(table.Record(target, Statement{Leaving: true}, start)).To(BeFalse())
+	g.Expect(table.Take(next, start)).To(BeFalse())
+	g.Expect(table.Take(next, start.Add(time.Second))).To(BeTrue())
+}
+
+// Guards against the state of an earlier incarnation that is kept and reported to others.
+func TestStateOfEarlierIncarnationIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	table := New("host-1")
+	table.Record(target, Statement{Leaving: true}, start)
+	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started + 1}})
+	g.Expect(table.Reports(start)).To(BeEmpty())
+	table.Record(target, Statement{Leaving: true}, start)
+	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started - 1}})
+	g.Expect(table.Reports(start)).To(HaveLen(1)) // the entry in the store is not yet that new
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,6 +37,9 @@
 	101, // SIGTERM before the Go runtime of the process was initialized
 	116, // SIGHUP before the process had installed a handler, which ended the process
 	119, // same cause as 116
+	// A report that an earlier incarnation of a target leaves replaced the pause that the
+	// next one had asked for. Needs a length of 8 s.
+	6019,
 }
 
 // buildProgram builds the router and returns the path of its binary.
