--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -65,6 +65,7 @@
 	if f := r.takePermit(c, p); f != nil {
 		return f
 	}
+	r.logDeparture(c, p)
 	c.sends++
 	return r.exchange(ctx, c, p, w, cancel)
 }
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -78,6 +78,9 @@
 	}
 	t.Revision = r.Version
 	old := v.targets[r.Key]
+	if old != nil && old.SameIncarnation(t) && old.Leaving && !t.Leaving {
+		v.log.Warn("entry of a leaving target says that it is ready", "target", t.ID, "row_version", r.Version)
+	}
 	if old == nil || !old.SameIncarnation(t) || old.Leaving != t.Leaving {
 		v.log.Info("target changed", "target", t.ID, "address", t.Address, "leaving", t.Leaving,
 			"started", t.Started, "row_version", r.Version)
