Send no request to a target that left while the request waited

Callers' requests reached targets up to seconds after the entry of the target said that it leaves, or was gone. A request is given a target and then waits for one of its connections; before it was sent, the host looked at what the target had said in responses, but not at its entry.

A waiting request is now woken when its target leaves in either way and is given another target at once, without a charge to the retry budget since it was not sent; the entry is checked once more just before it is sent. Clients that get new connections for another idle timeout keep their slots.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -59,13 +59,18 @@
 		return f
 	}
 	if err := p.client.acquire(ctx); err != nil {
+		if errors.Is(err, errTargetLeft) {
+			return departureFailure(c, p, "it left while the request waited for a connection")
+		}
 		return r.handleSendError(ctx, c, p, w, err, false)
 	}
 	defer p.client.release()
+	if f := r.checkDeparture(c, p); f != nil {
+		return f
+	}
 	if f := r.takePermit(c, p); f != nil {
 		return f
 	}
-	r.logDeparture(c, p)
 	c.sends++
 	return r.exchange(ctx, c, p, w, cancel)
 }
--- a/internal/forward/backpressure.go
+++ b/internal/forward/backpressure.go
@@ -34,6 +34,9 @@
 		c.log.Info("target's backpressure changed", "target", p.target.ID, "service", c.service.Name, "limited", stated.Limited,
 			"rate_limit", stated.RateLimit, "retry_after_ms", stated.RetryAfter.Milliseconds(), "leaving", stated.Leaving)
 	}
+	if changed && stated.Leaving {
+		r.clients.dropLeaving(p.target.Incarnation())
+	}
 }
 
 // updateSharingHosts tells the table of backpressure which hosts share limits.
@@ -103,6 +106,9 @@
 		if r.pressure.Apply(report, now) {
 			r.Log.Info("a host reports the backpressure of a target", "target", report.Target.ID, "limited", report.Limited,
 				"rate_limit", report.RateLimit, "age_ms", report.AgeMs, "leaving", report.Leaving)
+			if report.Leaving {
+				r.clients.dropLeaving(report.Target)
+			}
 		}
 	}
 }
--- a/internal/forward/clients.go
+++ b/internal/forward/clients.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -31,17 +33,35 @@
 	// has not been sent, so that it can still be stopped; one that waits inside the
 	// transport could not.
 	slots chan struct{}
+	// left is closed when the target leaves or its incarnation ends, so that requests which
+	// wait for a slot are sent elsewhere.
+	left chan struct{}
 }
 
 func newClient(t *topology.Target, idleTimeout time.Duration, maxConns int) *client {
-	return &client{target: t, transport: newTransport(idleTimeout, maxConns), slots: make(chan struct{}, maxConns)}
+	return &client{
+		target: t, transport: newTransport(idleTimeout, maxConns), slots: make(chan struct{}, maxConns), left: make(chan struct{}),
+	}
+}
+
+// withIdleTimeout returns a client of the same target with new connections. Requests that
+// use the old client share the slots.
+func (c *client) withIdleTimeout(idleTimeout time.Duration) *client {
+	replaced := *c
+	replaced.transport = newTransport(idleTimeout, cap(c.slots))
+	return &replaced
 }
 
+// errTargetLeft means that the target leaves, so that it must get no request.
+var errTargetLeft = errors.New("the target leaves")
+
 // acquire waits for a slot. The caller releases it when the request has ended.
 func (c *client) acquire(ctx context.Context) error {
 	select {
 	case c.slots <- struct{}{}:
 		return nil
+	case <-c.left:
+		return errTargetLeft
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -84,7 +104,7 @@
 		if existing.target.SameIncarnation(t) {
 			return existing
 		}
-		existing.transport.CloseIdleConnections()
+		c.drop(existing)
 	}
 	idleTimeout, known := c.idleTimeout[t.Service]
 	if !known {
@@ -96,7 +116,7 @@
 }
 
 // setKeepAlive derives the idle timeout of a service from the keep-alive timeout that
-// its targets state. If it changes, the clients of the service are replaced.
+// its targets state. If it changes, the clients of the service get new connections.
 func (c *clients) setKeepAlive(service string, keepAlive time.Duration) {
 	if keepAlive <= 0 {
 		return
@@ -111,7 +131,7 @@
 	for id, existing := range c.byID {
 		if existing.target.Service == service {
 			existing.transport.CloseIdleConnections()
-			delete(c.byID, id)
+			c.byID[id] = existing.withIdleTimeout(idleTimeout)
 		}
 	}
 }
@@ -126,14 +146,30 @@
 	}
 }
 
-// retain drops the clients of targets that were removed or replaced.
+// drop removes the client of a target that leaves or whose incarnation has ended. The
+// caller holds the mutex.
+func (c *clients) drop(existing *client) {
+	existing.transport.CloseIdleConnections()
+	close(existing.left)
+	delete(c.byID, existing.target.ID)
+}
+
+// dropLeaving drops the client of a target that has said in a response that it leaves.
+func (c *clients) dropLeaving(target topology.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if existing := c.byID[target.ID]; existing != nil && existing.target.Incarnation() == target {
+		c.drop(existing)
+	}
+}
+
+// retain drops the clients of targets that leave, or that were removed or replaced.
 func (c *clients) retain(targets map[string]*topology.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, existing := range c.byID {
-		if t := targets[id]; t == nil || !existing.target.SameIncarnation(t) {
-			existing.transport.CloseIdleConnections()
-			delete(c.byID, id)
+		if t := targets[id]; t == nil || t.Leaving || !existing.target.SameIncarnation(t) {
+			c.drop(existing)
 		}
 	}
 }
--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -21,10 +24,22 @@
 	return ""
 }
 
-// logDeparture logs a request that is sent to a target although its entry says by now that
-// it leaves.
-func (r *Router) logDeparture(c *call, p *plan) {
-	if why := r.departure(p.target); why != "" {
-		c.log.Warn("request is sent to a target that leaves", "target", p.target.ID, "reason", why, "waited_ms", time.Since(p.sentAt).Milliseconds())
+// checkDeparture returns the failure of a request whose target has left since it was chosen,
+// or nil. It is called just before the request is sent.
+func (r *Router) checkDeparture(c *call, p *plan) *failure {
+	why := r.departure(p.target)
+	if why == "" {
+		return nil
 	}
+	return departureFailure(c, p, why)
+}
+
+// departureFailure returns the failure of a request that is not sent because its target
+// leaves. Another target can take it at once.
+func departureFailure(c *call, p *plan, why string) *failure {
+	c.tried[p.target.ID] = true
+	f := notExecutedFailure(http.StatusServiceUnavailable, "the target left before the request was sent", noTargetRetryAfter)
+	f.unsent = true
+	f.cause = errors.Errorf("target %s, %d ms after it was chosen: %s", p.target.ID, time.Since(p.sentAt).Milliseconds(), why)
+	return f
 }
