Never take a target that leaves for ready again

A target whose entry says that it leaves got requests again, on all hosts, as soon as an entry that says ready replaced it: a write of the target that the store carries out late, or an entry that is removed and comes back. An incarnation that leaves never returns; the next one has another start time.

TestLeavingOutlivesLateWriteOfEntry fails on the code before: requests reach the target until the end of the test, with and without a removal in between.

The soak's fault "drain" made the same incarnation ready again, which the protocol does not have and which would hide this fault. It now lets the target leave for longer than the drain bound and starts it again as a new incarnation, and checks that no host in touch sends it a request after the bound.

--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -78,7 +78,7 @@
 	}
 	t.Revision = r.Version
 	old := v.targets[r.Key]
-	if old != nil && old.SameIncarnation(t) && old.Leaving && !t.Leaving {
+	if v.departures.Apply(t) {
 		v.log.Warn("entry of a leaving target says that it is ready", "target", t.ID, "row_version", r.Version)
 	}
 	if old == nil || !old.SameIncarnation(t) || old.Leaving != t.Leaving {
@@ -95,6 +95,7 @@
 	}
 	delete(v.targets, id)
 	delete(v.removeAt, id)
+	v.departures.Remove(id, time.Now())
 }
 
 // removeExpired removes targets whose entries were not written again after an outage of
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -102,7 +102,9 @@
 	config  *topology.Config
 	desired map[string]topology.DesiredWeights
 	targets map[string]*topology.Target
-	hosts   map[string]Host
+	// departures are the targets that have said that they leave.
+	departures *topology.Departures
+	hosts      map[string]Host
 	// storeLostAt is since when the store has not answered; zero if it answers.
 	storeLostAt time.Time
 	// storeRecoveredAt is when the store last responded again after an outage.
@@ -131,7 +133,7 @@
 		source: source, decoder: decoder, log: log,
 		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostsTable),
 		desired: map[string]topology.DesiredWeights{}, targets: map[string]*topology.Target{},
-		hosts: map[string]Host{}, removeAt: map[string]time.Time{},
+		departures: topology.NewDepartures(), hosts: map[string]Host{}, removeAt: map[string]time.Time{},
 		started: time.Now(), bootStarted: clock.BootTimeNow(),
 		watchesStore: func() bool { return true }, onStoreRows: func(*Table, uint64) {},
 	}
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -154,6 +154,13 @@
 	return r.Register(s, address, "ready")
 }
 
+// Started returns the start time of the current incarnation.
+func (r *Replica) Started() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started
+}
+
 // AcceptedFencingTokens returns the fencing tokens of the accepted orders.
 func (r *Replica) AcceptedFencingTokens() []uint64 {
 	r.mu.Lock()
--- a/test/site/leaving_test.go
+++ b/test/site/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -79,3 +80,43 @@
 		}
 	}
 }
+
+// expectRestartedTargetIsUsed expects that the next incarnation of a target that has left
+// gets requests.
+func (f *fixture) expectRestartedTargetIsUsed(h *host, r *standin.Replica, address string) {
+	f.g.Expect(r.Restart(f.store, address)).To(Succeed())
+	restartedAt := time.Now()
+	f.sendSteadily([]*host{h}, orderRequest, 20*time.Millisecond, time.Second)
+	f.g.Expect(arrivalsBetween(r, restartedAt, time.Now())).To(BeNumerically(">", 2))
+}
+
+// Guards against a target whose entry says that it leaves and that gets requests again
+// because an earlier write of its entry is carried out late, with or without a removal of
+// the entry in between.
+func TestLeavingOutlivesLateWriteOfEntry(t *testing.T) {
+	t.Parallel()
+	for _, removed := range []bool{false, true} {
+		name := map[bool]string{false: "replaced", true: "removed and written again"}[removed]
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			leaving, address := f.startReplica(standin.ReplicaOptions{ID: "leaving", Service: deskService, ProcessingTime: 50 * time.Millisecond})
+			f.startSlowDesk("other")
+			hosts := []*host{f.startHost("host-1"), f.startHost("host-2")}
+			f.g.Expect(leaving.Register(f.store, address, "draining")).To(Succeed())
+			leftAt := time.Now()
+			f.sendSteadily(hosts, orderRequest, 20*time.Millisecond, time.Second)
+			if removed {
+				f.store.Delete("servers", "leaving")
+				time.Sleep(reactionTime)
+			}
+			f.g.Expect(leaving.Register(f.store, address, "ready")).To(Succeed())
+			statuses := f.sendSteadily(hosts, orderRequest, 20*time.Millisecond, standin.DrainBound)
+			f.g.Expect(statuses).To(HaveLen(1))
+			f.g.Expect(statuses).To(HaveKey(http.StatusOK))
+			late := slices.DeleteFunc(leaving.Arrivals(), func(a standin.Arrival) bool { return a.At.Sub(leftAt) < reactionTime })
+			f.g.Expect(late).To(BeEmpty())
+			f.expectRestartedTargetIsUsed(hosts[0], leaving, address)
+		})
+	}
+}
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -29,6 +29,22 @@
 	for _, r := range in.replicas {
 		in.checkBackpressure(r, requests)
 	}
+	for _, d := range in.departures {
+		in.checkDeparture(d, requests)
+	}
+}
+
+// checkDeparture checks that a target got no request from a host in touch later than the
+// drain bound after its entry said that it leaves.
+func (in *installation) checkDeparture(d departure, sent map[string]*request) {
+	for _, r := range in.replicas {
+		for _, a := range r.Arrivals() {
+			late := r.id == d.target && a.Started == d.started && a.At.Sub(d.at) > standin.DrainBound
+			if q := sent[a.ID]; late && q != nil && in.inTouch(q.host.ID, a.At) {
+				in.addViolation("%s reached %s from %s %v after its entry said that it leaves", q.id, d.target, q.host.ID, a.At.Sub(d.at))
+			}
+		}
+	}
 }
 
 // executionsByID returns the requests that the targets ran, by request ID.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -39,6 +39,14 @@
 	at      time.Time
 }
 
+// departure is the time at which the store had acknowledged that an incarnation of a target
+// leaves.
+type departure struct {
+	target  string
+	started int64
+	at      time.Time
+}
+
 // schedule returns the faults of a seed. They begin at random intervals and may overlap.
 func (in *installation) schedule(program string, seed uint64, period time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -139,7 +147,7 @@
 		{name: "interrupt streams of " + r.id, run: setFaults(standin.ReplicaFaults{DropAfterEvents: 1 + random.IntN(streamEvents)})},
 		{name: "shed requests of " + r.id, run: setFaults(standin.ReplicaFaults{Shed: true})},
 		{name: "fail requests of " + r.id, run: setFaults(standin.ReplicaFaults{FailRequests: 5})},
-		{name: "drain " + r.id, run: func() { in.drainTemporarily(r, duration) }},
+		{name: "drain " + r.id, run: func() { in.drain(r, duration) }},
 	}
 	return faults[random.IntN(len(faults))]
 }
@@ -153,15 +161,19 @@
 	in.publications = append(in.publications, publication{version, time.Now()})
 }
 
-// drainTemporarily marks a target as draining and, after the duration, as ready again.
-func (in *installation) drainTemporarily(r *replica, duration time.Duration) {
-	for _, state := range []string{"draining", "ready"} {
-		if err := r.Register(in.store, r.link.Addr(), state); err != nil {
-			in.addViolation("%v", err)
-		}
-		if state == "draining" {
-			time.Sleep(duration)
-		}
+// drain makes a target say in its entry that it leaves, and starts it again under the same
+// ID once it must get no more requests and the duration has passed. The incarnation that
+// leaves never becomes ready again.
+func (in *installation) drain(r *replica, duration time.Duration) {
+	if err := r.Register(in.store, r.link.Addr(), "draining"); err != nil {
+		in.addViolation("%v", err)
+	}
+	in.mu.Lock()
+	in.departures = append(in.departures, departure{r.id, r.Started(), time.Now()})
+	in.mu.Unlock()
+	time.Sleep(standin.DrainBound + duration)
+	if err := r.Restart(in.store, r.link.Addr()); err != nil {
+		in.addViolation("%v", err)
 	}
 }
 
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -66,6 +66,7 @@
 	publications []publication // in the order of their versions
 	configs      []publication // in the order of their versions
 	impairments  []impairment
+	departures   []departure
 	violations   []string
 }
 
