Remember that a target leaves when its entry lapses and comes back

A target that had said in a response that it leaves got requests from the host that it had told once its entry was gone and back: the statement was dropped with the entry. An entry lapses while its target does not reach the store and comes back afterwards, of the same incarnation.

TestLeavingOutlivesLapsedEntry fails on the code before: the target gets requests within the first second after its entry is back, more than drain_ms after its statement. The statement now outlives the entry for five minutes, without the limit; it is reported to other hosts while there is an entry, and to a host that starts, so that heartbeats do not grow with past departures.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -133,13 +133,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.balancer.Retain(s.Targets)
+	now := time.Now()
 	if len(s.Targets) > 0 { // a new process learns limits from its peers before the targets
-		r.pressure.Retain(s.Targets)
+		r.pressure.Retain(s.Targets, now)
 	}
 	if s.Config == nil {
 		return
 	}
-	now := time.Now()
 	for _, a := range s.Config.Accounts {
 		if b := r.buckets[a.Name]; b != nil {
 			b.SetLimits(r.accountLimits(a), now)
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -22,6 +22,9 @@
 	maxStatementAge = 5 * time.Second
 	// endReportPeriod is how long hosts report that a target no longer names a limit.
 	endReportPeriod = 3 * time.Second
+	// leavingTTL is how long the statement of a target that it leaves outlives its entry,
+	// which comes back if it had lapsed while the target did not reach the store.
+	leavingTTL = 5 * time.Minute
 )
 
 // Statement is what a target asks for in one response.
@@ -60,7 +63,9 @@
 	limitEndedAt time.Time
 	pausedUntil  time.Time
 	leaving      bool
-	share        share
+	// removedAt is when the target's entry was removed; zero while there is one.
+	removedAt time.Time
+	share     share
 }
 
 // Table holds the state of all targets that have asked for something. It is not safe for
@@ -153,21 +158,24 @@
 }
 
 // Reports returns what targets have stated to this host and others may lack. That a target
-// leaves is reported by all hosts, since it never ends.
+// leaves is reported by all hosts, since it never ends, until the entry was removed.
 func (t *Table) Reports(now time.Time) []Report {
-	return t.reports(now, func(s *state) bool { return s.own })
+	return t.reports(now, func(s *state) (limit, leaving bool) { return s.own, s.removedAt.IsZero() })
 }
 
 // AllReports returns also what this host knows from others. It is for a host that has just
 // started.
 func (t *Table) AllReports(now time.Time) []Report {
-	return t.reports(now, func(*state) bool { return true })
+	return t.reports(now, func(*state) (limit, leaving bool) { return true, true })
 }
 
-func (t *Table) reports(now time.Time, include func(*state) bool) []Report {
+// reports returns the reports of the targets for which include names the limit or the
+// leaving.
+func (t *Table) reports(now time.Time, include func(*state) (limit, leaving bool)) []Report {
 	var out []Report
 	for _, s := range t.states {
-		if s.leaving || include(s) && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
+		limit, leaving := include(s)
+		if leaving && s.leaving || limit && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
 			out = append(out, Report{
 				Target: s.target, RateLimit: s.rateLimit, Limited: s.limited, AgeMs: now.Sub(s.statedAt).Milliseconds(), Leaving: s.leaving,
 			})
@@ -227,11 +235,27 @@
 }
 
 // Retain drops the state of all targets that are not in the given set, or that have begun a
-// new incarnation.
-func (t *Table) Retain(targets map[string]*topology.Target) {
+// new incarnation. That a target leaves is remembered for leavingTTL after its entry was
+// removed.
+func (t *Table) Retain(targets map[string]*topology.Target, now time.Time) {
 	for id, s := range t.states {
-		if current := targets[id]; current == nil || current.Started > s.target.Started {
-			delete(t.states, id)
+		current := targets[id]
+		if current != nil && current.Started <= s.target.Started {
+			s.removedAt = time.Time{}
+			continue
 		}
+		if current == nil && s.leaving && (s.removedAt.IsZero() || now.Sub(s.removedAt) < leavingTTL) {
+			s.endLimit(now)
+			continue
+		}
+		delete(t.states, id)
+	}
+}
+
+// endLimit reduces the state of a target whose entry was removed to its leaving.
+func (s *state) endLimit(now time.Time) {
+	if s.removedAt.IsZero() {
+		s.removedAt = now
 	}
+	s.limited, s.own = false, false
 }
--- a/policy/backpressure/backpressure_test.go
+++ b/policy/backpressure/backpressure_test.go
@@ -197,9 +197,29 @@
 	g := NewWithT(t)
 	table := New("host-1")
 	table.Record(target, Statement{Leaving: true}, start)
-	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started + 1}})
+	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started + 1}}, start)
 	g.Expect(table.Reports(start)).To(BeEmpty())
 	table.Record(target, Statement{Leaving: true}, start)
-	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started - 1}})
+	table.Retain(map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started - 1}}, start)
 	g.Expect(table.Reports(start)).To(HaveLen(1)) // the entry in the store is not yet that new
 }
+
+// Guards against a target that said that it leaves and gets requests again because its entry
+// lapsed and came back, against a new host that is not told, and against a statement that is
+// kept or reported to others forever.
+func TestLeavingOutlivesRemovalOfEntry(t *testing.T) {
+	g := NewWithT(t)
+	table := New("host-1")
+	entries := map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started}}
+	table.Record(target, Statement{Leaving: true, Limited: true, RateLimit: 5}, start)
+	table.Retain(nil, start)
+	g.Expect(table.Reports(start)).To(BeEmpty())
+	g.Expect(table.AllReports(start)).To(HaveLen(1))
+	g.Expect(table.IsLimited()).To(BeFalse())
+	table.Retain(entries, start.Add(time.Minute))
+	g.Expect(table.Take(target, start.Add(time.Minute))).To(BeFalse())
+	g.Expect(table.Reports(start.Add(time.Minute))).To(HaveLen(1))
+	table.Retain(nil, start.Add(2*time.Minute))
+	table.Retain(nil, start.Add(2*time.Minute+leavingTTL))
+	g.Expect(table.AllReports(start)).To(BeEmpty())
+}
--- a/test/site/leaving_test.go
+++ b/test/site/leaving_test.go
@@ -81,6 +81,28 @@
 	}
 }
 
+// Guards against a target that has said in a response that it leaves and gets requests again
+// because its entry lapses and comes back, while the same incarnation still runs.
+func TestLeavingOutlivesLapsedEntry(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	leaving, address := f.startReplica(standin.ReplicaOptions{ID: "leaving", Service: deskService, ProcessingTime: 50 * time.Millisecond})
+	f.startSlowDesk("other")
+	h := f.startHost("host-1")
+	leaving.SetFaults(standin.ReplicaFaults{Leaving: true})
+	f.sendSteadily([]*host{h}, orderRequest, 20*time.Millisecond, time.Second)
+	f.g.Expect(leaving.Arrivals()).NotTo(BeEmpty())
+	f.store.Delete("servers", "leaving")
+	f.sendSteadily([]*host{h}, orderRequest, 20*time.Millisecond, standin.DrainBound)
+	f.g.Expect(leaving.Register(f.store, address, "ready")).To(Succeed())
+	returnedAt := time.Now()
+	statuses := f.sendSteadily([]*host{h}, orderRequest, 20*time.Millisecond, time.Second)
+	f.g.Expect(statuses).To(HaveLen(1))
+	f.g.Expect(statuses).To(HaveKey(http.StatusOK))
+	f.g.Expect(arrivalsBetween(leaving, returnedAt, time.Now())).To(BeZero())
+	f.expectRestartedTargetIsUsed(h, leaving, address)
+}
+
 // expectRestartedTargetIsUsed expects that the next incarnation of a target that has left
 // gets requests.
 func (f *fixture) expectRestartedTargetIsUsed(h *host, r *standin.Replica, address string) {
