--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -37,6 +37,9 @@
 	Version uint64
 	// Clock is the time of the store's steady clock when it responded.
 	Clock time.Duration
+	// Era counts how often the store was restored from an older copy. Versions are given
+	// out again in each era; zero if the store does not state it.
+	Era uint64
 }
 
 // Condition holds if the row has exactly this version; 0 means that it is absent.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -111,6 +111,8 @@
 	storeRecoveredAt time.Time
 	// removeAt is when targets whose entries expired are removed.
 	removeAt map[string]time.Time
+	// era is the highest era of the store in any response; zero before the first.
+	era uint64
 	// clock relates the store's clock to that of this process.
 	clock storeclock.Clock
 	// publicationsRead means that the recorded publications were applied.
@@ -229,6 +231,7 @@
 			v.log.Warn("listing is older than the rows of this host", "table", t.name, "version", page.Version, "known", cursor)
 		}
 		v.recordContact(t)
+		v.observeEra(page.Era)
 		v.observeClock(page.Clock, time.Now())
 		v.applyRows(t, t.applyList(page.Rows, page.Version, time.Now()))
 		v.readPublications(ctx, t)
@@ -244,6 +247,7 @@
 		return err
 	}
 	v.recordContact(t)
+	v.observeEra(page.Era)
 	v.observeClock(page.Clock, time.Now())
 	if changed, before := t.applyChanges(page.Rows, page.Version, time.Now()); len(changed) > 0 {
 		v.applyRows(t, changed)
@@ -281,6 +285,19 @@
 	v.publish()
 }
 
+// observeEra records the era of a response of the store, and logs a restoration.
+func (v *View) observeEra(era uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if era <= v.era {
+		return
+	}
+	if v.era > 0 {
+		v.log.Warn("store was restored from an older copy", "era", era, "before", v.era)
+	}
+	v.era = era
+}
+
 // recordContact records the end of an outage, during which entries of targets may
 // expire. The hosts are listed only every hostListInterval, which is not an outage.
 func (v *View) recordContact(t *Table) {
