Let the stand-in of the store go back to an older copy

A test can restore it from a copy of some age: versions are given out again, a watch after a version that it does not have gets 410, and all responses state the era.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -28,6 +29,12 @@
 
 func (r row) id() rowKey { return rowKey{r.Table, r.Partition, r.Key} }
 
+// change is the state of a row since a time.
+type change struct {
+	at  time.Time
+	row row
+}
+
 // Store is the platform's table service.
 type Store struct {
 	mu      sync.Mutex
@@ -35,14 +42,20 @@
 	version uint64
 	// compactedVersion is the version up to which changes are no longer available.
 	compactedVersion uint64
-	changed          chan struct{}
-	down             bool
-	requests         int
-	writes           int
+	// era counts the restorations from an older copy, from 1.
+	era uint64
+	// history holds the state of each changed row after its change, in order.
+	history  []change
+	changed  chan struct{}
+	down     bool
+	requests int
+	writes   int
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{rows: map[rowKey]row{}, changed: make(chan struct{})} }
+func NewStore() *Store {
+	return &Store{rows: map[rowKey]row{}, era: 1, changed: make(chan struct{})}
+}
 
 // SetDown sets whether the store responds to every request with status 503.
 func (s *Store) SetDown(down bool) {
@@ -62,6 +75,36 @@
 	s.notifyWatchers()
 }
 
+// Restore brings the store back from a copy of the given age: what was written since is
+// gone, its versions are given out again, and the era rises.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copiedAt := time.Now().Add(-age)
+	kept, _ := slices.BinarySearchFunc(s.history, copiedAt, func(c change, at time.Time) int { return c.at.Compare(at) })
+	s.history = s.history[:kept]
+	s.rows, s.version = map[rowKey]row{}, 0
+	for _, c := range s.history {
+		s.rows[c.row.id()], s.version = c.row, c.row.Version
+	}
+	s.compactedVersion = min(s.compactedVersion, s.version)
+	s.era++
+	s.notifyWatchers()
+}
+
+// Version returns the version of the newest row.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// set replaces a row. The caller holds the mutex.
+func (s *Store) set(r row) {
+	s.rows[r.id()] = r
+	s.history = append(s.history, change{time.Now(), r})
+}
+
 // Requests returns the number of requests so far.
 func (s *Store) Requests() int {
 	s.mu.Lock()
@@ -80,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.rows[rowKey{table, "", key}] = row{Table: table, Key: key, Value: value, Version: s.version}
+	s.set(row{Table: table, Key: key, Value: value, Version: s.version})
 	s.notifyWatchers()
 }
 
@@ -94,7 +137,7 @@
 
 func (s *Store) remove(id rowKey) {
 	s.version++
-	s.rows[id] = row{Table: id.table, Partition: id.partition, Key: id.key, Version: s.version, Removed: true}
+	s.set(row{Table: id.table, Partition: id.partition, Key: id.key, Version: s.version, Removed: true})
 }
 
 // Rows returns the values of the rows of a table by key.
@@ -133,6 +176,7 @@
 	s.mu.Lock()
 	s.requests++
 	down := s.down
+	s.stateEra(w)
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -158,6 +202,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	var rows []row
 	for id, current := range s.rows {
 		inRange := id.key >= q.Get("from") && (q.Get("to") == "" || id.key < q.Get("to"))
@@ -173,12 +218,19 @@
 	writeResponse(w, http.StatusOK, resp)
 }
 
+// stateEra sets the header in which each response states the era. The caller holds the
+// mutex.
+func (s *Store) stateEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 // changesAfter returns the rows of a table that changed after a version, the current
 // version, whether all changes since are available, and a channel that is closed at the
-// next change.
-func (s *Store) changesAfter(table string, after uint64) ([]row, uint64, bool, chan struct{}) {
+// next change. It states the era of these rows.
+func (s *Store) changesAfter(w http.ResponseWriter, table string, after uint64) ([]row, uint64, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	var rows []row
 	for id, current := range s.rows {
 		if id.table == table && current.Version > after {
@@ -186,7 +238,7 @@
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Version < rows[j].Version })
-	return rows, s.version, after >= s.compactedVersion, s.changed
+	return rows, s.version, after >= s.compactedVersion && after <= s.version, s.changed
 }
 
 func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
@@ -202,7 +254,7 @@
 	}
 	timeout := time.After(min(time.Duration(waitMs)*time.Millisecond, maxFeedWait))
 	for {
-		rows, version, available, changed := s.changesAfter(q.Get("table"), after)
+		rows, version, available, changed := s.changesAfter(w, q.Get("table"), after)
 		if !available {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -234,6 +286,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	s.writes++
 	for _, expected := range tx.Expected {
 		current := s.rows[expected.id()]
@@ -248,10 +301,10 @@
 	s.version++
 	for _, write := range tx.Writes {
 		write.Version = s.version
-		s.rows[write.id()] = write
+		s.set(write)
 	}
 	for _, dropped := range tx.Drop {
-		s.rows[dropped.id()] = row{Table: dropped.Table, Partition: dropped.Partition, Key: dropped.Key, Version: s.version, Removed: true}
+		s.set(row{Table: dropped.Table, Partition: dropped.Partition, Key: dropped.Key, Version: s.version, Removed: true})
 	}
 	s.notifyWatchers()
 	writeResponse(w, http.StatusOK, response{Version: s.version})
