Follow the store's era, so that changes after a restoration are in force

Rows, listings, watches and what hosts tell each other are now ordered by era and version. A watch that meets another era lists the table; a listing of a new era replaces all rows and is pushed to the group. Documents of the operator never go back, as before. Of targets, what was known of an incarnation holds against the copy: one that leaves or was removed is not revived (a removed one is used again once its entry is written, or has not lapsed within 5 s), and an earlier incarnation replaces no later one. Entries that the store has lost are kept for the 2 s in which targets write them again. The store's clock is learned anew.

--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -61,7 +61,9 @@
 	own = e.local.LocalState()
 	own.From = e.self
 	own.StoreUnreachable = e.view.StoreUnreachable()
-	own.OperatorVersion, own.TargetsVersion = e.view.Operator.NewestVersion(), e.view.Targets.NewestVersion()
+	operator, targets := e.view.Operator.Newest(), e.view.Targets.Newest()
+	own.OperatorVersion, own.OperatorEra = operator.Version, operator.Era
+	own.TargetsVersion, own.TargetsEra = targets.Version, targets.Era
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -27,9 +27,12 @@
 	Ready bool      `msgpack:"y,omitempty"`
 	// Draining means that the sender is stopping; callers must not be directed to it.
 	Draining bool `msgpack:"l,omitempty"`
-	// OperatorVersion and TargetsVersion are the newest row versions of the two tables.
+	// OperatorVersion and TargetsVersion are the newest row versions of the two tables, in
+	// OperatorEra and TargetsEra of the store.
 	OperatorVersion uint64         `msgpack:"o"`
+	OperatorEra     uint64         `msgpack:"j,omitempty"`
 	TargetsVersion  uint64         `msgpack:"s"`
+	TargetsEra      uint64         `msgpack:"k,omitempty"`
 	Loads           []TargetLoad   `msgpack:"d,omitempty"`
 	Usage           []AccountUsage `msgpack:"u,omitempty"`
 	// EjectedTargets are targets that the sender has ejected after failures.
@@ -63,10 +66,11 @@
 // WireType implements wire.Message.
 func (*HeartbeatReply) WireType() wire.Type { return wire.TypeHeartbeatReply }
 
-// RowsRequest requests the rows of a table above a version.
+// RowsRequest requests the rows of a table above a version of an era.
 type RowsRequest struct {
 	Table string `msgpack:"t"`
 	After uint64 `msgpack:"a"`
+	Era   uint64 `msgpack:"e,omitempty"`
 }
 
 // WireType implements wire.Message.
@@ -80,9 +84,15 @@
 	Deleted bool   `msgpack:"d,omitempty"`
 }
 
-// RowsReply holds the requested rows that the receiver has.
+// RowsReply holds the rows of a table above a version that its sender has.
 type RowsReply struct {
 	Rows []Row `msgpack:"r,omitempty"`
+	// Era is the era of the rows. If it is not the requested one, the rows are all above
+	// version After of it.
+	Era   uint64 `msgpack:"e,omitempty"`
+	After uint64 `msgpack:"a,omitempty"`
+	// Complete means that the table has no other rows above that version.
+	Complete bool `msgpack:"c,omitempty"`
 	// StoreRecoveredMs is how long ago the store responded again to the sender of the
 	// reply after an outage; zero if unknown. Entries that expired during the outage
 	// may be written again.
@@ -96,7 +106,7 @@
 // its group.
 type RowsPush struct {
 	Table string `msgpack:"t"`
-	// After is the newest version that the sender had before these rows.
+	// After is that of the changes, for hosts of versions that know no eras.
 	After   uint64    `msgpack:"a"`
 	Changes RowsReply `msgpack:"n"`
 }
@@ -104,18 +114,13 @@
 // WireType implements wire.Message.
 func (*RowsPush) WireType() wire.Type { return wire.TypeRowsPush }
 
-func packRows(rows []store.Row) []Row {
-	out := make([]Row, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, Row{r.Key, r.Value, r.Version, r.Deleted})
-	}
-	return out
-}
+func packRow(r store.Row) Row { return Row{r.Key, r.Value, r.Version, r.Deleted} }
 
-func unpackRows(table string, rows []Row) []store.Row {
-	out := make([]store.Row, 0, len(rows))
-	for _, r := range rows {
-		out = append(out, store.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+// unpackRows returns the rows of a reply as rows of a table.
+func unpackRows(table string, reply *RowsReply) view.PeerRows {
+	out := view.PeerRows{After: store.Position{Era: reply.Era, Version: reply.After}, Complete: reply.Complete}
+	for _, r := range reply.Rows {
+		out.Rows = append(out.Rows, store.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted, Era: reply.Era})
 	}
 	return out
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
 // network delivers messages between the hosts of a test and counts those sent.
@@ -24,6 +25,11 @@
 	sent  int
 }
 
+// testDecoder decodes the rows of targets by their keys alone.
+var testDecoder = view.Decoder{
+	DecodeTarget: func(id string, _ []byte) (*topology.Target, error) { return &topology.Target{ID: id}, nil },
+}
+
 // testHost is one host: its exchange and what it received.
 type testHost struct {
 	*Exchange
@@ -97,7 +103,7 @@
 
 func (n *network) start(self view.Host, all []view.Host) *testHost {
 	h := &testHost{handlers: map[wire.Type]wire.Handler{}, totals: map[string]float64{}}
-	v := view.New(nil, view.Decoder{}, hclog.NewNullLogger())
+	v := view.New(nil, testDecoder, hclog.NewNullLogger())
 	h.Exchange = New(self, nil, &link{n, self}, v, h, hclog.NewNullLogger())
 	h.peers.addReported(all, self.ID, time.Now())
 	h.Register(h)
@@ -217,13 +223,47 @@
 	g := NewWithT(t)
 	now := time.Unix(1_700_000_000, 0)
 	var l lag
+	at := func(version uint64) store.Position { return store.Position{Era: 1, Version: version} }
 	for version := uint64(10); version < 100; version++ {
-		g.Expect(l.due(version-2, version, now, lagTolerance)).To(BeFalse())
+		g.Expect(l.due(at(version-2), at(version), now, lagTolerance)).To(BeFalse())
 		now = now.Add(100 * time.Millisecond)
 	}
-	g.Expect(l.due(97, 200, now.Add(lagTolerance), lagTolerance)).To(BeTrue())
+	g.Expect(l.due(at(97), at(200), now.Add(lagTolerance), lagTolerance)).To(BeTrue())
 	l.fetching = true
-	g.Expect(l.due(97, 200, now.Add(2*lagTolerance), lagTolerance)).To(BeFalse())
+	g.Expect(l.due(at(97), at(200), now.Add(2*lagTolerance), lagTolerance)).To(BeFalse())
+}
+
+// Guards against a host that does not take rows of a restored store, since their versions
+// are lower than those that it has, and against one that keeps a row that the store has lost;
+// also if the rows come in several replies.
+func TestRowsOfRestoredStoreReachPeers(t *testing.T) {
+	for _, valueBytes := range []int{1, maxReplyBytes / 2} {
+		g := NewWithT(t)
+		n := newNetwork(2, 1)
+		informed, behind := n.hosts["h000"], n.hosts["h001"]
+		rows := func(era, first uint64, keys ...string) view.PeerRows {
+			out := view.PeerRows{After: store.Position{Era: era}, Complete: true}
+			for i, key := range keys {
+				out.Rows = append(out.Rows, store.Row{Key: key, Value: make([]byte, valueBytes), Version: first + uint64(i), Era: era})
+			}
+			return out
+		}
+		behind.view.MergeRows(behind.view.Targets, rows(1, 50, "kept", "lost"), time.Time{})
+		informed.view.MergeRows(informed.view.Targets, rows(2, 7, "kept", "new", "newer"), time.Time{})
+		var heartbeat Heartbeat
+		heartbeat, _ = informed.nextHeartbeat()
+		g.Eventually(func() map[string]bool {
+			behind.checkLag(t.Context(), &heartbeat)
+			present := map[string]bool{}
+			for _, r := range behind.view.Targets.RowsAfter(store.Position{Era: 2}).Rows {
+				present[r.Key] = !r.Deleted
+			}
+			return present
+		}, "3s", "50ms").Should(Equal(map[string]bool{"kept": true, "lost": false, "new": true, "newer": true}))
+		informedBehind, _ := behind.nextHeartbeat()
+		informed.checkLag(t.Context(), &informedBehind)
+		g.Consistently(func() uint64 { return informed.view.Targets.Newest().Era }, "400ms").Should(BeEquivalentTo(2))
+	}
 }
 
 // Guards against a host that watches the store but does not push rows to its group, and
@@ -235,13 +275,13 @@
 	row := func(version uint64) []store.Row {
 		return []store.Row{{Key: fmt.Sprint("t", version), Version: version, Deleted: true}}
 	}
-	watcher.view.MergeRows(watcher.view.Targets, row(5), 0, time.Time{})
-	watcher.view.MergeRows(watcher.view.Targets, row(9), 5, time.Time{})
-	watcher.pushRows(watcher.view.Targets, 5) // version 5 was missed
+	watcher.view.MergeRows(watcher.view.Targets, view.PeerRows{Rows: row(5)}, time.Time{})
+	watcher.view.MergeRows(watcher.view.Targets, view.PeerRows{Rows: row(9), After: store.Position{Version: 5}}, time.Time{})
+	watcher.pushRows(watcher.view.Targets, store.Position{Version: 5}) // version 5 was missed
 	layout, addresses := watcher.layout()
 	g.Expect(layout.Direct()).To(BeFalse())
 	for _, h := range layout.Group() {
 		targets := n.hosts[addresses[h.ID]].view.Targets
-		g.Eventually(func() int { return len(targets.RowsAfter(0)) }).Should(Equal(2), h.ID)
+		g.Eventually(func() int { return len(targets.RowsAfter(store.Position{}).Rows) }).Should(Equal(2), h.ID)
 	}
 }
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -30,38 +30,39 @@
 	if t == nil {
 		return &RowsReply{}
 	}
-	return e.rowsReply(t.RowsAfter(q.After))
+	return e.rowsReply(t.RowsAfter(store.Position{Era: q.Era, Version: q.After}))
 }
 
 // rowsReply packs rows in version order, as many as fit into a frame. The remaining
 // rows are requested later.
-func (e *Exchange) rowsReply(rows []store.Row) *RowsReply {
-	reply := &RowsReply{}
+func (e *Exchange) rowsReply(rows view.PeerRows) *RowsReply {
+	reply := &RowsReply{Era: rows.After.Era, After: rows.After.Version, Complete: rows.Complete}
 	if recoveredAt := e.view.StoreRecoveredAt(); !recoveredAt.IsZero() {
 		reply.StoreRecoveredMs = max(1, time.Since(recoveredAt).Milliseconds())
 	}
 	size := 0
-	for _, r := range packRows(rows) {
+	for _, r := range rows.Rows {
 		if size += len(r.Key) + len(r.Value) + rowOverhead; size > maxReplyBytes {
+			reply.Complete = false
 			break
 		}
-		reply.Rows = append(reply.Rows, r)
+		reply.Rows = append(reply.Rows, packRow(r))
 	}
 	return reply
 }
 
-// mergeRows merges rows above a version from a peer. It returns how many were newer,
-// and false if this host lacks rows up to that version.
-func (e *Exchange) mergeRows(name string, after uint64, reply *RowsReply) (newer int, complete bool) {
+// mergeRows merges the rows of a peer. It returns how many were newer, and false if this
+// host lacks rows before them.
+func (e *Exchange) mergeRows(name string, reply *RowsReply) (newer int, complete bool) {
 	var recoveredAt time.Time
 	if reply.StoreRecoveredMs > 0 {
 		recoveredAt = time.Now().Add(-time.Duration(reply.StoreRecoveredMs) * time.Millisecond)
 	}
-	return e.view.MergeRows(e.table(name), unpackRows(name, reply.Rows), after, recoveredAt)
+	return e.view.MergeRows(e.table(name), unpackRows(name, reply), recoveredAt)
 }
 
-// pushRows sends the group the rows above a version that changed in the store.
-func (e *Exchange) pushRows(t *view.Table, after uint64) {
+// pushRows sends the group the rows above a position that changed in the store.
+func (e *Exchange) pushRows(t *view.Table, after store.Position) {
 	name := targetTable
 	switch t {
 	case e.view.Operator:
@@ -73,7 +74,8 @@
 	if layout.Direct() {
 		return // every host watches the store
 	}
-	message := &RowsPush{Table: name, After: after, Changes: *e.rowsReply(t.RowsAfter(after))}
+	changes := e.rowsReply(t.RowsAfter(after))
+	message := &RowsPush{Table: name, After: changes.After, Changes: *changes}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
@@ -87,7 +89,7 @@
 	if e.table(m.Table) == nil {
 		return
 	}
-	if _, complete := e.mergeRows(m.Table, m.After, &m.Changes); complete {
+	if _, complete := e.mergeRows(m.Table, &m.Changes); complete {
 		return
 	}
 	go e.fetchRows(context.WithoutCancel(ctx), from.HostID, from.Address, m.Table)
@@ -95,22 +97,22 @@
 
 // lag is how far this host's copy of a table is behind those of peers.
 type lag struct {
-	// version is one that a peer had at since and that this host lacks.
-	version  uint64
+	// position is one that a peer had at since and that this host lacks.
+	position store.Position
 	since    time.Time
 	fetching bool
 }
 
-// due records a peer's newest version and reports whether to request rows from that
-// peer: this host still lacks a version that a peer had at least tolerance ago, and no
+// due records a peer's newest position and reports whether to request rows from that
+// peer: this host still lacks a position that a peer had at least tolerance ago, and no
 // request is in progress. A table that changes all the time always lags slightly, which
 // needs no request.
-func (l *lag) due(ownVersion, peerVersion uint64, now time.Time, tolerance time.Duration) bool {
-	if peerVersion <= ownVersion {
+func (l *lag) due(own, peer store.Position, now time.Time, tolerance time.Duration) bool {
+	if !own.Before(peer) {
 		return false
 	}
-	if l.version <= ownVersion {
-		l.version, l.since = peerVersion, now
+	if !own.Before(l.position) {
+		l.position, l.since = peer, now
 	}
 	return !l.fetching && now.Sub(l.since) >= tolerance
 }
@@ -122,10 +124,12 @@
 	if e.view.Snapshot().Config == nil {
 		tolerance = 0
 	}
-	for name, peerVersion := range map[string]uint64{operatorTable: h.OperatorVersion, targetTable: h.TargetsVersion} {
+	for name, peer := range map[string]store.Position{
+		operatorTable: {Era: h.OperatorEra, Version: h.OperatorVersion}, targetTable: {Era: h.TargetsEra, Version: h.TargetsVersion},
+	} {
 		e.mu.Lock()
 		l := e.lags[name]
-		due := l.due(e.table(name).NewestVersion(), peerVersion, time.Now(), tolerance)
+		due := l.due(e.table(name).Newest(), peer, time.Now(), tolerance)
 		if due {
 			l.fetching = true
 		}
@@ -146,13 +150,14 @@
 func (e *Exchange) fetchRows(ctx context.Context, id, address, name string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	after := e.table(name).NewestVersion()
+	after := e.table(name).Newest()
 	var reply RowsReply
-	if err := e.caller.Call(ctx, address, &RowsRequest{Table: name, After: after}, &reply); err != nil {
+	if err := e.caller.Call(ctx, address, &RowsRequest{Table: name, After: after.Version, Era: after.Era}, &reply); err != nil {
 		e.log.Warn("failed to fetch rows from a peer", "host", id, "table", name, "error", err)
 		return
 	}
-	if newer, _ := e.mergeRows(name, after, &reply); newer > 0 {
-		e.log.Info("took rows from another host", "host", id, "table", name, "rows", newer, "newest", e.table(name).NewestVersion())
+	if newer, _ := e.mergeRows(name, &reply); newer > 0 {
+		newest := e.table(name).Newest()
+		e.log.Info("took rows from another host", "host", id, "table", name, "rows", newer, "newest", newest.Version, "era", newest.Era)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,32 @@
 	Version uint64
 	// Deleted marks a row that a feed of changes reports as deleted.
 	Deleted bool
+	// Era is the era of the store in which the row was read.
+	Era uint64
+}
+
+// Position returns the position of the row among all states of the store.
+func (r Row) Position() Position { return Position{r.Era, r.Version} }
+
+// Position orders the states of the store. A store that is restored from an older copy
+// gives versions out again, so that versions are comparable within an era only.
+type Position struct {
+	// Era counts the restorations; zero if the store does not state it.
+	Era     uint64
+	Version uint64
+}
+
+// Before reports whether p is an earlier state than o.
+func (p Position) Before(o Position) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Version < o.Version
+}
+
+// Later returns the later of two positions.
+func (p Position) Later(o Position) Position {
+	if p.Before(o) {
+		return o
+	}
+	return p
 }
 
 // Page is a response with rows of a table.
@@ -37,11 +63,13 @@
 	Version uint64
 	// Clock is the time of the store's steady clock when it responded.
 	Clock time.Duration
-	// Era counts how often the store was restored from an older copy. Versions are given
-	// out again in each era; zero if the store does not state it.
+	// Era is the era of the store when it responded.
 	Era uint64
 }
 
+// Position returns the position up to which the rows are complete.
+func (p Page) Position() Position { return Position{p.Era, p.Version} }
+
 // Condition holds if the row has exactly this version; 0 means that it is absent.
 type Condition struct {
 	Table   string
--- a/internal/routehost/entry.go
+++ b/internal/routehost/entry.go
@@ -71,10 +71,10 @@
 // just restarted.
 func (h *Host) removeStaleEntries(ctx context.Context) {
 	for id, host := range h.view.Snapshot().Hosts {
-		if id == h.self.ID || host.Revision == 0 || h.peers.ContactedWithin(id, staleEntryAge) {
+		if id == h.self.ID || host.Position.Version == 0 || h.peers.ContactedWithin(id, staleEntryAge) {
 			continue
 		}
-		condition := store.Condition{Table: view.HostsTable, Key: id, Version: host.Revision}
+		condition := store.Condition{Table: view.HostsTable, Key: id, Version: host.Position.Version}
 		if h.commitEntry(ctx, []store.Condition{condition}, store.Write{Table: view.HostsTable, Key: id, Delete: true}) {
 			h.log.Info("removed the stale entry of a host", "host", id)
 		}
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -8,32 +8,33 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
-// MergeRows merges all rows above a version from another host. recoveredAt is when the
-// store responded to that host again after an outage. It returns how many rows were
-// newer, and false if this host lacks rows up to the version.
-func (v *View) MergeRows(t *Table, rows []store.Row, after uint64, recoveredAt time.Time) (newer int, complete bool) {
+// MergeRows merges the rows of another host. recoveredAt is when the store responded to
+// that host again after an outage. It returns how many rows were newer, and false if this
+// host lacks rows before them.
+func (v *View) MergeRows(t *Table, rows PeerRows, recoveredAt time.Time) (newer int, complete bool) {
+	v.observeEra(rows.After.Era)
 	v.mu.Lock()
 	if recoveredAt.After(v.storeRecoveredAt) {
 		v.storeRecoveredAt = recoveredAt
 	}
 	v.mu.Unlock()
-	changed, complete := t.ApplyPeerRows(rows, after)
-	if len(changed) > 0 {
-		v.applyRows(t, changed)
+	u, complete := t.applyPeerRows(rows)
+	if len(u.rows) > 0 {
+		v.applyRows(t, u)
 	}
-	return len(changed), complete
+	return len(u.rows), complete
 }
 
 // applyRows decodes changed rows and publishes a new snapshot.
-func (v *View) applyRows(t *Table, rows []store.Row) {
+func (v *View) applyRows(t *Table, u update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, r := range rows {
+	for _, r := range u.rows {
 		switch t {
 		case v.Operator:
 			v.applyOperatorRow(r)
 		case v.Targets:
-			v.applyTargetRow(r)
+			v.applyTargetRow(r, u.restored)
 		case v.Hosts:
 			v.applyHostRow(r)
 		}
@@ -61,7 +62,7 @@
 	}
 }
 
-func (v *View) applyTargetRow(r store.Row) {
+func (v *View) applyTargetRow(r store.Row, restored bool) {
 	if r.Deleted {
 		if until := v.storeRecoveredAt.Add(expiredEntryGrace); time.Now().Before(until) && v.targets[r.Key] != nil {
 			v.removeAt[r.Key] = until
@@ -76,8 +77,12 @@
 		v.log.Warn("target's entry is ignored", "target", r.Key, "row_version", r.Version, "error", err)
 		return
 	}
-	t.Revision = r.Version
 	old := v.targets[r.Key]
+	if restored && old != nil && old.Started > t.Started {
+		v.log.Warn("entry of an earlier incarnation is ignored: the store was restored", "target", t.ID, "started", t.Started, "known", old.Started)
+		return
+	}
+	distrusted := restored && v.departures.WasRemoved(t)
 	if v.departures.Apply(t) {
 		v.log.Warn("entry of a leaving target says that it is ready", "target", t.ID, "row_version", r.Version)
 	}
@@ -86,16 +91,43 @@
 			"started", t.Started, "row_version", r.Version)
 	}
 	delete(v.removeAt, r.Key)
+	delete(v.distrusted, r.Key)
 	v.targets[r.Key] = t
+	if distrusted && !t.Leaving {
+		v.distrust(t)
+	}
+}
+
+// distrust keeps requests from a target whose entry had been removed and is back from the
+// store's copy. If the target has ended, the entry lapses; if not, it is used afterwards.
+func (v *View) distrust(t *topology.Target) {
+	v.log.Warn("removed entry is back: the store was restored", "target", t.ID)
+	unused := *t
+	unused.Leaving = true
+	v.targets[t.ID], v.distrusted[t.ID] = &unused, t
+	time.AfterFunc(restoredEntryProbation, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if v.distrusted[t.ID] == t {
+			delete(v.distrusted, t.ID)
+			v.targets[t.ID] = t
+			v.publish()
+		}
+	})
 }
 
 func (v *View) removeTarget(id, reason string) {
-	if v.targets[id] != nil {
+	t := v.targets[id]
+	if original := v.distrusted[id]; original != nil {
+		t = original
+	}
+	if t != nil {
 		v.log.Info("target gone", "target", id, "reason", reason)
+		v.departures.Remove(t, time.Now())
 	}
 	delete(v.targets, id)
 	delete(v.removeAt, id)
-	v.departures.Remove(id, time.Now())
+	delete(v.distrusted, id)
 }
 
 // removeExpired removes targets whose entries were not written again after an outage of
@@ -122,7 +154,7 @@
 		v.log.Warn("host's entry is ignored", "host", r.Key, "error", err)
 		return
 	}
-	h.Revision = r.Version
+	h.Position = r.Position()
 	v.hosts[r.Key] = h
 }
 
--- a/internal/view/publications.go
+++ b/internal/view/publications.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
+	store "github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -73,10 +74,14 @@
 	return v.clock.Store(at), nil
 }
 
-func (v *View) observeClock(store time.Duration, receivedAt time.Time) {
+// observeClock relates the store's clock to that of this process. Responses of an earlier
+// era don't count, since the clock may have gone back with a restoration.
+func (v *View) observeClock(page store.Page, receivedAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.clock.Observe(store, receivedAt)
+	if page.Era == v.era {
+		v.clock.Observe(page.Clock, receivedAt)
+	}
 }
 
 // readPublications reads, once after the start, when the versions were published that
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -35,6 +35,10 @@
 	// expiredEntryGrace is how long a target whose entry expired during an outage of the
 	// store may take to write it again.
 	expiredEntryGrace = 2 * time.Second
+	// restoredEntryProbation is how long a target gets no requests whose entry had been
+	// removed and is back from the copy of a restored store. The entry of a target that has
+	// ended lapses within that time.
+	restoredEntryProbation = 5 * time.Second
 	// outageThreshold is the time without a response of the store after which its
 	// entries may expire.
 	outageThreshold = 1500 * time.Millisecond
@@ -76,8 +80,8 @@
 	Region        string `json:"region"`
 	InnerAddress  string `json:"inner_address"`
 	CallerAddress string `json:"caller_address"`
-	// Revision is the version of the entry in the store; zero if it was not read there.
-	Revision uint64 `json:"-" msgpack:"-"`
+	// Position is that of the entry in the store; zero if it was not read there.
+	Position store.Position `json:"-" msgpack:"-"`
 }
 
 // Snapshot is the applied state of the tables at one time. It is immutable.
@@ -102,8 +106,12 @@
 	config  *topology.Config
 	desired map[string]topology.DesiredWeights
 	targets map[string]*topology.Target
-	// departures are the targets that have said that they leave.
+	// departures are the targets that have said that they leave or whose entries were
+	// removed.
 	departures *topology.Departures
+	// distrusted are targets that get no requests because their entries had been removed
+	// before the store was restored.
+	distrusted map[string]*topology.Target
 	hosts      map[string]Host
 	// storeLostAt is since when the store has not answered; zero if it answers.
 	storeLostAt time.Time
@@ -126,7 +134,7 @@
 	// watchesStore reports whether this host watches the store or receives rows from
 	// hosts that do.
 	watchesStore func() bool
-	onStoreRows  func(t *Table, after uint64)
+	onStoreRows  func(t *Table, after store.Position)
 }
 
 // New returns an empty view.
@@ -135,9 +143,9 @@
 		source: source, decoder: decoder, log: log,
 		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostsTable),
 		desired: map[string]topology.DesiredWeights{}, targets: map[string]*topology.Target{},
-		departures: topology.NewDepartures(), hosts: map[string]Host{}, removeAt: map[string]time.Time{},
+		departures: topology.NewDepartures(), distrusted: map[string]*topology.Target{}, hosts: map[string]Host{}, removeAt: map[string]time.Time{},
 		started: time.Now(), bootStarted: clock.BootTimeNow(),
-		watchesStore: func() bool { return true }, onStoreRows: func(*Table, uint64) {},
+		watchesStore: func() bool { return true }, onStoreRows: func(*Table, store.Position) {},
 	}
 	v.snapshot.Store(&Snapshot{})
 	return v
@@ -149,8 +157,8 @@
 
 // ConfigureSharing lets hosts watch the store on behalf of each other. watchesStore
 // reports whether this host does; onStoreRows is called when the store has changed rows
-// after a version. ConfigureSharing must be called before Run.
-func (v *View) ConfigureSharing(watchesStore func() bool, onStoreRows func(t *Table, after uint64)) {
+// after a position. ConfigureSharing must be called before Run.
+func (v *View) ConfigureSharing(watchesStore func() bool, onStoreRows func(t *Table, after store.Position)) {
 	v.watchesStore, v.onStoreRows = watchesStore, onStoreRows
 }
 
@@ -216,7 +224,7 @@
 	cursor, listed := t.position()
 	if t == v.Hosts && listed {
 		pause := hostListInterval
-		if cursor == 0 || len(v.Snapshot().Hosts) <= 1 {
+		if cursor.Version == 0 || len(v.Snapshot().Hosts) <= 1 {
 			pause = firstHostListInterval
 		}
 		clock.Sleep(ctx, pause)
@@ -227,30 +235,24 @@
 		if err != nil {
 			return err
 		}
-		if page.Version < cursor {
-			v.log.Warn("listing is older than the rows of this host", "table", t.name, "version", page.Version, "known", cursor)
-		}
-		v.recordContact(t)
-		v.observeEra(page.Era)
-		v.observeClock(page.Clock, time.Now())
-		v.applyRows(t, t.applyList(page.Rows, page.Version, time.Now()))
-		v.readPublications(ctx, t)
-		return nil
+		return v.applyListing(ctx, t, page)
 	}
 	wait := longPollTimeout
 	if t.isUnreachable() {
 		// A long poll would prolong the outage by the time that it waits.
 		wait = 0
 	}
-	page, err := v.source.Changes(ctx, t.name, cursor, wait)
+	page, err := v.source.Changes(ctx, t.name, cursor.Version, wait)
 	if err != nil {
 		return err
 	}
-	v.recordContact(t)
-	v.observeEra(page.Era)
-	v.observeClock(page.Clock, time.Now())
-	if changed, before := t.applyChanges(page.Rows, page.Version, time.Now()); len(changed) > 0 {
-		v.applyRows(t, changed)
+	v.recordResponse(t, page)
+	u, before, ok := t.applyChanges(page.Rows, page.Position(), time.Now())
+	if !ok {
+		return errors.Wrapf(v.decoder.ErrCompacted, "the store was restored: changes of era %d, listing of era %d", page.Era, cursor.Era)
+	}
+	if len(u.rows) > 0 {
+		v.applyRows(t, u)
 		v.onStoreRows(t, before)
 	}
 	v.readPublications(ctx, t)
@@ -260,6 +262,34 @@
 	return nil
 }
 
+// applyListing applies a complete listing of a table. A listing that is older than what is
+// known is ignored; the store responds with a newer one after a while.
+func (v *View) applyListing(ctx context.Context, t *Table, page store.Page) error {
+	v.recordResponse(t, page)
+	before := t.Newest()
+	u, ok := t.applyList(page.Rows, page.Position(), time.Now())
+	if !ok {
+		v.log.Warn("listing is older than the rows of this host", "table", t.name, "version", page.Version, "era", page.Era, "known", before.Version, "known_era", before.Era)
+		clock.Sleep(ctx, minRetry)
+		return nil
+	}
+	v.applyRows(t, u)
+	if u.restored {
+		v.log.Warn("table was listed again after a restoration of the store", "table", t.name, "rows", len(page.Rows),
+			"version", page.Version, "era", page.Era, "known", before.Version, "known_era", before.Era)
+		v.onStoreRows(t, before)
+	}
+	v.readPublications(ctx, t)
+	return nil
+}
+
+// recordResponse records what each response of the store tells about the store.
+func (v *View) recordResponse(t *Table, page store.Page) {
+	v.recordContact(t)
+	v.observeEra(page.Era)
+	v.observeClock(page, time.Now())
+}
+
 // recordReachability keeps outages of the store out of the staleness of weights. An
 // outage begins with the first failed call, not with the last answer: a single failure
 // after a long poll is not an outage of the time that the poll waited.
@@ -285,7 +315,9 @@
 	v.publish()
 }
 
-// observeEra records the era of a response of the store, and logs a restoration.
+// observeEra records the era of a response of the store. A higher one means that the store
+// was restored from an older copy: entries of targets may be missing until the targets have
+// written them again, and the store's clock may have gone back.
 func (v *View) observeEra(era uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -294,6 +326,8 @@
 	}
 	if v.era > 0 {
 		v.log.Warn("store was restored from an older copy", "era", era, "before", v.era)
+		v.storeRecoveredAt = time.Now()
+		v.clock = storeclock.Clock{}
 	}
 	v.era = era
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -40,14 +41,20 @@
 
 // applyChange applies one version of the target as a change of the store.
 func applyChange(v *View, version uint64, deleted bool, at time.Time) {
-	changed, _ := v.Targets.applyChanges(targetRow(version, deleted), version, at)
-	v.applyRows(v.Targets, changed)
+	u, _, _ := v.Targets.applyChanges(targetRow(version, deleted), store.Position{Version: version}, at)
+	v.applyRows(v.Targets, u)
 }
 
-// applyPeerRows applies all rows above a version that a peer has.
-func applyPeerRows(t *Table, rows []store.Row, after uint64) []store.Row {
-	changed, _ := t.ApplyPeerRows(rows, after)
-	return changed
+// applyPeerRows applies all rows that a peer has.
+func applyPeerRows(t *Table, rows []store.Row) []store.Row {
+	u, _ := t.applyPeerRows(PeerRows{Rows: rows})
+	return u.rows
+}
+
+// applyList applies a listing as of a version.
+func applyList(t *Table, rows []store.Row, version uint64) []store.Row {
+	u, _ := t.applyList(rows, store.Position{Version: version}, time.Now())
+	return u.rows
 }
 
 // Guards against a target that is kept after its entry was removed, because the
@@ -56,7 +63,7 @@
 	g := NewWithT(t)
 	v := newTestView()
 	applyChange(v, 2, false, time.Now())
-	v.Hosts.applyList(nil, 2, time.Now().Add(-hostListInterval))
+	v.Hosts.applyList(nil, store.Position{Version: 2}, time.Now().Add(-hostListInterval))
 	v.recordContact(v.Hosts)
 	applyChange(v, 3, true, time.Now())
 	g.Expect(v.Snapshot().Targets).To(BeEmpty())
@@ -79,14 +86,14 @@
 func TestRowVersionsNeverDecrease(t *testing.T) {
 	g := NewWithT(t)
 	table := newTable("x")
-	changed, _ := table.applyChanges(targetRow(5, false), 5, time.Now())
-	g.Expect(changed).To(HaveLen(1))
-	g.Expect(applyPeerRows(table, targetRow(4, true), 0)).To(BeEmpty())
-	g.Expect(table.applyList(nil, 4, time.Now())).To(BeEmpty())
-	g.Expect(table.applyList(nil, 6, time.Now())).To(HaveLen(1))
-	g.Expect(applyPeerRows(table, targetRow(5, false), 0)).To(BeEmpty())
-	g.Expect(table.RowsAfter(5)).To(HaveLen(1))
-	g.Expect(table.NewestVersion()).To(BeEquivalentTo(6))
+	u, _, _ := table.applyChanges(targetRow(5, false), store.Position{Version: 5}, time.Now())
+	g.Expect(u.rows).To(HaveLen(1))
+	g.Expect(applyPeerRows(table, targetRow(4, true))).To(BeEmpty())
+	g.Expect(applyList(table, nil, 4)).To(BeEmpty())
+	g.Expect(applyList(table, nil, 6)).To(HaveLen(1))
+	g.Expect(applyPeerRows(table, targetRow(5, false))).To(BeEmpty())
+	g.Expect(table.RowsAfter(store.Position{Version: 5}).Rows).To(HaveLen(1))
+	g.Expect(table.Newest()).To(Equal(store.Position{Version: 6}))
 }
 
 // Guards against rows of a peer that leave a gap: the host would never request the rows
@@ -94,9 +101,138 @@
 func TestPeerRowsWithGapAreRejected(t *testing.T) {
 	g := NewWithT(t)
 	table := newTable("x")
-	_, complete := table.ApplyPeerRows(targetRow(9, false), 5)
+	_, complete := table.applyPeerRows(PeerRows{Rows: targetRow(9, false), After: store.Position{Version: 5}})
 	g.Expect(complete).To(BeFalse())
-	g.Expect(table.NewestVersion()).To(BeZero())
+	g.Expect(table.Newest()).To(BeZero())
+}
+
+// rowAt returns a row of the target in a state of the store.
+func rowAt(era, version uint64) []store.Row {
+	return []store.Row{{Key: "t", Version: version, Era: era}}
+}
+
+// Guards against a row of a restored store that is taken for older because its version is
+// lower, against one that the store has lost and stays, and against a watch that goes on
+// after a version of the earlier era.
+func TestRowsOfRestoredStoreReplaceEarlierOnes(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable("x")
+	list := func(rows []store.Row, era, version uint64) (update, bool) {
+		return table.applyList(rows, store.Position{Era: era, Version: version}, time.Now())
+	}
+	list(append(rowAt(1, 30), store.Row{Key: "lost", Version: 29, Era: 1}), 1, 30)
+	_, _, ok := table.applyChanges(rowAt(2, 40), store.Position{Era: 2, Version: 40}, time.Now())
+	g.Expect(ok).To(BeFalse(), "changes after version 30 of era 1 lack versions of era 2")
+	u, ok := list(rowAt(2, 20), 2, 25)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(u.restored).To(BeTrue())
+	g.Expect(u.rows).To(HaveLen(2))
+	cursor, _ := table.position()
+	g.Expect(cursor).To(Equal(store.Position{Era: 2, Version: 25}))
+	_, ok = list(rowAt(1, 31), 1, 31)
+	g.Expect(ok).To(BeFalse(), "a late response of the earlier era")
+	next, _, ok := table.applyChanges(rowAt(2, 26), store.Position{Era: 2, Version: 26}, time.Now())
+	g.Expect(ok).To(BeTrue())
+	g.Expect(next.restored).To(BeFalse())
+	g.Expect(next.rows).To(HaveLen(1))
+}
+
+// restoredView returns a view with the target t of the given incarnations, applied one after
+// the other as changes of the first era.
+func restoredView(started ...int64) (v *View, entry func(started int64, leaving bool) []byte) {
+	v = newTestView()
+	v.decoder.DecodeTarget = func(id string, value []byte) (*topology.Target, error) {
+		t := &topology.Target{ID: id, Service: "s"}
+		return t, json.Unmarshal(value, t)
+	}
+	entry = func(started int64, leaving bool) []byte {
+		value, err := json.Marshal(topology.Target{ID: "t", Service: "s", Started: started, Leaving: leaving})
+		if err != nil {
+			panic(err) // can't happen: all fields can be encoded
+		}
+		return value
+	}
+	v.listTargets(1, 1)
+	for i, s := range started {
+		v.changeTarget(1, uint64(10+i), entry(s, false))
+	}
+	return v, entry
+}
+
+// listTargets applies a listing of the targets with the given values as of a version.
+func (v *View) listTargets(era, version uint64, values ...[]byte) {
+	page := store.Page{Era: era, Version: version}
+	for _, value := range values {
+		page.Rows = append(page.Rows, store.Row{Key: "t", Value: value, Version: version, Era: era})
+	}
+	_ = v.applyListing(context.Background(), v.Targets, page)
+}
+
+// changeTarget applies a change of the target; a nil value removes its entry.
+func (v *View) changeTarget(era, version uint64, value []byte) {
+	u, _, _ := v.Targets.applyChanges([]store.Row{{Key: "t", Value: value, Version: version, Era: era, Deleted: value == nil}},
+		store.Position{Era: era, Version: version}, time.Now())
+	v.applyRows(v.Targets, u)
+}
+
+// Guards against a target whose entry was removed, or said that it leaves, and that gets
+// requests again because the store was restored from a copy in which it was ready.
+func TestRestoredStoreRevivesNoTarget(t *testing.T) {
+	for name, end := range map[string]func(v *View, leaving []byte){
+		"removed":  func(v *View, _ []byte) { v.changeTarget(1, 20, nil) },
+		"draining": func(v *View, leaving []byte) { v.changeTarget(1, 20, leaving) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			v, entry := restoredView(1)
+			end(v, entry(1, true))
+			v.listTargets(2, 10, entry(1, false))
+			g.Expect(v.Snapshot().Targets["t"].Leaving).To(BeTrue())
+			v.changeTarget(2, 11, nil)
+			g.Eventually(func() int { return len(v.Snapshot().Targets) }, expiredEntryGrace+time.Second).Should(BeZero())
+			v.changeTarget(2, 12, entry(2, false))
+			g.Expect(v.Snapshot().Targets["t"].Leaving).To(BeFalse())
+		})
+	}
+}
+
+// Guards against a target that has restarted and is replaced by its earlier incarnation from
+// the copy of a restored store.
+func TestRestoredStoreRevivesNoEarlierIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	v, entry := restoredView(1, 2)
+	v.listTargets(2, 10, entry(1, false))
+	g.Expect(v.Snapshot().Targets["t"].Started).To(BeEquivalentTo(2))
+	v.changeTarget(2, 11, entry(2, true))
+	g.Expect(v.Snapshot().Targets["t"].Leaving).To(BeTrue())
+}
+
+// Guards against a sound target that stays unused because its entry had lapsed before the
+// store was restored.
+func TestTargetIsUsedAgainAfterRestoration(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	v, entry := restoredView(1)
+	v.changeTarget(1, 20, nil)
+	v.listTargets(2, 10, entry(1, false))
+	leaving := func() bool { return v.Snapshot().Targets["t"].Leaving }
+	g.Expect(leaving()).To(BeTrue())
+	g.Eventually(leaving, restoredEntryProbation+time.Second, "50ms").Should(BeFalse())
+	v.changeTarget(2, 11, nil)
+	v.listTargets(3, 5, entry(1, false))
+	v.changeTarget(3, 6, entry(1, false))
+	g.Expect(leaving()).To(BeFalse(), "written again after the restoration")
+}
+
+// Guards against targets that are dropped because a restored store has lost their entries,
+// which they write again.
+func TestEntryLostByRestorationIsKeptForGracePeriod(t *testing.T) {
+	g := NewWithT(t)
+	v, entry := restoredView(1)
+	v.listTargets(2, 5)
+	g.Expect(v.Snapshot().Targets).To(HaveKey("t"))
+	v.changeTarget(2, 6, entry(1, false))
+	g.Consistently(func() int { return len(v.Snapshot().Targets) }, expiredEntryGrace+300*time.Millisecond).Should(Equal(1))
 }
 
 // countingSource counts the calls of Changes and records the version of the last one.
@@ -124,13 +260,13 @@
 	source := &countingSource{}
 	v := New(source, newTestView().decoder, hclog.NewNullLogger())
 	var watches atomic.Bool
-	v.ConfigureSharing(watches.Load, func(*Table, uint64) {})
+	v.ConfigureSharing(watches.Load, func(*Table, store.Position) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { v.watch(ctx, v.Targets); close(ended) }()
 	g.Eventually(func() bool { _, listed := v.Targets.position(); return listed }).Should(BeTrue())
 	g.Consistently(source.calls.Load, 3*idleCheckInterval).Should(BeZero())
-	newer, complete := v.MergeRows(v.Targets, targetRow(9, false), 0, time.Time{})
+	newer, complete := v.MergeRows(v.Targets, PeerRows{Rows: targetRow(9, false)}, time.Time{})
 	g.Expect(newer).To(Equal(1))
 	g.Expect(complete).To(BeTrue())
 	g.Expect(time.Since(v.Targets.LastContact())).To(BeNumerically("<", time.Second))
@@ -221,7 +357,7 @@
 	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, now)
 	_, _, err := v.MergePublications("m", Publications{})
 	g.Expect(err).To(MatchError(errClockUnknown))
-	v.observeClock(100*time.Second, now)
+	v.observeClock(store.Page{Clock: 100 * time.Second}, now)
 	merged, changed, err := v.MergePublications("m", Publications{})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(changed).To(BeTrue())
--- a/policy/topology/departures.go
+++ b/policy/topology/departures.go
@@ -3,21 +3,25 @@
 import "time"
 
 // departureTTL is how long the departure of a target is remembered after its entry was
-// removed. An entry that lapsed comes back when its target reaches the store again.
+// removed. An entry that lapsed comes back when its target reaches the store again; one
+// that was removed comes back when the store is restored from an older copy.
 const departureTTL = 5 * time.Minute
 
-// departure is what is remembered of a target that leaves.
+// departure is what is remembered of an incarnation that leaves or whose entry was removed.
 type departure struct {
 	target *Target
+	// leaving means that an entry of the incarnation said that it leaves.
+	leaving bool
 	// removedAt is when the entry was removed; zero while there is one.
 	removedAt time.Time
 }
 
 // Departures remembers which incarnations of targets have said in their entries that they
-// leave. It does no I/O.
+// leave, and whose entries were removed. It does no I/O.
 //
-// Invariant: an incarnation that has said so never counts as ready again. An entry that
-// says otherwise is a write that was carried out late, or older than what was known.
+// Invariant: an incarnation that has said that it leaves never counts as ready again. An
+// entry that says otherwise is a write that was carried out late, or older than what was
+// known.
 type Departures struct {
 	byID map[string]departure
 }
@@ -25,29 +29,41 @@
 // NewDepartures returns departures that remember no target.
 func NewDepartures() *Departures { return &Departures{byID: map[string]departure{}} }
 
+// known returns what is remembered of the incarnation of a target.
+func (d *Departures) known(t *Target) departure {
+	if known, ok := d.byID[t.ID]; ok && known.target.SameIncarnation(t) {
+		return known
+	}
+	return departure{}
+}
+
 // Apply records whether a newly read entry says that its target leaves, and makes it say
 // so if an earlier entry of the same incarnation did. It reports whether it changed the
 // entry.
 func (d *Departures) Apply(t *Target) (changed bool) {
-	known, ok := d.byID[t.ID]
-	changed = ok && known.target.SameIncarnation(t) && !t.Leaving
+	known := d.known(t)
+	changed = known.leaving && !t.Leaving
 	t.Leaving = t.Leaving || changed
-	if t.Leaving {
-		d.byID[t.ID] = departure{target: t}
+	switch {
+	case t.Leaving:
+		d.byID[t.ID] = departure{target: t, leaving: true}
+	case known.target != nil:
+		delete(d.byID, t.ID)
 	}
 	return changed
 }
 
+// WasRemoved reports whether the entry of an incarnation was removed and has not been
+// written since.
+func (d *Departures) WasRemoved(t *Target) bool { return !d.known(t).removedAt.IsZero() }
+
 // Remove records that the entry of a target was removed, and forgets targets whose entries
 // were removed long ago.
-func (d *Departures) Remove(id string, now time.Time) {
-	if known, ok := d.byID[id]; ok && known.removedAt.IsZero() {
-		known.removedAt = now
-		d.byID[id] = known
-	}
-	for other, known := range d.byID {
+func (d *Departures) Remove(t *Target, now time.Time) {
+	d.byID[t.ID] = departure{target: t, leaving: t.Leaving, removedAt: now}
+	for id, known := range d.byID {
 		if !known.removedAt.IsZero() && now.Sub(known.removedAt) > departureTTL {
-			delete(d.byID, other)
+			delete(d.byID, id)
 		}
 	}
 }
--- a/policy/topology/departures_test.go
+++ b/policy/topology/departures_test.go
@@ -23,7 +23,7 @@
 		late := entry(1, false)
 		g.Expect(d.Apply(late)).To(BeTrue())
 		g.Expect(late.Leaving).To(BeTrue())
-		d.Remove("t", now)
+		d.Remove(late, now)
 	}
 	next := entry(2, false)
 	g.Expect(d.Apply(next)).To(BeFalse())
@@ -36,10 +36,25 @@
 	g := NewWithT(t)
 	d := NewDepartures()
 	now := time.Unix(0, 0)
+	other := func() *Target { return &Target{ID: "other"} }
 	d.Apply(entry(1, true))
-	d.Remove("other", now.Add(2*departureTTL))
+	d.Remove(other(), now.Add(2*departureTTL))
+	g.Expect(d.Apply(entry(1, false))).To(BeTrue())
+	d.Remove(entry(1, true), now)
+	g.Expect(d.WasRemoved(entry(1, false))).To(BeTrue())
+	d.Remove(other(), now.Add(2*departureTTL))
+	g.Expect(d.WasRemoved(entry(1, false))).To(BeFalse())
 	g.Expect(d.byID).To(HaveLen(1))
-	d.Remove("t", now)
-	d.Remove("other", now.Add(2*departureTTL))
-	g.Expect(d.byID).To(BeEmpty())
+}
+
+// Guards against an entry that was written again and still counts as removed, and against a
+// next incarnation that does.
+func TestRemovalEndsWithTheNextEntry(t *testing.T) {
+	g := NewWithT(t)
+	d := NewDepartures()
+	d.Remove(entry(1, false), time.Unix(0, 0))
+	g.Expect(d.WasRemoved(entry(1, false))).To(BeTrue())
+	g.Expect(d.WasRemoved(entry(2, false))).To(BeFalse())
+	d.Apply(entry(1, false))
+	g.Expect(d.WasRemoved(entry(1, false))).To(BeFalse())
 }
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -182,8 +182,6 @@
 	// Started is the start time in Unix milliseconds; zero if unknown. A target that
 	// restarts under the same ID has another start time and has lost its earlier state.
 	Started int64
-	// Revision is the revision of the target's entry in the store.
-	Revision uint64
 }
 
 // Incarnation identifies one start of a target.
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -75,12 +75,11 @@
 	s.notifyWatchers()
 }
 
-// Restore brings the store back from a copy of the given age: what was written since is
-// gone, its versions are given out again, and the era rises.
-func (s *Store) Restore(age time.Duration) {
+// Restore brings the store back from a copy that was made at a time: what was written since
+// is gone, its versions are given out again, and the era rises.
+func (s *Store) Restore(copiedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	copiedAt := time.Now().Add(-age)
 	kept, _ := slices.BinarySearchFunc(s.history, copiedAt, func(c change, at time.Time) int { return c.at.Compare(at) })
 	s.history = s.history[:kept]
 	s.rows, s.version = map[rowKey]row{}, 0
