Give no fencing token out twice after the store was restored

Fencing tokens are now the era and, within it, the version of the row that the lease replaces, so that none is given out twice; those of a later era are higher. A row of an earlier era, or none, is replaced only once the longest lost lease must have expired; each host reads the row once in each era, so that this time has passed when weights are published. The holder itself acquires its lease anew at once while that has not expired. Writes with a condition on a version state its era: the outcome counts only if the store was in that era.

The model of the lease restores the store, with late writes that take effect in the next era; it fails if tokens do not hold the era or the version, or if the wait is left out.

The stand-in's orders now name their holder.

--- a/internal/leasestore/leasestore.go
+++ b/internal/leasestore/leasestore.go
@@ -56,39 +56,77 @@
 // Unlock releases the local lock.
 func (r *Row) Unlock() { <-r.lock }
 
-func (r *Row) load(ctx context.Context) (*lease.Row, uint64, error) {
-	stored, err := r.store.Get(ctx, r.table, r.key)
+// stored is the row as the store has it; row is nil if it is absent.
+type stored struct {
+	row          *lease.Row
+	version, era uint64
+}
+
+func (r *Row) load(ctx context.Context) (stored, error) {
+	found, err := r.store.Get(ctx, r.table, r.key)
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, 0, nil
+		return stored{era: found.Era}, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return stored{}, err
 	}
-	row := &lease.Row{}
-	if err := json.Unmarshal(stored.Value, row); err != nil {
-		return nil, 0, errors.WithMessagef(err, "decode row %s/%s", r.table, r.key)
+	out := stored{row: &lease.Row{}, version: found.Version, era: found.Era}
+	if err := json.Unmarshal(found.Value, out.row); err != nil {
+		return stored{}, errors.WithMessagef(err, "decode row %s/%s", r.table, r.key)
 	}
-	return row, stored.Version, nil
+	return out, nil
+}
+
+// Observe reads the row, so that the time for which it has been unchanged is known when
+// the lease is needed.
+func (r *Row) Observe(ctx context.Context) error {
+	_, err := r.observe(ctx)
+	return err
+}
+
+func (r *Row) observe(ctx context.Context) (stored, error) {
+	s, err := r.load(ctx)
+	if err == nil {
+		r.observer.ObserveEra(s.era, r.now())
+		r.observer.Observe(s.version, r.now())
+	}
+	return s, err
 }
 
 // TryAcquire reads the row and acquires the lease if the row allows it; it returns
 // ErrHeld if not.
 func (r *Row) TryAcquire(ctx context.Context, p lease.Params) (lease.Held, error) {
-	row, version, err := r.load(ctx)
+	s, err := r.observe(ctx)
 	if err != nil {
 		return lease.Held{}, err
 	}
-	r.observer.Observe(version, r.now())
-	if !r.observer.MayAcquire(row, r.holderID, r.now(), p) {
+	if !r.observer.MayAcquire(s.row, r.holderID, r.now(), p) {
 		return lease.Held{}, ErrHeld
 	}
-	next := lease.NextRow(row, r.holderID, uuid.NewString())
+	return r.acquire(ctx, s, p)
+}
+
+// Reacquire acquires a lease anew that was acquired before the store was restored. It
+// returns ErrHeld once the lease has expired.
+func (r *Row) Reacquire(ctx context.Context, held lease.Held, p lease.Params) (lease.Held, error) {
+	s, err := r.observe(ctx)
+	if err != nil {
+		return lease.Held{}, err
+	}
+	if !held.MayReacquire(r.now()) {
+		return lease.Held{}, ErrHeld
+	}
+	return r.acquire(ctx, s, p)
+}
+
+func (r *Row) acquire(ctx context.Context, s stored, p lease.Params) (lease.Held, error) {
+	next := lease.NextRow(s.row, r.holderID, uuid.NewString(), s.era, s.version)
 	sentAt := r.now()
-	version, err = r.put(ctx, next, version)
+	version, err := r.put(ctx, next, s.version)
 	if err != nil {
 		return lease.Held{}, err
 	}
-	return lease.Acquired(row, next, version, sentAt, p), nil
+	return lease.Acquired(s.row, next, version, sentAt, p), nil
 }
 
 // Renew extends a held lease.
@@ -108,16 +146,17 @@
 	return err
 }
 
-// put writes the row conditionally. If the response is lost, it reads the row back and
-// compares the attempt ID. A write that is still in flight counts as failed: if it
-// arrives later, the row shows a lease of this process that no goroutine acts on.
+// put writes the row conditionally, in the era of the row. If the response is lost, it
+// reads the row back and compares the attempt ID. A write that is still in flight counts as
+// failed: if it arrives later, the row shows a lease of this process that no goroutine acts
+// on.
 func (r *Row) put(ctx context.Context, row lease.Row, version uint64) (uint64, error) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return 0, errors.WithMessage(err, "encode lease")
 	}
 	written, err := r.store.Commit(ctx,
-		[]platform.Condition{{Table: r.table, Key: r.key, Version: version}},
+		[]platform.Condition{{Table: r.table, Key: r.key, Version: version, Era: row.Era}},
 		[]platform.Write{{Table: r.table, Key: r.key, Value: value}})
 	if errors.Is(err, platform.ErrConflict) {
 		return 0, ErrHeld
@@ -125,9 +164,9 @@
 	if !errors.Is(err, platform.ErrUnknownOutcome) {
 		return written, err
 	}
-	found, foundVersion, readErr := r.load(ctx)
-	if readErr == nil && found != nil && found.AttemptID == row.AttemptID {
-		return foundVersion, nil
+	found, readErr := r.load(ctx)
+	if readErr == nil && found.row != nil && found.row.AttemptID == row.AttemptID && found.era == row.Era {
+		return found.version, nil
 	}
 	return 0, err
 }
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -88,7 +88,7 @@
 func (c *Client) Commit(ctx context.Context, conditions []Condition, writes []Write) (uint64, error) {
 	tx := transactionJSON{make([]conditionJSON, len(conditions)), make([]writeJSON, len(writes))}
 	for i, condition := range conditions {
-		tx.Conditions[i] = conditionJSON(condition)
+		tx.Conditions[i] = conditionJSON{Table: condition.Table, Key: condition.Key, Version: condition.Version}
 	}
 	for i, w := range writes {
 		tx.Writes[i] = writeJSON(w)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,7 +12,11 @@
 // Errors that callers handle differently. ErrUnavailable means that a write has not
 // taken effect. ErrUnknownOutcome means that it may have: the writer has to read back
 // whether its attempt ID was stored.
+//
+// ErrRestored means that the store was restored after a row was read, so that a condition on
+// its version is void. The write may have taken effect or be gone.
 var (
+	ErrRestored       = errors.New("the store was restored from an older copy")
 	ErrNotFound       = errors.New("not found in the platform")
 	ErrConflict       = errors.New("a condition of the transaction did not hold")
 	ErrUnavailable    = errors.New("the platform did not take the request")
@@ -70,11 +74,14 @@
 // Position returns the position up to which the rows are complete.
 func (p Page) Position() Position { return Position{p.Era, p.Version} }
 
-// Condition holds if the row has exactly this version; 0 means that it is absent.
+// Condition holds if the row has exactly this version; 0 means that it is absent. After a
+// restoration another row may have the version.
 type Condition struct {
 	Table   string
 	Key     string
 	Version uint64
+	// Era is the era in which the version was read; zero applies in any era.
+	Era uint64
 }
 
 // Write replaces a row, or deletes it.
@@ -87,7 +94,7 @@
 
 // Store is the transactional table service.
 type Store interface {
-	// Get reads a row. It returns ErrNotFound if the row is absent.
+	// Get reads a row. It returns ErrNotFound, and the era, if the row is absent.
 	Get(ctx context.Context, table, key string) (Row, error)
 	// Commit applies all writes if all conditions hold and returns the version of the
 	// written rows. After ErrConflict and ErrUnavailable nothing was written; after
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -175,6 +175,14 @@
 	return v.storeRecoveredAt
 }
 
+// Era returns the highest era of the store that this host has seen; zero before the first
+// response and for a store without eras.
+func (v *View) Era() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.era
+}
+
 // Snapshot returns the current snapshot.
 func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
 
--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -8,10 +8,26 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/leasestore"
+	"github.com/sequoiaroad/sequoiaroad/internal/platform"
 	"github.com/sequoiaroad/sequoiaroad/policy/lease"
 	"github.com/sequoiaroad/sequoiaroad/policy/rollout"
 )
 
+// observeEra reads the lease row once in each era of the store, so that the time for which
+// no process may acquire the lease has passed when weights are published.
+func (c *Controller) observeEra(ctx context.Context) {
+	era, now := c.View.Era(), c.Clock()
+	if era == c.observedEra || now.Before(c.observeEraAt) || c.View.StoreUnreachable() {
+		return
+	}
+	if err := c.row.Observe(ctx); err != nil {
+		c.observeEraAt = now.Add(leaseCheckInterval)
+		c.Log.Warn("failed to read the weights lease", "era", era, "error", err)
+		return
+	}
+	c.observedEra = era
+}
+
 // ensureLease acquires or renews the lease as needed, and reports whether this host may
 // act on it.
 func (c *Controller) ensureLease(ctx context.Context) bool {
@@ -26,7 +42,7 @@
 		return c.held != nil && c.held.MayAct(now, orderDeliveryTime)
 	}
 	if c.held != nil {
-		held, err := c.row.Renew(ctx, *c.held, c.params)
+		held, err := c.renew(ctx)
 		if err == nil {
 			c.held = &held
 			return true
@@ -41,6 +57,19 @@
 	return c.tryAcquireLease(ctx, now)
 }
 
+// renew extends the held lease, or acquires it anew if the store was restored.
+func (c *Controller) renew(ctx context.Context) (lease.Held, error) {
+	held, err := c.row.Renew(ctx, *c.held, c.params)
+	if !errors.Is(err, platform.ErrRestored) {
+		return held, err
+	}
+	held, err = c.row.Reacquire(ctx, *c.held, c.params)
+	if err == nil {
+		c.Log.Info("weights lease acquired anew: the store was restored", "fence", held.Row.FencingToken, "before", c.held.Row.FencingToken, "era", held.Row.Era)
+	}
+	return held, err
+}
+
 func (c *Controller) isFenced(token uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -102,6 +102,10 @@
 	busy           map[string]bool
 	retryAt        map[string]time.Time
 	lastProgress   time.Time
+	// observedEra is the store's era in which the lease row was read; observeEraAt is when
+	// a failed read is repeated.
+	observedEra  uint64
+	observeEraAt time.Time
 	// records holds what this host has done about the newest publication, by model.
 	records map[string]*record
 	// highestFenced is the highest fencing token of this host that an engine rejected.
@@ -168,6 +172,7 @@
 }
 
 func (c *Controller) reconcile(ctx context.Context, running *sync.WaitGroup) {
+	c.observeEra(ctx)
 	c.recordPublications(ctx, running)
 	pending := c.pendingRollouts()
 	if len(pending) == 0 {
--- a/policy/lease/lease.go
+++ b/policy/lease/lease.go
@@ -8,6 +8,11 @@
 // being unchanged. A lease can't bound a pause between the holder's check and its
 // action: targets that check fencing tokens reject such a late order; for all others
 // the next holder waits for Params.Settle.
+//
+// A store that is restored from an older copy loses leases that it has acknowledged, and
+// gives versions out again. Each restoration begins a new era. Until the longest lease of
+// the earlier era has expired, no process acquires the lease but its holder; fencing tokens
+// of a later era are higher than all of earlier ones. A store without eras is in era 0.
 package lease
 
 import "time"
@@ -37,13 +42,26 @@
 	// Released reports that the holder ended the lease after it had received a response
 	// to every action.
 	Released bool `json:"released,omitempty"`
+	// Era is the era of the store in which the lease was acquired.
+	Era uint64 `json:"era,omitempty"`
 }
 
-// Observer measures how long a row has been unchanged.
+// Observer measures how long a row has been unchanged, and how long the store has been in
+// its era.
 type Observer struct {
 	version  uint64
 	since    time.Time
 	observed bool
+	era      uint64
+	eraSince time.Time
+}
+
+// ObserveEra records that the store was in an era. An earlier observation of the row then
+// counts no more, since the same version may be another write.
+func (o *Observer) ObserveEra(era uint64, at time.Time) {
+	if era > o.era {
+		o.era, o.eraSince, o.observed = era, at, false
+	}
 }
 
 // Observe records a version of the row and the time of its receipt. The time of sending
@@ -56,19 +74,40 @@
 
 // MayAcquire reports whether self may replace row, conditional on the version last
 // observed. A nil row is absent. A process may always replace its own row, because it
-// must no longer act on its earlier lease.
+// must no longer act on its earlier lease. A row of another era, or an absent one, may
+// stand for a lease that the store has lost.
 func (o *Observer) MayAcquire(row *Row, self string, now time.Time, p Params) bool {
-	if row == nil || row.Released || row.Holder == self {
-		return true
+	wait := p.Duration + p.Drift
+	unchanged := o.observed && now.Sub(o.since) >= wait
+	switch {
+	case row != nil && row.Era == o.era:
+		return row.Released || row.Holder == self || unchanged
+	case o.era > 0 && now.Sub(o.eraSince) < wait:
+		return false
 	}
-	return o.observed && now.Sub(o.since) >= p.Duration+p.Drift
+	return row == nil || unchanged
 }
 
-// NextRow returns the row that a new holder writes over row.
-func NextRow(row *Row, holder, attemptID string) Row {
-	next := Row{Holder: holder, FencingToken: 1, AttemptID: attemptID}
+// eraShift is the number of bits of a fencing token below the era. Versions stay below
+// that for years, and tokens are exact in JSON numbers up to era 2^17.
+const eraShift = 36
+
+// firstToken returns the lowest fencing token of a lease that replaces the given version of
+// its row. Each version of an era is replaced at most once, so that no token is given out
+// twice.
+func firstToken(era, version uint64) uint64 {
+	if era == 0 {
+		return 1
+	}
+	return era<<eraShift + version + 1
+}
+
+// NextRow returns the row that a new holder writes over row, which has the given version in
+// the given era; zero if it is absent.
+func NextRow(row *Row, holder, attemptID string, era, version uint64) Row {
+	next := Row{Holder: holder, FencingToken: firstToken(era, version), AttemptID: attemptID, Era: era}
 	if row != nil {
-		next.FencingToken = row.FencingToken + 1
+		next.FencingToken = max(next.FencingToken, row.FencingToken+1)
 	}
 	return next
 }
@@ -86,12 +125,17 @@
 // sent at sentAt.
 func Acquired(previous *Row, next Row, version uint64, sentAt time.Time, p Params) Held {
 	held := Held{Row: next, Version: version, ActFrom: sentAt, ExpiresAt: sentAt.Add(p.Duration)}
-	if previous != nil && !previous.Released && p.Settle > 0 {
+	ended := previous == nil && next.Era == 0 || previous != nil && previous.Released && previous.Era == next.Era
+	if !ended && p.Settle > 0 {
 		held.ActFrom = sentAt.Add(p.Settle + p.Drift)
 	}
 	return held
 }
 
+// MayReacquire reports whether the holder may acquire the lease anew in a later era of the
+// store: no other process does before this lease has expired.
+func (h Held) MayReacquire(now time.Time) bool { return now.Before(h.ExpiresAt) }
+
 // RenewalRow returns the row that extends the lease.
 func (h Held) RenewalRow(attemptID string) Row {
 	row := h.Row
--- a/policy/lease/model_test.go
+++ b/policy/lease/model_test.go
@@ -33,17 +33,45 @@
 	effectEnds time.Duration
 }
 
+// storeCopy is a state of the store.
+type storeCopy struct {
+	row              *Row
+	version, counter uint64
+}
+
 type delayedWrite struct {
 	row      Row
 	expected uint64
 }
 
+func (m *model) restorable() bool { return m.era > 0 }
+
+// keepCopy keeps the current state of the store.
+func (m *model) keepCopy() { m.copies = append(m.copies, storeCopy{m.row, m.version, m.counter}) }
+
+// restore brings the store back in an earlier state: later leases are lost, and versions are
+// given out again. Writes that are still in flight may take effect in the new era.
+func (m *model) restore(t *rapid.T) {
+	if !m.restorable() || len(m.copies) == 0 {
+		t.Skip("no copy")
+	}
+	kept := rapid.IntRange(max(0, len(m.copies)-4), len(m.copies)-1).Draw(t, "copy")
+	m.copies = m.copies[:kept+1]
+	c := m.copies[kept]
+	m.row, m.version, m.counter = c.row, c.version, c.counter
+	m.era++
+}
+
 // model is one lease row with delayed writes, and processes with different clocks.
 type model struct {
 	params  Params
 	row     *Row
 	version uint64
 	counter uint64
+	// era counts the restorations of the store; 0 stands for a store without eras. copies
+	// are earlier states of the row from which it may be restored.
+	era     uint64
+	copies  []storeCopy
 	delayed []delayedWrite
 	now     time.Duration
 	procs   []*process
@@ -59,6 +87,7 @@
 	// read is a row that has been read but not yet acted on.
 	read        *Row
 	readVersion uint64
+	readEra     uint64
 	hasRead     bool
 	held        *Held
 	// busyUntil is the end of the action that the process is waiting for.
@@ -71,9 +100,9 @@
 	return time.Unix(0, 0).Add(p.offset + time.Duration(float64(m.now)*p.rate))
 }
 
-// write makes a conditional write. If its response is lost, the process either reads the
-// row back at once or gives up.
-func (m *model) write(t *rapid.T, row Row, expected uint64) bool {
+// write makes a conditional write that counts only in the given era. If its response is
+// lost, the process either reads the row back at once or gives up.
+func (m *model) write(t *rapid.T, row Row, expected, era uint64) bool {
 	fault := rapid.SampledFrom([]string{"ok", "ok", "ok", "lost", "delayed"}).Draw(t, "write")
 	if fault == "delayed" {
 		m.delayed = append(m.delayed, delayedWrite{row, expected})
@@ -83,13 +112,14 @@
 	if fault == "lost" && rapid.Bool().Draw(t, "read back fails") {
 		return false
 	}
-	return applied
+	return applied && m.era == era
 }
 
 func (m *model) apply(row Row, expected uint64) bool {
 	if m.version != expected {
 		return false
 	}
+	m.keepCopy()
 	m.counter++
 	m.row, m.version = &row, m.counter
 	return true
@@ -103,6 +133,8 @@
 	}
 	steps := []func(*rapid.T, *process){m.act, m.act, m.renew, m.release, m.crash}
 	switch {
+	case p.held != nil && p.held.Row.Era < m.era:
+		steps = append(steps, m.reacquire, m.reacquire)
 	case p.held == nil && !p.hasRead:
 		steps = []func(*rapid.T, *process){m.readRow}
 	case p.held == nil && p.observer.MayAcquire(p.read, p.name(), m.clock(p), m.params):
@@ -114,7 +146,8 @@
 }
 
 func (m *model) readRow(_ *rapid.T, p *process) {
-	p.read, p.readVersion, p.hasRead = m.row, m.version, true
+	p.read, p.readVersion, p.readEra, p.hasRead = m.row, m.version, m.era, true
+	p.observer.ObserveEra(m.era, m.clock(p))
 	p.observer.Observe(m.version, m.clock(p))
 }
 
@@ -129,21 +162,39 @@
 
 // acquire writes over a row that may have been read long ago.
 func (m *model) acquire(t *rapid.T, p *process) {
-	next := NextRow(p.read, p.name(), "")
+	next := NextRow(p.read, p.name(), "", p.readEra, p.readVersion)
 	sentAt := m.clock(p)
 	p.hasRead = false
-	if m.write(t, next, p.readVersion) {
+	if m.write(t, next, p.readVersion, p.readEra) {
 		held := Acquired(p.read, next, m.version, sentAt, m.params)
 		p.held = &held
 	}
 	m.elapse(t)
 }
 
+// hear lets a process learn of the store's era, other than by reading the row.
+func (m *model) hear(t *rapid.T) {
+	p := rapid.SampledFrom(m.procs).Draw(t, "process")
+	p.observer.ObserveEra(m.era, m.clock(p))
+	p.hasRead = p.hasRead && p.readEra == m.era
+}
+
+// reacquire lets the holder acquire its lease anew in a later era.
+func (m *model) reacquire(t *rapid.T, p *process) {
+	if !p.held.MayReacquire(m.clock(p)) {
+		p.held = nil
+		return
+	}
+	p.held = nil
+	m.readRow(t, p)
+	m.acquire(t, p)
+}
+
 func (m *model) renew(t *rapid.T, p *process) {
 	sentAt := m.clock(p)
 	m.elapse(t)
 	row := p.held.RenewalRow("")
-	if !m.write(t, row, p.held.Version) {
+	if !m.write(t, row, p.held.Version, p.held.Row.Era) {
 		p.held = nil
 		return
 	}
@@ -196,7 +247,7 @@
 		p.held = nil
 		return
 	}
-	m.write(t, p.held.ReleaseRow(""), p.held.Version)
+	m.write(t, p.held.ReleaseRow(""), p.held.Version, p.held.Row.Era)
 	p.held = nil
 }
 
@@ -230,7 +281,7 @@
 	}
 	t.Repeat(map[string]func(*rapid.T){
 		"step": m.step, "step 2": m.step, "step 3": m.step, "step 4": m.step, "step 5": m.step,
-		"deliver": m.deliverDelayed, "elapse": m.elapse,
+		"deliver": m.deliverDelayed, "elapse": m.elapse, "restore": m.restore, "hear": m.hear,
 	})
 }
 
@@ -253,6 +304,47 @@
 	})
 }
 
+// Guards against two holders that act at the same time, against a fencing token that is
+// given out twice, and against one that is lower than an earlier one, because the store was
+// restored from an older copy and gives out versions again.
+func TestHoldersActInFencingTokenOrderAfterRestorations(t *testing.T) {
+	for _, settle := range []time.Duration{0, maxOrderDelay + maxOrderEffect} {
+		rapid.Check(t, func(t *rapid.T) {
+			(&model{params: testParams(settle), era: 1}).run(t)
+		})
+	}
+}
+
+// Guards against a holder that is not given its lease anew after a restoration, and against
+// any other process that acquires it before that lease has expired.
+func TestRestorationKeepsTheHolder(t *testing.T) {
+	p := testParams(0)
+	start := time.Unix(0, 0)
+	held := Acquired(nil, NextRow(nil, "holder", "", 1, 0), 7, start, p)
+	var o Observer
+	o.ObserveEra(2, start.Add(time.Second))
+	if !held.MayReacquire(start.Add(time.Second)) || held.MayReacquire(start.Add(p.Duration)) {
+		t.Fatal("the holder may reacquire the lease until it has expired, and not longer")
+	}
+	for _, row := range []*Row{nil, {Holder: "other", Era: 1, Released: true}, {Holder: "self", Era: 1}} {
+		o.Observe(3, start.Add(time.Second))
+		if o.MayAcquire(row, "self", start.Add(p.Duration+p.Drift), p) {
+			t.Fatalf("row %+v was acquired before the lost lease had expired", row)
+		}
+		if !o.MayAcquire(row, "self", start.Add(time.Second+p.Duration+p.Drift), p) {
+			t.Fatalf("row %+v was not acquired after the lost lease had expired", row)
+		}
+	}
+	late := start.Add(time.Minute)
+	o.Observe(9, late)
+	if o.MayAcquire(&Row{Holder: "other", Era: 1}, "self", late, p) {
+		t.Fatal("a late write over the row of a current lease made the lease available")
+	}
+	if next := NextRow(nil, "self", "", 2, 0); next.FencingToken <= held.Row.FencingToken {
+		t.Fatalf("token %d follows %d", next.FencingToken, held.Row.FencingToken)
+	}
+}
+
 // Guards against a takeover while the holder's slow clock still counts the lease as
 // held, and against a renewal of the row that does not restart the wait.
 func TestTakeoverWaitsForDurationAndDrift(t *testing.T) {
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -102,20 +102,20 @@
 type Replica struct {
 	options ReplicaOptions
 
-	mu                    sync.Mutex
-	faults                ReplicaFaults
-	started               int64
-	arrivals              []Arrival
-	executions            []Execution
-	acceptedFencingTokens []uint64
-	weightsVersion        int64
-	loading               bool
-	crashed               bool
-	running               int
-	loadWhenIdle          func() // starts the load of an accepted order; nil if none waits
-	store                 *Store // the store in which the replica is registered
-	sequence              int64
-	highestFencingToken   uint64
+	mu                  sync.Mutex
+	faults              ReplicaFaults
+	started             int64
+	arrivals            []Arrival
+	executions          []Execution
+	acceptedOrders      []AcceptedOrder
+	weightsVersion      int64
+	loading             bool
+	crashed             bool
+	running             int
+	loadWhenIdle        func() // starts the load of an accepted order; nil if none waits
+	store               *Store // the store in which the replica is registered
+	sequence            int64
+	highestFencingToken uint64
 }
 
 // NewReplica returns a replica that is not registered.
@@ -161,11 +161,18 @@
 	return r.started
 }
 
-// AcceptedFencingTokens returns the fencing tokens of the accepted orders.
-func (r *Replica) AcceptedFencingTokens() []uint64 {
+// AcceptedOrder is an order that a replica carried out.
+type AcceptedOrder struct {
+	Holder       string
+	FencingToken uint64
+	At           time.Time
+}
+
+// AcceptedOrders returns the accepted orders.
+func (r *Replica) AcceptedOrders() []AcceptedOrder {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]uint64(nil), r.acceptedFencingTokens...)
+	return append([]AcceptedOrder(nil), r.acceptedOrders...)
 }
 
 // WeightsVersion returns the version of the loaded weights.
@@ -293,7 +300,7 @@
 	}
 	r.loading = true
 	r.sequence++
-	r.acceptedFencingTokens = append(r.acceptedFencingTokens, o.FencingToken)
+	r.acceptedOrders = append(r.acceptedOrders, AcceptedOrder{o.Holder, o.FencingToken, time.Now()})
 	r.loadWhenIdle = func() {
 		time.AfterFunc(r.options.LoadTime, func() {
 			r.mu.Lock()
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -179,9 +179,9 @@
 		f.g.Expect(f.send(h2, promptRequest("/query/1")).status).To(Equal(http.StatusOK))
 	}
 	f.g.Eventually(enginesAtVersion(2), "8s", "20ms").Should(Equal(4))
-	firstFencingTokens := engines[0].AcceptedFencingTokens()
-	f.g.Expect(firstFencingTokens).To(HaveLen(1))
-	f.g.Expect(firstFencingTokens[0]).To(BeNumerically(">", 0))
+	first := engines[0].AcceptedOrders()
+	f.g.Expect(first).To(HaveLen(1))
+	f.g.Expect(first[0].FencingToken).To(BeNumerically(">", 0))
 	f.g.Expect(f.store.Rows("sequoiaroad.duties")).To(HaveKey("weights"))
 	// The lease holder stops; the other host takes over with a higher fencing token.
 	var holder struct{ Holder string }
@@ -195,8 +195,8 @@
 	stopped.done <- nil
 	f.publishWeights(3)
 	f.g.Eventually(enginesAtVersion(3), "10s", "20ms").Should(Equal(4))
-	secondFencingTokens := engines[0].AcceptedFencingTokens()
-	f.g.Expect(secondFencingTokens[len(secondFencingTokens)-1]).To(BeNumerically(">", firstFencingTokens[0]))
+	second := engines[0].AcceptedOrders()
+	f.g.Expect(second[len(second)-1].FencingToken).To(BeNumerically(">", first[0].FencingToken))
 	f.g.Expect(f.send(remaining, promptRequest("/query/1")).status).To(Equal(http.StatusOK))
 }
 
--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -172,3 +173,90 @@
 		h.stop()
 	}
 }
+
+// leaseTerm is the lease duration of the settings and the margin for clocks.
+const leaseTerm = 1300 * time.Millisecond
+
+// expectOrdersFenced expects that no two hosts gave orders to an engine with the same
+// fencing token, and that tokens never decreased.
+func (f *fixture) expectOrdersFenced(engines ...*standin.Replica) {
+	for _, e := range engines {
+		orders := e.AcceptedOrders()
+		for i := 1; i < len(orders); i++ {
+			f.g.Expect(orders[i].FencingToken).To(BeNumerically(">=", orders[i-1].FencingToken), "%+v", orders)
+			if orders[i].Holder != orders[i-1].Holder {
+				f.g.Expect(orders[i].FencingToken).NotTo(Equal(orders[i-1].FencingToken), "%+v", orders)
+			}
+		}
+	}
+}
+
+// restoreStoreWithWeights restores the store; the operator also writes the newest weights
+// version again.
+func (f *fixture) restoreStoreWithWeights(copiedAt time.Time, version int) {
+	f.restoreStore(copiedAt)
+	f.publishWeights(version)
+}
+
+// leaseHolder returns the host that holds the lease of the rollout by the store's row.
+func (f *fixture) leaseHolder() string {
+	var row struct{ Holder string }
+	_ = json.Unmarshal(f.store.Rows("sequoiaroad.duties")["weights"], &row) // fails if there is no row
+	return row.Holder
+}
+
+// Guards against two hosts that give orders with the same fencing token, because the store
+// was restored and has lost the lease with which the first of them acted.
+func TestRestorationRepeatsNoFencingToken(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := f.startEngine("engine-1", 2)
+	hosts := map[string]*host{"host-1": f.startHost("host-1"), "host-2": f.startHost("host-2")}
+	time.Sleep(leaseTerm)
+	copiedAt := time.Now()
+	f.publishWeights(2)
+	f.g.Eventually(engine.WeightsVersion, "5s", "10ms").Should(BeEquivalentTo(2))
+	holder := f.leaseHolder()
+	stopped := hosts[holder]
+	stopped.stop()
+	f.g.Eventually(stopped.done, "10s").Should(Receive())
+	stopped.done <- nil
+	f.restoreStoreWithWeights(copiedAt, 2)
+	f.publishWeights(3)
+	f.g.Eventually(engine.WeightsVersion, standin.MaxWeightsStaleness, "10ms").Should(BeEquivalentTo(3))
+	f.g.Expect(f.leaseHolder()).NotTo(Equal(holder))
+	f.expectOrdersFenced(engine)
+}
+
+// Guards against a second host that gives orders while the first still acts on a lease which
+// the restored store has lost, and against a rollout that stops for the time of a lease
+// although its holder goes on.
+func TestRestorationKeepsOneHolder(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	var engines []*standin.Replica
+	for i := range 8 {
+		r, _ := f.startReplica(standin.ReplicaOptions{ID: fmt.Sprint("engine-", i), Service: engineService, Model: model, StreamEvents: 2, LoadTime: 500 * time.Millisecond})
+		engines = append(engines, r)
+	}
+	f.startHost("host-1")
+	f.startHost("host-2")
+	f.startHost("host-3")
+	time.Sleep(leaseTerm)
+	copiedAt := time.Now()
+	f.publishWeights(2)
+	f.g.Eventually(f.leaseHolder, "3s", "5ms").ShouldNot(BeEmpty())
+	time.Sleep(600 * time.Millisecond)
+	f.restoreStoreWithWeights(copiedAt, 2)
+	for _, e := range engines {
+		f.g.Eventually(e.WeightsVersion, standin.MaxWeightsStaleness, "10ms").Should(BeEquivalentTo(2))
+	}
+	f.expectOrdersFenced(engines...)
+	holders := map[string]bool{}
+	for _, e := range engines {
+		for _, o := range e.AcceptedOrders() {
+			holders[o.Holder] = true
+		}
+	}
+	f.g.Expect(holders).To(HaveLen(1))
+}
