Write a host's entry again after the store was restored

A restored store has lost the entries of hosts that wrote theirs after the copy was made. Nobody wrote them again within the first minute, so that a host that started met only some of the others.

TestRestorationLosesNoHost fails on the code before: one of two entries is left after 8 s.

--- a/internal/routehost/entry.go
+++ b/internal/routehost/entry.go
@@ -21,8 +21,9 @@
 	staleEntryAge = time.Minute
 )
 
-// maintainEntry keeps this host's entry in the store, removes it at a planned stop, and
-// removes the entries of hosts that have sent no heartbeat for staleEntryAge.
+// maintainEntry keeps this host's entry in the store, writes it again after the store was
+// restored, removes it at a planned stop, and removes the entries of hosts that have sent no
+// heartbeat for staleEntryAge.
 func (h *Host) maintainEntry(ctx context.Context) error {
 	value, err := json.Marshal(h.self)
 	if err != nil {
@@ -30,12 +31,17 @@
 	}
 	started := time.Now()
 	written := false
+	var era uint64
 	for ctx.Err() == nil {
 		pause := entryCheckInterval
+		if current := h.view.Era(); current != era {
+			written = written && era == 0 // a restored store may have lost the entry
+			era = current
+		}
 		if !written || h.view.Snapshot().Hosts[h.self.ID].Incarnation != h.self.Incarnation && time.Since(started) > staleEntryAge {
 			written = h.commitEntry(ctx, nil, store.Write{Table: view.HostsTable, Key: h.self.ID, Value: value})
 		}
-		if !written {
+		if !written || era == 0 { // the era must be known soon after the entry was written
 			pause = entryRetryDelay
 		}
 		if time.Since(started) > staleEntryAge {
@@ -74,7 +80,7 @@
 		if id == h.self.ID || host.Position.Version == 0 || h.peers.ContactedWithin(id, staleEntryAge) {
 			continue
 		}
-		condition := store.Condition{Table: view.HostsTable, Key: id, Version: host.Position.Version}
+		condition := store.Condition{Table: view.HostsTable, Key: id, Version: host.Position.Version, Era: host.Position.Era}
 		if h.commitEntry(ctx, []store.Condition{condition}, store.Write{Table: view.HostsTable, Key: id, Delete: true}) {
 			h.log.Info("removed the stale entry of a host", "host", id)
 		}
--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -260,3 +260,19 @@
 	}
 	f.g.Expect(holders).To(HaveLen(1))
 }
+
+// Guards against a host that starts and does not find others, because the restored store has
+// lost their entries.
+func TestRestorationLosesNoHost(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.startDesk("desk-1")
+	f.startHost("host-1")
+	copiedAt := time.Now()
+	f.startHost("host-2")
+	hosts := func() map[string][]byte { return f.store.Rows("sequoiaroad.hosts") }
+	f.g.Eventually(hosts, "3s", "20ms").Should(HaveLen(2))
+	f.restoreStore(copiedAt)
+	f.g.Expect(hosts()).To(HaveLen(1))
+	f.g.Eventually(hosts, "8s", "20ms").Should(HaveLen(2))
+}
