Record the age of weights again after the store was restored

A restored store has lost when weights versions were published. All hosts now compare their record with the store again in each era; the write states the era of the row that it replaces.

TestRestorationKeepsAgeOfWeights fails on the code before: no record is written again.

--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -14,7 +14,8 @@
 )
 
 // observeEra reads the lease row once in each era of the store, so that the time for which
-// no process may acquire the lease has passed when weights are published.
+// no process may acquire the lease has passed when weights are published. It also lets this
+// host compare its record of publications with the store again, which may have lost it.
 func (c *Controller) observeEra(ctx context.Context) {
 	era, now := c.View.Era(), c.Clock()
 	if era == c.observedEra || now.Before(c.observeEraAt) || c.View.StoreUnreachable() {
@@ -26,6 +27,9 @@
 		return
 	}
 	c.observedEra = era
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.records)
 }
 
 // ensureLease acquires or renews the lease as needed, and reports whether this host may
--- a/internal/weights/publications.go
+++ b/internal/weights/publications.go
@@ -87,7 +87,7 @@
 		return errors.Wrap(err, "encode publications")
 	}
 	_, err = c.Store.Commit(ctx,
-		[]platform.Condition{{Table: view.PublicationsTable, Key: model, Version: stored.Version}},
+		[]platform.Condition{{Table: view.PublicationsTable, Key: model, Version: stored.Version, Era: stored.Era}},
 		[]platform.Write{{Table: view.PublicationsTable, Key: model, Value: value}})
 	return err
 }
--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -276,3 +276,23 @@
 	f.g.Expect(hosts()).To(HaveLen(1))
 	f.g.Eventually(hosts, "8s", "20ms").Should(HaveLen(2))
 }
+
+// Guards against a host that starts after a restoration and takes old weights for newly
+// outdated, because the store has lost when their successor was published.
+func TestRestorationKeepsAgeOfWeights(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := f.startEngine("engine-1", 2)
+	f.startHost("host-1")
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	copiedAt := time.Now()
+	publishedAt := f.publishWeights(2)
+	records := func() map[string][]byte { return f.store.Rows("sequoiaroad.publications") }
+	f.g.Eventually(records, "2s", "20ms").Should(HaveLen(1))
+	f.restoreStoreWithWeights(copiedAt, 2)
+	f.g.Expect(records()).To(BeEmpty())
+	f.g.Eventually(records, standin.ContactTime, "20ms").Should(HaveLen(1))
+	started := f.startHost("host-2")
+	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness + 2*outage))) // an outage does not count
+	f.g.Expect(f.send(started, promptRequest("/query/1")).status).To(Equal(http.StatusServiceUnavailable))
+}
