Keep the quarantine in the store after it was restored

A restored store has lost entries of the quarantine, so that a host that started let the prompts crash engines again. Hosts now read the table within 2 s of a restoration and write the entries again that it lacks; the first does it for all. An entry that the copy brings back is removed if all its parts have completed since.

TestRestorationKeepsQuarantine fails on the code before: the entry is not written again.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,6 +39,9 @@
 	innocenceReporters = 4
 	// queueSize bounds the notices that wait to be sent.
 	queueSize = 256
+	// maxRestoreDelay spreads the hosts that write entries again after the store was
+	// restored, so that the first does it for all.
+	maxRestoreDelay = 2 * time.Second
 )
 
 // Fleet sends notices to the other hosts.
@@ -85,6 +88,8 @@
 	// lastDigest is the last digest of a peer for which the table was read.
 	lastDigest   uint64
 	lastDigestAt time.Time
+	// restored means that the store may have lost entries since the table was last read.
+	restored bool
 
 	outgoing chan outgoing
 	reads    chan struct{}
@@ -92,10 +97,20 @@
 
 // New returns a keeper that has read no entry.
 func New(o Options) *Keeper {
-	return &Keeper{
+	k := &Keeper{
 		Options: o, registry: quarantine.New(),
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
+	o.View.OnRestoration(func() { time.AfterFunc(rand.N(maxRestoreDelay), k.requestRestore) })
+	return k
+}
+
+// requestRestore compares the entries of this host with a store that was restored.
+func (k *Keeper) requestRestore() {
+	k.mu.Lock()
+	k.restored = true
+	k.mu.Unlock()
+	k.requestRead()
 }
 
 // Match returns the entry that rejects a request with the given shared parts.
@@ -233,7 +248,8 @@
 	}
 }
 
-func (k *Keeper) addEntry(e quarantine.Entry) {
+// addEntry adds an entry of a peer or of the store, and returns it as it holds here.
+func (k *Keeper) addEntry(e quarantine.Entry) quarantine.Entry {
 	k.mu.Lock()
 	e, added := k.registry.AddEntry(e, time.Now())
 	k.mu.Unlock()
@@ -241,6 +257,7 @@
 		k.Log.Info("entry of the quarantine received", "entry", e.ID, "parts", e.Parts, "for_s", int(time.Until(e.Until).Seconds()))
 		k.OnEntry(e)
 	}
+	return e
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -284,6 +301,7 @@
 		return err
 	}
 	now := time.Now()
+	until := make(map[string]time.Time, len(page.Rows))
 	for _, r := range page.Rows {
 		var value row
 		if err := json.Unmarshal(r.Value, &value); err != nil {
@@ -292,20 +310,43 @@
 		}
 		remaining := milliseconds(value.UntilMs) - page.Clock
 		if -remaining >= quarantine.Probation {
-			k.removeExpired(ctx, r)
+			k.removeRow(ctx, r)
 			continue
 		}
-		k.addEntry(quarantine.Entry{ID: r.Key, Parts: value.Parts, Until: now.Add(remaining), Duration: milliseconds(value.DurationMs)})
+		until[r.Key] = now.Add(remaining)
+		e := k.addEntry(quarantine.Entry{ID: r.Key, Parts: value.Parts, Until: now.Add(remaining), Duration: milliseconds(value.DurationMs)})
+		if len(e.Parts) == 0 { // all have completed here since
+			k.removeRow(ctx, r)
+		}
 	}
+	k.writeLost(ctx, until)
 	return nil
 }
 
-// removeExpired removes a row that no host uses any more, unless it has been written again.
-func (k *Keeper) removeExpired(ctx context.Context, r platform.Row) {
-	unchanged := platform.Condition{Table: Table, Key: r.Key, Version: r.Version}
+// writeLost writes the entries again that a restored store has lost, or has with an earlier
+// end.
+func (k *Keeper) writeLost(ctx context.Context, stored map[string]time.Time) {
+	k.mu.Lock()
+	restored, entries := k.restored, k.registry.Entries(time.Now())
+	k.restored = false
+	k.mu.Unlock()
+	if !restored {
+		return
+	}
+	for _, e := range entries {
+		if stored[e.ID].Add(time.Second).Before(e.Until) {
+			k.Log.Info("entry of the quarantine is written again: the store was restored", "entry", e.ID)
+			k.write(ctx, e)
+		}
+	}
+}
+
+// removeRow removes a row that no host uses any more, unless it has been written again.
+func (k *Keeper) removeRow(ctx context.Context, r platform.Row) {
+	unchanged := platform.Condition{Table: Table, Key: r.Key, Version: r.Version, Era: r.Era}
 	_, err := k.Store.Commit(ctx, []platform.Condition{unchanged}, []platform.Write{{Table: Table, Key: r.Key, Delete: true}})
 	if err != nil {
-		k.Log.Info("failed to remove an expired row of the quarantine", "entry", r.Key, "error", err)
+		k.Log.Info("failed to remove a row of the quarantine", "entry", r.Key, "error", err)
 	}
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -131,6 +131,7 @@
 	suspended            time.Duration
 	snapshot             atomic.Pointer[Snapshot]
 	listeners            []func(*Snapshot)
+	restorationListeners []func()
 	// watchesStore reports whether this host watches the store or receives rows from
 	// hosts that do.
 	watchesStore func() bool
@@ -155,6 +156,10 @@
 // before Run.
 func (v *View) OnChange(f func(*Snapshot)) { v.listeners = append(v.listeners, f) }
 
+// OnRestoration adds a listener that is called when the store was restored from an older
+// copy. It must not block, and must be added before Run.
+func (v *View) OnRestoration(f func()) { v.restorationListeners = append(v.restorationListeners, f) }
+
 // ConfigureSharing lets hosts watch the store on behalf of each other. watchesStore
 // reports whether this host does; onStoreRows is called when the store has changed rows
 // after a position. ConfigureSharing must be called before Run.
@@ -336,6 +341,9 @@
 		v.log.Warn("store was restored from an older copy", "era", era, "before", v.era)
 		v.storeRecoveredAt = time.Now()
 		v.clock = storeclock.Clock{}
+		for _, f := range v.restorationListeners {
+			f()
+		}
 	}
 	v.era = era
 }
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -261,6 +261,17 @@
 	return e, true
 }
 
+// Entries returns the entries that reject requests.
+func (r *Registry) Entries(now time.Time) []Entry {
+	var out []Entry
+	for _, e := range r.entries {
+		if now.Before(e.Until) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Digest identifies the set of entries; zero if there is none.
 func (r *Registry) Digest() uint64 {
 	var digest uint64
--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -296,3 +296,25 @@
 	time.Sleep(time.Until(publishedAt.Add(standin.MaxWeightsStaleness + 2*outage))) // an outage does not count
 	f.g.Expect(f.send(started, promptRequest("/query/1")).status).To(Equal(http.StatusServiceUnavailable))
 }
+
+// Guards against a part of prompts that crashes engines again at a host that starts after a
+// restoration, because the store has lost its quarantine.
+func TestRestorationKeepsQuarantine(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for i := range 4 {
+		f.startEngine(fmt.Sprint("engine-", i), 2).SetFaults(standin.ReplicaFaults{CrashPart: deadlyPart})
+	}
+	first := f.startHost("host-1")
+	copiedAt := time.Now()
+	rejects := func(h *host) func() int {
+		return func() int { return f.send(h, deadlyPrompt("/query/d")).status }
+	}
+	f.g.Eventually(rejects(first), "5s", "20ms").Should(Equal(http.StatusServiceUnavailable))
+	entries := func() map[string][]byte { return f.store.Rows("sequoiaroad.quarantine") }
+	f.g.Eventually(entries, "2s", "20ms").ShouldNot(BeEmpty())
+	f.restoreStore(copiedAt)
+	f.g.Expect(entries()).To(BeEmpty())
+	f.g.Eventually(entries, "6s", "20ms").ShouldNot(BeEmpty())
+	f.g.Expect(rejects(f.startHost("host-2"))()).To(Equal(http.StatusServiceUnavailable))
+}
