Know the store's era before the host's entry is written

TestRestorationLosesNoHost failed once in a run beside other tests: the host wrote its entry before it knew the era, and took the era after a restoration for the first one, so that it did not write the entry again. It now waits up to 0.3 s for the era.

--- a/internal/routehost/entry.go
+++ b/internal/routehost/entry.go
@@ -19,6 +19,10 @@
 	// staleEntryAge is the time without a heartbeat after which a host's entry is
 	// removed.
 	staleEntryAge = time.Minute
+	// eraTimeout is how long a host waits for the store's era before it writes its entry, so
+	// that it can tell whether the store was restored since; a store may have no eras.
+	eraTimeout       = 300 * time.Millisecond
+	eraCheckInterval = 10 * time.Millisecond
 )
 
 // maintainEntry keeps this host's entry in the store, writes it again after the store was
@@ -31,17 +35,19 @@
 	}
 	started := time.Now()
 	written := false
-	var era uint64
+	for h.view.Era() == 0 && time.Since(started) < eraTimeout && ctx.Err() == nil {
+		clock.Sleep(ctx, eraCheckInterval)
+	}
+	era := h.view.Era()
 	for ctx.Err() == nil {
 		pause := entryCheckInterval
 		if current := h.view.Era(); current != era {
-			written = written && era == 0 // a restored store may have lost the entry
-			era = current
+			era, written = current, false // a restored store may have lost the entry
 		}
 		if !written || h.view.Snapshot().Hosts[h.self.ID].Incarnation != h.self.Incarnation && time.Since(started) > staleEntryAge {
 			written = h.commitEntry(ctx, nil, store.Write{Table: view.HostsTable, Key: h.self.ID, Value: value})
 		}
-		if !written || era == 0 { // the era must be known soon after the entry was written
+		if !written {
 			pause = entryRetryDelay
 		}
 		if time.Since(started) > staleEntryAge {
