Tell a host that starts after a restoration which documents are in force

A host that started while the restored store lacked the operator's newest configuration served by the older one of the copy, until the operator had written it again. Heartbeats now carry the sum of the versions of the documents in force; a host with a lower sum than a peer asks it for them. Documents never go back, and the copy of the table stays as the store has it.

TestHostThatStartsAfterRestorationHasConfigInForce fails on the code before: 401 for a key that is valid on all other hosts.

--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -64,6 +64,7 @@
 	operator, targets := e.view.Operator.Newest(), e.view.Targets.Newest()
 	own.OperatorVersion, own.OperatorEra = operator.Version, operator.Era
 	own.TargetsVersion, own.TargetsEra = targets.Version, targets.Era
+	own.DocumentVersions = e.view.DocumentVersions()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -29,12 +29,14 @@
 	Draining bool `msgpack:"l,omitempty"`
 	// OperatorVersion and TargetsVersion are the newest row versions of the two tables, in
 	// OperatorEra and TargetsEra of the store.
-	OperatorVersion uint64         `msgpack:"o"`
-	OperatorEra     uint64         `msgpack:"j,omitempty"`
-	TargetsVersion  uint64         `msgpack:"s"`
-	TargetsEra      uint64         `msgpack:"k,omitempty"`
-	Loads           []TargetLoad   `msgpack:"d,omitempty"`
-	Usage           []AccountUsage `msgpack:"u,omitempty"`
+	OperatorVersion uint64 `msgpack:"o"`
+	OperatorEra     uint64 `msgpack:"j,omitempty"`
+	TargetsVersion  uint64 `msgpack:"s"`
+	TargetsEra      uint64 `msgpack:"k,omitempty"`
+	// DocumentVersions is the sum of the versions of the operator's documents in force.
+	DocumentVersions int64          `msgpack:"z,omitempty"`
+	Loads            []TargetLoad   `msgpack:"d,omitempty"`
+	Usage            []AccountUsage `msgpack:"u,omitempty"`
 	// EjectedTargets are targets that the sender has ejected after failures.
 	EjectedTargets []string `msgpack:"x,omitempty"`
 	// Limits are the limits that targets have named to the sender.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -88,7 +88,7 @@
 		self: self, seeds: seeds, caller: caller, view: v, local: local, log: log, peers: newPeerTable(),
 		ownNotices: make(chan balance.CacheNotice, noticeQueueSize), relayNotices: make(chan balance.CacheNotice, noticeQueueSize),
 		pendingRelays: map[string]Heartbeat{},
-		lags:          map[string]*lag{operatorTable: {}, targetTable: {}},
+		lags:          map[string]*lag{operatorTable: {}, targetTable: {}, documentsInForce: {}},
 	}
 	v.ConfigureSharing(e.watchesStore, e.pushRows)
 	return e
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -9,10 +9,12 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 )
 
-// Names of the tables in messages.
+// Names of the tables in messages. The documents in force are those rows of the operator's
+// table that a host has applied; a restored store may lack them.
 const (
-	operatorTable = "operator"
-	targetTable   = "targets"
+	operatorTable    = "operator"
+	targetTable      = "targets"
+	documentsInForce = "documents"
 )
 
 func (e *Exchange) table(name string) *view.Table {
@@ -26,6 +28,9 @@
 }
 
 func (e *Exchange) handleRowsRequest(q *RowsRequest) *RowsReply {
+	if q.Table == documentsInForce {
+		return e.rowsReply(view.PeerRows{Rows: e.view.Documents()})
+	}
 	t := e.table(q.Table)
 	if t == nil {
 		return &RowsReply{}
@@ -58,7 +63,11 @@
 	if reply.StoreRecoveredMs > 0 {
 		recoveredAt = time.Now().Add(-time.Duration(reply.StoreRecoveredMs) * time.Millisecond)
 	}
-	return e.view.MergeRows(e.table(name), unpackRows(name, reply), recoveredAt)
+	rows := unpackRows(name, reply)
+	if name == documentsInForce {
+		return e.view.MergeDocuments(rows.Rows), true
+	}
+	return e.view.MergeRows(e.table(name), rows, recoveredAt)
 }
 
 // pushRows sends the group the rows above a position that changed in the store.
@@ -126,10 +135,15 @@
 	}
 	for name, peer := range map[string]store.Position{
 		operatorTable: {Era: h.OperatorEra, Version: h.OperatorVersion}, targetTable: {Era: h.TargetsEra, Version: h.TargetsVersion},
+		documentsInForce: {Version: uint64(h.DocumentVersions)},
 	} {
+		own := e.position(name)
+		if name == documentsInForce && e.view.Operator.Newest().Before(store.Position{Era: h.OperatorEra, Version: h.OperatorVersion}) {
+			continue // the rows of the table come first
+		}
 		e.mu.Lock()
 		l := e.lags[name]
-		due := l.due(e.table(name).Newest(), peer, time.Now(), tolerance)
+		due := l.due(own, peer, time.Now(), tolerance)
 		if due {
 			l.fetching = true
 		}
@@ -140,6 +154,15 @@
 	}
 }
 
+// position returns how far this host has read a table or the documents in force. The sum of
+// the documents' versions stands for a position.
+func (e *Exchange) position(name string) store.Position {
+	if name == documentsInForce {
+		return store.Position{Version: uint64(e.view.DocumentVersions())}
+	}
+	return e.table(name).Newest()
+}
+
 func (e *Exchange) fetchMissing(ctx context.Context, from view.Host, name string, l *lag) {
 	e.fetchRows(ctx, from.ID, from.InnerAddress, name)
 	e.mu.Lock()
@@ -150,14 +173,14 @@
 func (e *Exchange) fetchRows(ctx context.Context, id, address, name string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	after := e.table(name).Newest()
+	after := e.position(name)
 	var reply RowsReply
 	if err := e.caller.Call(ctx, address, &RowsRequest{Table: name, After: after.Version, Era: after.Era}, &reply); err != nil {
 		e.log.Warn("failed to fetch rows from a peer", "host", id, "table", name, "error", err)
 		return
 	}
 	if newer, _ := e.mergeRows(name, &reply); newer > 0 {
-		newest := e.table(name).Newest()
+		newest := e.position(name)
 		e.log.Info("took rows from another host", "host", id, "table", name, "rows", newer, "newest", newest.Version, "era", newest.Era)
 	}
 }
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -52,16 +52,56 @@
 		v.log.Warn("operator's row is ignored", "key", r.Key, "row_version", r.Version, "error", err)
 	case config != nil && (v.config == nil || config.Version > v.config.Version):
 		v.config = config
+		v.documents[r.Key] = document{r, config.Version}
 		v.log.Info("configuration in force", "version", config.Version, "row_version", r.Version,
 			"routes", len(config.Routes), "accounts", len(config.Accounts))
 	case desired != nil && desired.Version > v.desired[desired.Model].Version:
 		before := v.desired[desired.Model]
 		before.Model, before.StoreLostAt = desired.Model, v.storeLostAt
 		v.desired[desired.Model] = before.WithVersion(desired.Version, time.Now())
+		v.documents[r.Key] = document{r, desired.Version}
 		v.log.Info("desired weights changed", "model", desired.Model, "weights", desired.Version)
 	}
 }
 
+// document is a document of the operator that is in force, and its own version.
+type document struct {
+	row     store.Row
+	version int64
+}
+
+// DocumentVersions returns the sum of the versions of the operator's documents in force. It
+// never decreases, also if the store is restored and lacks them until the operator has
+// written them again; a host with a lower sum than another lacks a document.
+func (v *View) DocumentVersions() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var sum int64
+	for _, d := range v.documents {
+		sum += d.version
+	}
+	return sum
+}
+
+// Documents returns the rows of the operator's documents in force.
+func (v *View) Documents() []store.Row {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]store.Row, 0, len(v.documents))
+	for _, d := range v.documents {
+		out = append(out, d.row)
+	}
+	return out
+}
+
+// MergeDocuments applies documents that are in force on another host, and returns how many
+// are newer here. The copy of the operator's table stays as the store has it.
+func (v *View) MergeDocuments(rows []store.Row) (newer int) {
+	before := v.DocumentVersions()
+	v.applyRows(v.Operator, update{rows: rows})
+	return int(min(v.DocumentVersions()-before, int64(len(rows))))
+}
+
 func (v *View) applyTargetRow(r store.Row, restored bool) {
 	if r.Deleted {
 		if until := v.storeRecoveredAt.Add(expiredEntryGrace); time.Now().Before(until) && v.targets[r.Key] != nil {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -105,7 +105,9 @@
 	mu      sync.Mutex
 	config  *topology.Config
 	desired map[string]topology.DesiredWeights
-	targets map[string]*topology.Target
+	// documents are the operator's documents in force, by key.
+	documents map[string]document
+	targets   map[string]*topology.Target
 	// departures are the targets that have said that they leave or whose entries were
 	// removed.
 	departures *topology.Departures
@@ -143,7 +145,7 @@
 	v := &View{
 		source: source, decoder: decoder, log: log,
 		Operator: newTable(decoder.OperatorTable), Targets: newTable(decoder.TargetTable), Hosts: newTable(HostsTable),
-		desired: map[string]topology.DesiredWeights{}, targets: map[string]*topology.Target{},
+		desired: map[string]topology.DesiredWeights{}, documents: map[string]document{}, targets: map[string]*topology.Target{},
 		departures: topology.NewDepartures(), distrusted: map[string]*topology.Target{}, hosts: map[string]Host{}, removeAt: map[string]time.Time{},
 		started: time.Now(), bootStarted: clock.BootTimeNow(),
 		watchesStore: func() bool { return true }, onStoreRows: func(*Table, store.Position) {},
--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -318,3 +318,23 @@
 	f.g.Eventually(entries, "6s", "20ms").ShouldNot(BeEmpty())
 	f.g.Expect(rejects(f.startHost("host-2"))()).To(Equal(http.StatusServiceUnavailable))
 }
+
+// Guards against a host that starts after a restoration and serves by an older configuration
+// than the others have in force, because the operator has not yet written it again.
+func TestHostThatStartsAfterRestorationHasConfigInForce(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.startDesk("desk-1")
+	running := f.startHost("host-1")
+	copiedAt := time.Now()
+	f.setClubKey("key-2")
+	f.g.Eventually(f.statusWithKey(running, "key-2"), standin.ConfigDeadline, "20ms").Should(Equal(http.StatusOK))
+	f.store.Restore(copiedAt)
+	time.Sleep(time.Second)
+	started := f.startHost("host-2")
+	f.g.Eventually(f.statusWithKey(started, "key-2"), standin.ConfigDeadline, "20ms").Should(Equal(http.StatusOK))
+	f.g.Expect(f.statusWithKey(started, clubKey)()).To(Equal(http.StatusUnauthorized))
+	for _, h := range []*host{running, started} {
+		f.g.Consistently(f.statusWithKey(h, "key-2"), "500ms", "50ms").Should(Equal(http.StatusOK))
+	}
+}
