Answer requests in progress before the host exits in a planned stop

Reported by operators of a system like this, and true here: requests that were in progress at the end of the grace, among them some that may not be repeated and some that had come after the signal, were cut with no answer (LOST), and a request whose body came late was passed on after the host had stopped taking requests.

0.7 s before the end of the grace all requests in progress now end: with 503 if they were not sent, with 502 or 504 if a target may have run them; streams that have begun are broken off. Whether the host still takes requests is checked again once the body was read.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -16,8 +16,8 @@
 // admit resolves the route and the client account of a request, reads its body and
 // charges its cost to the account's limit.
 func (r *Router) admit(c *call) *failure {
-	if r.admissionStopped.Load() {
-		return notExecutedFailure(http.StatusServiceUnavailable, "the host stops", stoppedRetryAfter)
+	if f := r.checkStopped(); f != nil {
+		return f
 	}
 	s := r.View.Snapshot()
 	if s.Config == nil {
@@ -36,6 +36,9 @@
 	if f := r.readBody(c); f != nil {
 		return f
 	}
+	if f := r.checkStopped(); f != nil { // the body may have taken long
+		return f
+	}
 	c.service = s.Config.Services[c.route.Pick(rand.Float64())]
 	if c.service == nil {
 		return notExecutedFailure(http.StatusServiceUnavailable, "the route's service is unknown", noTargetRetryAfter)
@@ -46,6 +49,15 @@
 	return r.chargeAccount(c)
 }
 
+// checkStopped returns the failure of a request that comes too late in a planned stop, or
+// nil. Another host can take it.
+func (r *Router) checkStopped() *failure {
+	if !r.admissionStopped.Load() {
+		return nil
+	}
+	return notExecutedFailure(http.StatusServiceUnavailable, "the host stops", stoppedRetryAfter)
+}
+
 // shorter returns the shorter of two time limits; zero means no limit.
 func shorter(a, b time.Duration) time.Duration {
 	if a <= 0 || b > 0 && b < a {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -148,10 +148,12 @@
 	c.tried[p.target.ID] = true
 	cause := errors.Wrapf(err, "send to target %s at %s", p.target.ID, p.target.Address)
 	if ctx.Err() != nil {
-		f := &failure{status: http.StatusGatewayTimeout, reason: "the time limit passed before the target answered", cause: cause}
+		f := &failure{status: http.StatusGatewayTimeout, reason: r.endReason("the time limit passed before the target answered"), cause: cause}
 		if connected {
 			c.possibleExecutions++
-			r.recordFailure(p)
+			if r.stopped.Err() == nil {
+				r.recordFailure(p)
+			}
 		}
 		f.notExecuted = !connected
 		if f.notExecuted {
@@ -168,6 +170,15 @@
 	return &failure{status: http.StatusBadGateway, reason: "target did not answer", cause: cause}
 }
 
+// endReason returns why the context of a request has ended: the host stops, or else the
+// given reason.
+func (r *Router) endReason(reason string) string {
+	if r.stopped.Err() != nil {
+		return "the host stops and the target had not answered"
+	}
+	return reason
+}
+
 // recordFailure records that a target did not respond to a request.
 func (r *Router) recordFailure(p *plan) {
 	r.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -87,9 +87,12 @@
 	clients          *clients
 	draining         atomic.Bool
 	admissionStopped atomic.Bool
-	active           atomic.Int64
-	bufferedBytes    atomic.Int64
-	metrics          *metrics
+	// stopped ends when the requests in progress must be answered, since the host exits.
+	stopped       context.Context
+	endRequests   context.CancelFunc
+	active        atomic.Int64
+	bufferedBytes atomic.Int64
+	metrics       *metrics
 
 	mu       sync.Mutex
 	balancer *balance.Balancer
@@ -122,6 +125,7 @@
 		buckets: map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
 		notified: map[notifiedKey]time.Time{}, prompts: map[*plan]*promptAttempt{},
 	}
+	r.stopped, r.endRequests = context.WithCancel(context.Background())
 	r.balancer.UseBackpressure(r.pressure)
 	o.View.OnChange(r.applySnapshot)
 	return r, nil
@@ -153,6 +157,11 @@
 // StopAdmission makes the router refuse all requests that arrive from now on.
 func (r *Router) StopAdmission() { r.admissionStopped.Store(true) }
 
+// EndRequests makes the router answer all requests in progress at once, since the host
+// exits. Those that a target may have run fail with a status that promises nothing; streams
+// that have begun are broken off.
+func (r *Router) EndRequests() { r.endRequests() }
+
 // Active returns the number of requests in progress.
 func (r *Router) Active() int64 { return r.active.Load() }
 
@@ -224,6 +233,9 @@
 // forward sends the request until a target's response is relayed or no further attempt
 // is possible.
 func (r *Router) forward(ctx context.Context, c *call) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	defer context.AfterFunc(r.stopped, end)()
 	if !c.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, c.deadline)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -211,7 +211,7 @@
 func (r *Router) streamFailure(ctx context.Context, p *plan, err error) *failure {
 	f := &failure{status: http.StatusBadGateway, reason: "the target's stream broke off", cause: errors.Wrapf(err, "read from target %s", p.target.ID)}
 	if ctx.Err() != nil {
-		f.status, f.reason = http.StatusGatewayTimeout, "the time limit passed within the stream"
+		f.status, f.reason = http.StatusGatewayTimeout, r.endReason("the time limit passed within the stream")
 	}
 	return f
 }
--- a/internal/routehost/serve.go
+++ b/internal/routehost/serve.go
@@ -30,9 +30,11 @@
 	listenerLinger = 2500 * time.Millisecond
 	// finalRefusalWindow is how long an idle stopping host still refuses requests.
 	finalRefusalWindow = 100 * time.Millisecond
-	// stopMargin is how long before the end of the stop grace the host exits at the
-	// latest.
-	stopMargin = 700 * time.Millisecond
+	// stopMargin is how long before the end of the stop grace the host answers all requests
+	// that are still in progress, and answerTimeout how long that may take. With
+	// finalRefusalWindow it leaves some time for the exit.
+	stopMargin    = 700 * time.Millisecond
+	answerTimeout = 300 * time.Millisecond
 )
 
 // errStopped ends the run group after a planned stop.
@@ -155,13 +157,22 @@
 	h.router.StopAdmission()
 	drainCtx, cancel := context.WithDeadline(background, started.Add(grace-stopMargin))
 	defer cancel()
-	for h.router.Active() > 0 && drainCtx.Err() == nil {
-		clock.Sleep(drainCtx, drainPollInterval)
-	}
+	h.awaitIdle(drainCtx)
 	if active := h.router.Active(); active > 0 {
 		h.log.Warn("requests were still in progress at the stop", "active", active)
+		h.router.EndRequests()
+		answerCtx, cancelAnswers := context.WithTimeout(background, answerTimeout)
+		defer cancelAnswers()
+		h.awaitIdle(answerCtx)
 	}
 	// Requests that were read in the meantime are still refused.
 	clock.Sleep(background, finalRefusalWindow)
 	return errStopped
 }
+
+// awaitIdle waits until no request is in progress or ctx ends.
+func (h *Host) awaitIdle(ctx context.Context) {
+	for h.router.Active() > 0 && ctx.Err() == nil {
+		clock.Sleep(ctx, drainPollInterval)
+	}
+}
