Restore the store from an older copy in the soak

New check: no two hosts give orders to an engine with the same fencing token, and tokens never decrease.

--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -166,6 +166,7 @@
 	Holder       string
 	FencingToken uint64
 	At           time.Time
+	Started      int64 // the incarnation of the replica
 }
 
 // AcceptedOrders returns the accepted orders.
@@ -300,7 +301,7 @@
 	}
 	r.loading = true
 	r.sequence++
-	r.acceptedOrders = append(r.acceptedOrders, AcceptedOrder{o.Holder, o.FencingToken, time.Now()})
+	r.acceptedOrders = append(r.acceptedOrders, AcceptedOrder{o.Holder, o.FencingToken, time.Now(), r.started})
 	r.loadWhenIdle = func() {
 		time.AfterFunc(r.options.LoadTime, func() {
 			r.mu.Lock()
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -76,10 +76,12 @@
 }
 
 // Restore brings the store back from a copy that was made at a time: what was written since
-// is gone, its versions are given out again, and the era rises.
-func (s *Store) Restore(copiedAt time.Time) {
+// is gone, its versions are given out again, and the era rises. The writers of the given
+// tables at once write again what they had written.
+func (s *Store) Restore(copiedAt time.Time, writtenAgain ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.rows
 	kept, _ := slices.BinarySearchFunc(s.history, copiedAt, func(c change, at time.Time) int { return c.at.Compare(at) })
 	s.history = s.history[:kept]
 	s.rows, s.version = map[rowKey]row{}, 0
@@ -88,6 +90,13 @@
 	}
 	s.compactedVersion = min(s.compactedVersion, s.version)
 	s.era++
+	for id, r := range before {
+		if slices.Contains(writtenAgain, id.table) {
+			s.version++
+			r.Version = s.version
+			s.set(r)
+		}
+	}
 	s.notifyWatchers()
 }
 
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -28,12 +28,26 @@
 	in.checkRetries(sent, runs)
 	for _, r := range in.replicas {
 		in.checkBackpressure(r, requests)
+		in.checkOrders(r)
 	}
 	for _, d := range in.departures {
 		in.checkDeparture(d, requests)
 	}
 }
 
+// checkOrders checks that no two hosts gave orders to an engine with the same fencing token,
+// and that tokens never decreased within an incarnation of the engine.
+func (in *installation) checkOrders(r *replica) {
+	var last standin.AcceptedOrder
+	for _, o := range r.AcceptedOrders() {
+		sameToken := o.FencingToken == last.FencingToken && o.Holder != last.Holder
+		if o.Started == last.Started && (o.FencingToken < last.FencingToken || sameToken) {
+			in.addViolation("%s accepted an order of %s with token %d after one of %s with token %d", r.id, o.Holder, o.FencingToken, last.Holder, last.FencingToken)
+		}
+		last = o
+	}
+}
+
 // checkDeparture checks that a target got no request from a host in touch later than the
 // drain bound after its entry said that it leaves.
 func (in *installation) checkDeparture(d departure, sent map[string]*request) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -59,6 +59,7 @@
 	}
 	out = append(out, in.silences(seed, period)...)
 	out = append(out, in.backpressure(seed, period)...)
+	out = append(out, in.restorations(seed, period)...)
 	slices.SortStableFunc(out, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
@@ -84,6 +85,40 @@
 	}
 }
 
+// maxCopyAge bounds the age of the copy from which the store is restored.
+const maxCopyAge = 5 * time.Second
+
+// restorations returns faults that bring the store back from an older copy, with changes of
+// the configuration and of the weights around them. They have a random stream of their own,
+// like silences.
+func (in *installation) restorations(seed uint64, period time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	at := time.Duration(random.Int64N(int64(period)))
+	age := time.Duration(random.Int64N(int64(maxCopyAge)))
+	outage := time.Duration(random.Int64N(int64(time.Second)))
+	around := func() time.Duration {
+		return max(0, at+time.Duration(random.Int64N(int64(4*time.Second)))-2*time.Second)
+	}
+	return []fault{
+		{name: fmt.Sprintf("restore the store from a copy of %v", age), at: at, impairs: everyHost, run: func() { in.restoreStore(age, outage) }},
+		{name: "publish the configuration", at: around(), run: in.publishConfig},
+		{name: "publish the configuration", at: around(), run: in.publishConfig},
+		{name: "set the weights version", at: around(), run: in.publishNextWeights},
+	}
+}
+
+// restoreStore takes the store away and brings it back from a copy of the given age. The
+// operator and the targets write again what they had written.
+func (in *installation) restoreStore(age, outage time.Duration) {
+	in.storeOutages.Lock()
+	defer in.storeOutages.Unlock()
+	copiedAt := time.Now().Add(-age)
+	in.store.SetDown(true)
+	time.Sleep(outage)
+	in.store.Restore(copiedAt, "op", "servers")
+	in.store.SetDown(false)
+}
+
 // backpressure returns faults in which targets ask for fewer requests. They have a random
 // stream of their own, like silences.
 func (in *installation) backpressure(seed uint64, period time.Duration) []fault {
@@ -134,7 +169,7 @@
 		{name: "drop store traffic of " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.Drop)},
 		{name: "reset store connections of " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.Reset)},
 		{name: "drop store responses to " + h.ID, impairs: h.ID, run: cutLink(h.storeLink, relay.DropResponses)},
-		{name: "take the store down", impairs: everyHost, run: func() { in.store.SetDown(true); time.Sleep(duration); in.store.SetDown(false) }},
+		{name: "take the store down", impairs: everyHost, run: func() { in.takeStoreDown(duration) }},
 		{name: "compact the store's history", run: in.store.CompactHistory},
 		{name: "publish the configuration", run: in.publishConfig},
 		{name: "set the weights version", run: in.publishNextWeights},
@@ -152,6 +187,14 @@
 	return faults[random.IntN(len(faults))]
 }
 
+func (in *installation) takeStoreDown(duration time.Duration) {
+	in.storeOutages.Lock()
+	defer in.storeOutages.Unlock()
+	in.store.SetDown(true)
+	time.Sleep(duration)
+	in.store.SetDown(false)
+}
+
 // publishNextWeights writes the model's next weights version to the store.
 func (in *installation) publishNextWeights() {
 	in.mu.Lock()
--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -61,6 +61,8 @@
 	replicas []*replica
 	logDir   string
 	cleanups []func()
+	// storeOutages keeps outages of the store from overlapping.
+	storeOutages sync.Mutex
 
 	mu           sync.Mutex
 	publications []publication // in the order of their versions
