Believe a target that rejects a request and says which weights it has

A target that rejects a request for its weights states its version; the host recorded the newest published version if that was higher, a belief that never decreases, so that the target rejected everything until it had that version.

TestRejectionForWeightsTellsTheVersion fails on the code before: 503 for 200. The newest version is now assumed only if the target states none.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -210,7 +210,11 @@
 	switch {
 	case response.WrongTarget && p.prompt != nil && isFromTarget(response, p):
 		f.reason = "target has other weights"
-		r.balancer.RecordWeights(p.target, p.prompt.Model, max(response.WeightsVersion, p.prompt.DesiredWeights.Version))
+		version := response.WeightsVersion
+		if version == 0 {
+			version = p.prompt.DesiredWeights.Version
+		}
+		r.balancer.RecordWeights(p.target, p.prompt.Model, version)
 		delete(c.tried, p.target.ID)
 		// The target may write this rejection once more on its connection. The request ID
 		// would not tell it from the response to the next attempt.
--- a/test/site/weights_test.go
+++ b/test/site/weights_test.go
@@ -132,3 +132,28 @@
 	f.g.Expect(f.send(second, promptRequest("/query/1")).status).To(Equal(http.StatusServiceUnavailable))
 	f.expectNoLateRuns(engine, publishedAt)
 }
+
+// Guards against a host that takes a target which has other weights than expected for one
+// that has the newest, although the target has said which it has, and so never sends it a
+// request that it accepts.
+func TestRejectionForWeightsTellsTheVersion(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := standin.NewReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Zone: "zone-a", Model: model, StreamEvents: 2, WeightsVersion: 3})
+	address, stop, err := standin.Serve(engine)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(stop)
+	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
+	entry, err := json.Marshal(object{
+		"service": engineService, "address": address, "zone": "zone-a", "state": "ready", "slots": 8, "born": 1,
+		"models": []any{object{"name": model, "version": 2}},
+	})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.store.Put("servers", "engine-1", entry)
+	h := f.startHost("host-1")
+	f.publishWeights(4)
+	time.Sleep(400 * time.Millisecond)
+	for range 3 {
+		f.g.Expect(f.send(h, promptRequest("/brief/1")).status).To(Equal(http.StatusOK))
+	}
+}
