State a pause in the soak's targets only with status 503

The soak took a target's pause for known to a host that had got a 421, since the stand-in stated Retry-After in all responses. The protocol has it in responses with status 503 only, and the rule counts from these. The check holds from the first 503 on, as before for all other statements.

--- a/test/soak/backpressure_test.go
+++ b/test/soak/backpressure_test.go
@@ -58,6 +58,9 @@
 
 func (c *toldHosts) check(q *request, a standin.Arrival) {
 	told, known := c.told[q.host.ID]
+	if !known && c.retryAfter > 0 && !a.Shed {
+		return // only a response with status 503 states the pause
+	}
 	if !known || c.in.impaired(q.host.ID, told, a.At) {
 		c.told[q.host.ID] = a.At
 		c.pausedUntil[q.host.ID] = a.At.Add(c.retryAfter)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -40,6 +40,9 @@
 	// A report that an earlier incarnation of a target leaves replaced the pause that the
 	// next one had asked for. Needs a length of 8 s.
 	6019,
+	// A target that rejects prompts for its weights was taken for one that has the newest.
+	// Needs a length of 8 s.
+	8002,
 }
 
 // buildProgram builds the router and returns the path of its binary.
