Set a target's limit once, and look its state up once

setLimit assigned the limit twice for a new one, since startShare reads it; Take looked the state up twice. Behaviour is the same.

--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -147,14 +147,14 @@
 
 // setLimit applies a statement of a limit, or of none.
 func (t *Table) setLimit(s *state, rateLimit float64, limited bool, statedAt, now time.Time) {
-	switch {
-	case limited && !s.limited:
-		s.rateLimit = rateLimit
-		t.startShare(s, now)
-	case !limited && s.limited:
+	begins := limited && !s.limited
+	if !limited && s.limited {
 		s.limitEndedAt = statedAt
 	}
 	s.rateLimit, s.limited, s.statedAt = rateLimit, limited, statedAt
+	if begins {
+		t.startShare(s, now)
+	}
 }
 
 // Reports returns what targets have stated to this host and others may lack. That a target
@@ -209,7 +209,11 @@
 // MaySend reports whether a request may be sent to a target now, or else how long it must
 // not; the wait is zero if that is not known.
 func (t *Table) MaySend(target topology.Incarnation, now time.Time) (wait time.Duration, ok bool) {
-	s := t.get(target)
+	return t.maySend(t.get(target), now)
+}
+
+// maySend is MaySend for the state of a target, or nil if it has asked for nothing.
+func (t *Table) maySend(s *state, now time.Time) (wait time.Duration, ok bool) {
 	switch {
 	case s == nil:
 		return 0, true
@@ -225,10 +229,11 @@
 
 // Take takes the permit for one request, and reports whether there was one.
 func (t *Table) Take(target topology.Incarnation, now time.Time) bool {
-	if _, ok := t.MaySend(target, now); !ok {
+	s := t.get(target)
+	if _, ok := t.maySend(s, now); !ok {
 		return false
 	}
-	if s := t.get(target); s != nil && s.limited {
+	if s != nil && s.limited {
 		s.share.take(now)
 	}
 	return true
