--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -156,6 +156,15 @@
 	f.publishConfig()
 }
 
+// setRouteTimeouts publishes a configuration in which all routes have this timeout.
+func (f *fixture) setRouteTimeouts(timeout time.Duration) {
+	f.updateConfig(func(c object) {
+		for _, r := range c["routes"].([]any) {
+			r.(object)["timeout_ms"] = timeout.Milliseconds()
+		}
+	})
+}
+
 // startReplica starts and registers a target and returns it with its address.
 func (f *fixture) startReplica(o standin.ReplicaOptions) (*standin.Replica, string) {
 	if o.Zone == "" {
--- a/test/site/fleet_test.go
+++ b/test/site/fleet_test.go
@@ -21,11 +21,7 @@
 	t.Parallel()
 	f := newFixture(t)
 	f.startReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, StreamEvents: 30, EventInterval: 150 * time.Millisecond})
-	f.updateConfig(func(c object) {
-		for _, r := range c["routes"].([]any) {
-			r.(object)["timeout_ms"] = 8000
-		}
-	})
+	f.setRouteTimeouts(8 * time.Second)
 	h := f.startHost("host-1")
 	response := make(chan result, 1)
 	q := promptRequest("/brief/1")
@@ -46,11 +42,7 @@
 	f := newFixture(t)
 	f.startDesk("desk-1")
 	f.startReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, StreamEvents: 25, EventInterval: 150 * time.Millisecond})
-	f.updateConfig(func(c object) {
-		for _, r := range c["routes"].([]any) {
-			r.(object)["timeout_ms"] = 8000
-		}
-	})
+	f.setRouteTimeouts(8 * time.Second)
 	h := f.startHost("host-1")
 	conn, err := net.Dial("tcp", h.callerAddress)
 	f.g.Expect(err).NotTo(HaveOccurred())
--- a/test/site/leaving_test.go
+++ b/test/site/leaving_test.go
@@ -12,13 +12,19 @@
 	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
+// waysToLeave are the ways in which the entry of the target "leaving" says that it leaves.
+var waysToLeave = map[string]func(f *fixture, target *standin.Replica, address string){
+	"draining": func(f *fixture, target *standin.Replica, address string) {
+		f.g.Expect(target.Register(f.store, address, "draining")).To(Succeed())
+	},
+	"removed": func(f *fixture, _ *standin.Replica, _ string) { f.store.Delete("servers", "leaving") },
+}
+
 // allowLongRequests gives all routes and the returned request a timeout that is longer than
 // the time in which a leaving target may still get requests.
 func (f *fixture) allowLongRequests(q request) request {
+	f.setRouteTimeouts(8 * time.Second)
 	f.updateConfig(func(c object) {
-		for _, r := range c["routes"].([]any) {
-			r.(object)["timeout_ms"] = 8000
-		}
 		for _, s := range c["services"].([]any) {
 			s.(object)["max_conns"] = 6
 		}
@@ -36,12 +42,7 @@
 // there although another target can take it.
 func TestWaitingRequestIsNotSentToLeavingTarget(t *testing.T) {
 	t.Parallel()
-	for name, leave := range map[string]func(f *fixture, desk *standin.Replica, address string){
-		"draining": func(f *fixture, desk *standin.Replica, address string) {
-			f.g.Expect(desk.Register(f.store, address, "draining")).To(Succeed())
-		},
-		"removed": func(f *fixture, _ *standin.Replica, _ string) { f.store.Delete("servers", "leaving") },
-	} {
+	for name, leave := range waysToLeave {
 		for kind, q := range map[string]request{"plain": orderRequest, "stream": promptRequest("/brief/1")} {
 			t.Run(name+" "+kind, func(t *testing.T) {
 				t.Parallel()
--- a/test/site/planned_stop_test.go
+++ b/test/site/planned_stop_test.go
@@ -21,11 +21,7 @@
 func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
-	f.updateConfig(func(c object) {
-		for _, r := range c["routes"].([]any) {
-			r.(object)["timeout_ms"] = 20000
-		}
-	})
+	f.setRouteTimeouts(20 * time.Second)
 	desk, _ := f.startReplica(standin.ReplicaOptions{ID: "desk-1", Service: deskService, ProcessingTime: 15 * time.Second})
 	engine, _ := f.startReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, StreamEvents: 100, EventInterval: 150 * time.Millisecond})
 	h := f.startHost("host-1")
@@ -64,11 +60,7 @@
 	f := newFixture(t)
 	desk := f.startDesk("desk-1")
 	f.startReplica(standin.ReplicaOptions{ID: "engine-1", Service: engineService, Model: model, StreamEvents: 30, EventInterval: 150 * time.Millisecond})
-	f.updateConfig(func(c object) {
-		for _, r := range c["routes"].([]any) {
-			r.(object)["timeout_ms"] = 8000
-		}
-	})
+	f.setRouteTimeouts(8 * time.Second)
 	h := f.startHost("host-1")
 	q := promptRequest("/brief/1")
 	q.header["X-Deadline-Ms"] = "8000"
