--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -112,12 +112,7 @@
 // restored from a copy in which it was ready.
 func TestRestorationRevivesNoTarget(t *testing.T) {
 	t.Parallel()
-	for name, leave := range map[string]func(f *fixture, desk *standin.Replica, address string){
-		"draining": func(f *fixture, desk *standin.Replica, address string) {
-			f.g.Expect(desk.Register(f.store, address, "draining")).To(Succeed())
-		},
-		"removed": func(f *fixture, _ *standin.Replica, _ string) { f.store.Delete("servers", "leaving") },
-	} {
+	for name, leave := range waysToLeave {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t)
@@ -319,14 +314,16 @@
 	f.g.Expect(rejects(f.startHost("host-2"))()).To(Equal(http.StatusServiceUnavailable))
 }
 
-// Guards against a host that starts after a restoration and serves by an older configuration
-// than the others have in force, because the operator has not yet written it again.
+// Guards against a host that starts after a restoration and serves by an older configuration,
+// or does not know the newest weights version, because the operator has not yet written them
+// again.
 func TestHostThatStartsAfterRestorationHasConfigInForce(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
 	f.startDesk("desk-1")
 	running := f.startHost("host-1")
 	copiedAt := time.Now()
+	f.publishWeights(2)
 	f.setClubKey("key-2")
 	f.g.Eventually(f.statusWithKey(running, "key-2"), standin.ConfigDeadline, "20ms").Should(Equal(http.StatusOK))
 	f.store.Restore(copiedAt)
@@ -334,6 +331,7 @@
 	started := f.startHost("host-2")
 	f.g.Eventually(f.statusWithKey(started, "key-2"), standin.ConfigDeadline, "20ms").Should(Equal(http.StatusOK))
 	f.g.Expect(f.statusWithKey(started, clubKey)()).To(Equal(http.StatusUnauthorized))
+	f.g.Expect(started.log.String()).To(MatchRegexp(`desired weights changed.*"weights":2`))
 	for _, h := range []*host{running, started} {
 		f.g.Consistently(f.statusWithKey(h, "key-2"), "500ms", "50ms").Should(Equal(http.StatusOK))
 	}
