--- a/test/site/restored_test.go
+++ b/test/site/restored_test.go
@@ -262,10 +262,11 @@
 	t.Parallel()
 	f := newFixture(t)
 	f.startDesk("desk-1")
+	hosts := func() map[string][]byte { return f.store.Rows("sequoiaroad.hosts") }
 	f.startHost("host-1")
+	f.g.Eventually(hosts, "3s", "20ms").Should(HaveLen(1))
 	copiedAt := time.Now()
 	f.startHost("host-2")
-	hosts := func() map[string][]byte { return f.store.Rows("sequoiaroad.hosts") }
 	f.g.Eventually(hosts, "3s", "20ms").Should(HaveLen(2))
 	f.restoreStore(copiedAt)
 	f.g.Expect(hosts()).To(HaveLen(1))
