--- a/review/stage/replica.go
+++ b/review/stage/replica.go
@@ -42,6 +42,9 @@
 	// Events and Interval are those of streams.
 	Events   int
 	Interval time.Duration
+	// HeadFirst makes an engine send the head of an answer before Work, not with the first
+	// event.
+	HeadFirst bool
 	// OnRun is called when a request begins to run. OnEvent is called after each event of a
 	// stream; the answer is broken off if it returns false.
 	OnRun   func(r *Replica, run Run, parts []Part)
@@ -303,10 +306,15 @@
 }
 
 func (r *Replica) writeStream(w http.ResponseWriter, req *http.Request, run Run) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	if r.HeadFirst {
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+	}
 	if !sleep(req, r.Work) {
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
 		last = 0
@@ -348,3 +356,10 @@
 	}
 	return out
 }
+
+// Address returns the address of the replica.
+func (r *Replica) Address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.address
+}
