--- a/review/2/main.go
+++ b/review/2/main.go
@@ -16,7 +16,7 @@
 	key          = "key-of-club"
 	deadlyPart   = "dead0001"
 	requestTime  = 6 * time.Second
-	soundCallers = 12
+	soundCallers = 30
 	soundPause   = 250 * time.Millisecond
 	warmUp       = 5 * time.Second // hosts and engines are in touch then
 	deadlyPeriod = 20 * time.Second
