--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -141,6 +141,8 @@
 	ID, IP   string
 	stage    *Stage
 	settings string
+	// starting is held while a process is started again, or ended for good.
+	starting sync.Mutex
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -248,6 +250,11 @@
 		}
 		h.stage.Note("%s: process %d ended: %v", h.ID, cmd.Process.Pid, err)
 		time.Sleep(restartDelay)
+		h.starting.Lock()
+		defer h.starting.Unlock()
+		if h.hasEnded() {
+			return
+		}
 		if err := h.start(); err != nil {
 			h.stage.Note("%s: failed to start again: %v", h.ID, err)
 		}
@@ -257,6 +264,8 @@
 
 // end kills the process for good.
 func (h *Host) end() {
+	h.starting.Lock() // no process is started any more from here on
+	defer h.starting.Unlock()
 	h.mu.Lock()
 	h.ended = true
 	process, exited := h.process, h.exited
@@ -268,6 +277,13 @@
 	<-exited
 }
 
+// hasEnded reports whether end was called.
+func (h *Host) hasEnded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
 // Kill sends SIGKILL to the process, which is started again.
 func (h *Host) Kill() {
 	h.mu.Lock()
