quarantine: recognize repeated prompts and every crash under an answer

Callers saw streams break off and 502 for as long as a request came that crashes engines: each crash took the other requests of its engine with it.

Cause: hosts knew a request by all parts of its prompt but the last, which sound requests complete and so exonerate, and took only an end between the head of a stream and its first event for a crash. A stream without a length or chunks that ended between two events even exonerated its parts.

Now the list of all parts is one more thing that crashes have in common. Answers that end before the head, after an event or within a body count as crashes if the target refuses connections a tenth of a second later; a reset connection alone counts for nothing. Hosts that know of completions contest a new entry, so that the additional suspicions put no sound part in quarantine when many engines end at once.

The crash of the stand-in closes its port, as the end of a process does, except after the head, where the earlier tests need it open.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -113,7 +113,7 @@
 		return r.relayStream(ctx, c, p, resp, w)
 	}
 	w.stop()
-	return r.relayResponse(c, p, resp)
+	return r.relayResponse(ctx, c, p, resp)
 }
 
 // badResponse returns the failure of an attempt whose response can't be relayed. The target
@@ -167,7 +167,8 @@
 		return &failure{status: http.StatusServiceUnavailable, reason: "target was not reached", cause: cause, notExecuted: true, unsent: true, retryAfter: noTargetRetryAfter}
 	}
 	c.possibleExecutions++
-	return &failure{status: http.StatusBadGateway, reason: "target did not answer", cause: cause}
+	r.recordBrokenOff(c, p)
+	return &failure{status: http.StatusBadGateway, reason: "target did not answer", cause: cause, brokenOff: true}
 }
 
 // endReason returns why the context of a request has ended: the host stops, or else the
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -36,6 +36,8 @@
 	retryAfter time.Duration
 	// began means that the target had begun to respond, without an event of a stream.
 	began bool
+	// brokenOff means that the connection to the target ended before the answer was complete.
+	brokenOff bool
 	// closeConn means that the caller's connection can't be reused.
 	closeConn bool
 }
@@ -70,7 +72,7 @@
 	if ctx.Err() != nil || c.sends >= maxSends || f.final {
 		return false
 	}
-	if f.began && r.Quarantine.Suspected(c.parts) {
+	if f.brokenOff && r.Quarantine.Suspected(c.parts) {
 		return false
 	}
 	if !f.notExecuted && (!c.route.Kind.Retryable() || c.possibleExecutions >= c.route.MaxAttempts) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -107,6 +107,9 @@
 	lastSweep time.Time
 	// prompts holds the attempts of prompts that have sent no event.
 	prompts map[*plan]*promptAttempt
+	// endedAnswers holds, by target, the answers of which it is not known yet whether their
+	// target ended with them.
+	endedAnswers map[topology.Incarnation][]endedAnswer
 }
 
 type notifiedKey struct {
@@ -125,6 +128,7 @@
 		balancer: balance.New(o.Zone, o.RegionOfZone), pressure: backpressure.New(o.HostID),
 		buckets: map[string]*ratelimit.Bucket{}, budgets: map[string]*retry.Budget{},
 		notified: map[notifiedKey]time.Time{}, prompts: map[*plan]*promptAttempt{},
+		endedAnswers: map[topology.Incarnation][]endedAnswer{},
 	}
 	r.stopped, r.endRequests = context.WithCancel(context.Background())
 	r.balancer.UseBackpressure(r.pressure)
@@ -175,7 +179,8 @@
 	req  *http.Request
 	meta message.Request
 	body []byte
-	// parts are the parts of the prompt that other requests may share.
+	// parts are what other requests may have in common with the prompt: the parts that they
+	// may share, and the prompt as a whole.
 	parts   []string
 	route   *topology.Route
 	account *topology.Account
@@ -200,19 +205,6 @@
 	log               hclog.Logger
 }
 
-// sharedParts returns the parts of a prompt that other requests may have in common with
-// it, with the model: all but the last.
-func sharedParts(m *message.Request) []string {
-	if len(m.Parts) < 2 {
-		return nil
-	}
-	parts := make([]string, 0, len(m.Parts)-1)
-	for _, part := range m.Parts[:len(m.Parts)-1] {
-		parts = append(parts, m.Model+"/"+part.ID)
-	}
-	return parts
-}
-
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.active.Add(1)
@@ -224,7 +216,7 @@
 	}
 	c := &call{w: w, req: req, started: time.Now(), meta: r.Codec.Request(req.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
-	c.parts = sharedParts(&c.meta)
+	c.parts = promptParts(&c.meta)
 	defer func() { r.bufferedBytes.Add(-int64(len(c.body))) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -30,12 +30,17 @@
 
 // relayResponse relays a response that is not a stream. A short one is read completely
 // first, so that the request can be retried if the response is truncated.
-func (r *Router) relayResponse(c *call, p *plan, resp *http.Response) *failure {
+func (r *Router) relayResponse(ctx context.Context, c *call, p *plan, resp *http.Response) *failure {
 	held := r.responses.hold(p.client.held)
 	defer held.release()
 	body, err := io.ReadAll(io.LimitReader(heldReader{resp.Body, held}, maxBufferedBytes+1))
 	if err != nil {
-		return badResponse(c, p, "the target's answer broke off", errors.Wrapf(err, "read from target %s", p.target.ID))
+		if ctx.Err() == nil {
+			r.recordBrokenOff(c, p)
+		}
+		f := badResponse(c, p, "the target's answer broke off", errors.Wrapf(err, "read from target %s", p.target.ID))
+		f.brokenOff = true
+		return f
 	}
 	buffered := &bufferedResponse{resp.StatusCode, resp.Header, body}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -47,7 +52,7 @@
 		r.recordCompletion(c, p, resp.StatusCode)
 		return nil
 	}
-	r.relayUnbuffered(c, p, resp, body)
+	r.relayUnbuffered(ctx, c, p, resp, body)
 	return nil
 }
 
@@ -75,11 +80,14 @@
 
 // relayUnbuffered relays a response that is too large to buffer. If it is truncated,
 // the caller's connection is aborted.
-func (r *Router) relayUnbuffered(c *call, p *plan, resp *http.Response, head []byte) {
+func (r *Router) relayUnbuffered(ctx context.Context, c *call, p *plan, resp *http.Response, head []byte) {
 	r.copyHeader(c, resp.Header)
 	c.w.WriteHeader(resp.StatusCode)
 	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(head), resp.Body))
 	if err != nil {
+		if ctx.Err() == nil {
+			r.recordBrokenOff(c, p)
+		}
 		r.logFailure(c, "response truncated", &failure{status: resp.StatusCode, reason: "relay failed", cause: errors.Wrapf(err, "relay from target %s", p.target.ID)})
 		panic(http.ErrAbortHandler)
 	}
@@ -151,14 +159,19 @@
 			if !c.responseStarted {
 				r.startStream(c, resp)
 			}
-			r.recordCompletion(c, p, resp.StatusCode)
+			r.recordStreamEnd(c, p, resp)
 			return nil
 		}
 		if err != nil {
 			c.tried[p.target.ID] = true
 			f := r.streamFailure(ctx, p, err)
-			if f.began = !relayed; f.began && ctx.Err() == nil {
+			f.began, f.brokenOff = !relayed, true
+			switch {
+			case ctx.Err() != nil:
+			case f.began:
 				r.recordCrash(c, p)
+			default:
+				r.recordBrokenOff(c, p)
 			}
 			return f
 		}
@@ -244,12 +257,34 @@
 	r.metrics.recordFirstEvent(c, c.firstEventLatency)
 }
 
-// recordCompletion records a request whose response was relayed.
+// recordStreamEnd records a stream that was relayed to its end.
+func (r *Router) recordStreamEnd(c *call, p *plan, resp *http.Response) {
+	if isUnframed(resp) {
+		r.recordUnframedEnd(c, p)
+		r.recordRelayed(c, p, resp.StatusCode)
+		return
+	}
+	r.recordCompletion(c, p, resp.StatusCode)
+}
+
+// isUnframed reports whether a response has neither a length nor chunks, so that the end of
+// its connection ends it.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// recordCompletion records a request that its target completed and whose response was
+// relayed.
 func (r *Router) recordCompletion(c *call, p *plan, status int) {
-	r.metrics.recordResponse(c, status, time.Since(c.started))
 	if status == http.StatusOK && len(c.parts) > 0 {
 		r.Quarantine.RecordCompletion(c.parts)
 	}
+	r.recordRelayed(c, p, status)
+}
+
+// recordRelayed counts and logs a request whose response was relayed.
+func (r *Router) recordRelayed(c *call, p *plan, status int) {
+	r.metrics.recordResponse(c, status, time.Since(c.started))
 	c.log.Info("answered", "route", c.route.Name, "config", c.config.Version, "target", p.target.ID, "status", status, "sends", c.sends,
 		"first_event_ms", c.firstEventLatency.Milliseconds(), "elapsed_ms", time.Since(c.started).Milliseconds())
 }
--- a/internal/forward/watchdog.go
+++ b/internal/forward/watchdog.go
@@ -114,19 +114,25 @@
 	if !unresponsive {
 		return false
 	}
-	conn, err := net.DialTimeout("tcp", p.target.Address, probeTimeout)
-	if err != nil {
+	if err := probe(p.target.Address); err != nil {
 		r.Log.Info("target takes no connections", "target", p.target.ID, "address", p.target.Address, "error", err)
 		r.recordUnreachable(p)
 		return true
 	}
-	if err := conn.Close(); err != nil {
-		r.Log.Debug("failed to close the probe connection", "target", p.target.ID, "error", err)
-	}
 	r.recordActivity(p)
 	return false
 }
 
+// probe opens a connection to an address and closes it. It returns why none could be opened.
+func probe(address string) error {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return errors.Wrapf(err, "connect to %s", address)
+	}
+	_ = conn.Close() // nothing was sent on it
+	return nil
+}
+
 const reasonNoResponse = "target shows no sign of an answer"
 
 // stop ends the watch once the target responds.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,9 @@
 	// innocenceReporters is the expected number of hosts that report a completed part
 	// after a crash.
 	innocenceReporters = 4
+	// maxContestDelay spreads the hosts that know a completed part of a new entry, so that
+	// the first reports it for all.
+	maxContestDelay = 300 * time.Millisecond
 	// queueSize bounds the notices that wait to be sent.
 	queueSize = 256
 	// maxRestoreDelay spreads the hosts that write entries again after the store was
@@ -94,6 +98,9 @@
 	// lastDigest is the last digest of a peer for which the table was read.
 	lastDigest   uint64
 	lastDigestAt time.Time
+	// contested are the parts of new entries that have completed here and that no peer has
+	// reported yet.
+	contested map[string]bool
 	// restored means that the store may have lost entries since the table was last read.
 	restored bool
 
@@ -104,7 +111,7 @@
 // New returns a keeper that has read no entry.
 func New(o Options) *Keeper {
 	k := &Keeper{
-		Options: o, registry: quarantine.New(),
+		Options: o, registry: quarantine.New(), contested: map[string]bool{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 	o.View.OnRestoration(func() { time.AfterFunc(rand.N(maxRestoreDelay), k.requestRestore) })
@@ -119,14 +126,14 @@
 	k.requestRead()
 }
 
-// Match returns the entry that rejects a request with the given shared parts.
+// Match returns the entry that rejects a request with the given parts.
 func (k *Keeper) Match(parts []string) (quarantine.Entry, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.registry.Match(parts, time.Now())
 }
 
-// Suspected reports whether a request with the given shared parts must not be retried.
+// Suspected reports whether a request with the given parts must not be retried.
 func (k *Keeper) Suspected(parts []string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -150,14 +157,17 @@
 	k.enqueue(outgoing{notice: n, rows: changed})
 }
 
-// RecordCrash records that a target ended after it had begun to respond to a request of
-// this host.
-func (k *Keeper) RecordCrash(c quarantine.Crash) {
-	if len(c.Parts) == 0 {
+// RecordCrashes records that targets ended while they worked on requests of this host.
+func (k *Keeper) RecordCrashes(crashes []quarantine.Crash) {
+	crashes = slices.DeleteFunc(crashes, func(c quarantine.Crash) bool { return len(c.Parts) == 0 })
+	if len(crashes) == 0 {
 		return
 	}
-	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: []quarantine.Crash{c}}})
-	added := k.applyCrash(c)
+	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: crashes}})
+	var added []quarantine.Entry
+	for _, c := range crashes {
+		added = append(added, k.applyCrash(c)...)
+	}
 	if len(added) > 0 {
 		k.announce(added)
 	}
@@ -171,7 +181,7 @@
 	k.mu.Lock()
 	added, innocent := k.registry.RecordCrash(c, now)
 	k.mu.Unlock()
-	k.Log.Info("a target ended as it began to respond", "target", c.Target, "parts", c.Parts, "innocent", len(innocent))
+	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", c.Parts, "innocent", len(innocent))
 	k.reportInnocent(innocent, now)
 	for _, e := range added {
 		k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", e.Parts, "for_s", int(e.Duration.Seconds()))
@@ -187,11 +197,44 @@
 	if len(innocent) == 0 || rand.IntN(max(1, hosts)) >= innocenceReporters {
 		return
 	}
+	k.enqueue(outgoing{notice: innocenceNotice(innocent, now)})
+}
+
+func innocenceNotice(innocent []quarantine.Completion, now time.Time) *peers.QuarantineNotice {
 	n := &peers.QuarantineNotice{}
 	for _, c := range innocent {
 		n.Innocent = append(n.Innocent, peers.InnocentPart{Part: c.Part, AgeMs: now.Sub(c.At).Milliseconds()})
 	}
-	k.enqueue(outgoing{notice: n})
+	return n
+}
+
+// contestEntry tells the peers which parts of a new entry have completed here, unless one of
+// them does so first. When many targets end at once, a part in rare use may have been at
+// three of them, and the few hosts that know of its completions may not have reported it.
+func (k *Keeper) contestEntry(parts []string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	innocent := k.registry.Innocent(parts, now)
+	if len(innocent) == 0 {
+		return
+	}
+	for _, c := range innocent {
+		k.contested[c.Part] = true
+	}
+	time.AfterFunc(rand.N(maxContestDelay), func() { k.reportContested(innocent) })
+}
+
+// reportContested reports the parts that no peer has reported meanwhile.
+func (k *Keeper) reportContested(innocent []quarantine.Completion) {
+	k.mu.Lock()
+	innocent = slices.DeleteFunc(innocent, func(c quarantine.Completion) bool { return !k.contested[c.Part] })
+	for _, c := range innocent {
+		delete(k.contested, c.Part)
+	}
+	k.mu.Unlock()
+	if len(innocent) > 0 {
+		k.enqueue(outgoing{notice: innocenceNotice(innocent, time.Now())})
+	}
 }
 
 // announce sends new entries to the peers and keeps them in the store. Only the host that
@@ -211,6 +254,7 @@
 	now := time.Now()
 	for _, i := range n.Innocent {
 		k.mu.Lock()
+		delete(k.contested, i.Part)
 		k.registry.RecordCompletion([]string{i.Part}, now.Add(-milliseconds(i.AgeMs)))
 		k.mu.Unlock()
 	}
@@ -218,6 +262,7 @@
 		k.applyCrash(c)
 	}
 	for _, e := range n.Entries {
+		k.contestEntry(e.Parts, now)
 		k.addEntry(quarantine.Entry{ID: e.ID, Parts: e.Parts, Until: now.Add(milliseconds(e.RemainingMs)), Duration: milliseconds(e.DurationMs)})
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -68,7 +68,11 @@
 }
 
 // fleet delivers notices to the keepers that are connected.
-type fleet struct{ keepers []*Keeper }
+type fleet struct {
+	keepers []*Keeper
+	// hosts is the number of hosts that the fleet claims to have, if it is not zero.
+	hosts int
+}
 
 func (f *fleet) BroadcastQuarantineNotice(_ context.Context, n *peers.QuarantineNotice) {
 	for _, k := range f.keepers {
@@ -78,7 +82,7 @@
 
 func (f *fleet) ReadsForItself() bool { return true }
 
-func (f *fleet) CountHosts() (int, float64) { return len(f.keepers) + 1, 0 }
+func (f *fleet) CountHosts() (int, float64) { return max(f.hosts, len(f.keepers)+1), 0 }
 
 // startKeeper starts a keeper on the table that sends its notices to the fleet.
 func startKeeper(t *testing.T, store *table, f *fleet) *Keeper {
@@ -98,7 +102,7 @@
 }
 
 func crash(k *Keeper, n int, parts ...string) {
-	k.RecordCrash(quarantine.Crash{Parts: parts, Target: fmt.Sprint("engine-", n)})
+	k.RecordCrashes([]quarantine.Crash{{Parts: parts, Target: fmt.Sprint("engine-", n)}})
 }
 
 func rejects(k *Keeper, parts ...string) func() bool {
@@ -160,3 +164,21 @@
 	g.Consistently(store.size, "100ms", "20ms").Should(Equal(1))
 	g.Expect(store.rows).To(HaveKey("on probation"))
 }
+
+// Guards against sound parts that stay in quarantine because no host that knows of their
+// completions reported them: many targets ended at once, and three of them worked on a part
+// that is in rare use.
+func TestEntryOfCompletedPartIsContested(t *testing.T) {
+	g := NewWithT(t)
+	store := newTable()
+	fleetOfOne, fleetOfOther := &fleet{hosts: 300}, &fleet{hosts: 300}
+	one, other := startKeeper(t, store, fleetOfOne), startKeeper(t, store, fleetOfOther)
+	fleetOfOne.keepers, fleetOfOther.keepers = []*Keeper{other}, []*Keeper{one}
+	other.RecordCompletion([]string{"rare"})
+	for n := range 3 {
+		crash(one, n, "rare", "deadly")
+	}
+	g.Expect(rejects(one, "rare", "deadly")()).To(BeTrue())
+	g.Eventually(rejects(one, "deadly", "other"), "2s", "10ms").Should(BeTrue(), "what is left of the entry")
+	g.Expect(rejects(one, "rare", "other")()).To(BeFalse())
+}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -1,6 +1,5 @@
 // Package quarantine finds parts of prompts that crash targets, from attempts in which a
-// target ended after it had begun to respond and before it sent an event. It does no I/O;
-// the current time is an argument.
+// target ended while it worked on a request. It does no I/O; the current time is an argument.
 //
 // Invariant: a part of a request that has completed recently is not a suspect. A request
 // is rejected only if it has all parts that the crashes have in common, so that requests
@@ -40,7 +39,8 @@
 
 // Crash is an attempt that a target did not survive.
 type Crash struct {
-	// Parts are the parts that other requests may share, with their model.
+	// Parts are what other requests may have in common with this one: the parts that they may
+	// share, with their model, and the prompt as a whole.
 	Parts []string `msgpack:"p"`
 	// Target identifies the incarnation of the target.
 	Target string `msgpack:"t"`
@@ -141,17 +141,27 @@
 	return ok && now.Sub(at) < completionTTL
 }
 
+// Innocent returns the completions that prove some of the parts innocent.
+func (r *Registry) Innocent(parts []string, now time.Time) []Completion {
+	var innocent []Completion
+	for _, part := range parts {
+		if r.isInnocent(part, now) {
+			innocent = append(innocent, Completion{part, r.completed[part]})
+		}
+	}
+	return innocent
+}
+
 // RecordCrash records a crash. It returns the entries that it adds or resumes, and the
 // completions that prove parts innocent.
 func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []Completion) {
 	r.sweep(now)
+	innocent = r.Innocent(c.Parts, now)
 	var parts []string
 	for _, part := range c.Parts {
-		if r.isInnocent(part, now) {
-			innocent = append(innocent, Completion{part, r.completed[part]})
-			continue
+		if !r.isInnocent(part, now) {
+			parts = append(parts, part)
 		}
-		parts = append(parts, part)
 	}
 	for _, part := range parts {
 		r.suspect(part, parts).crash(c.Target, parts, now)
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -27,9 +27,11 @@
 	// FailStatus; zero means status 500.
 	FailRequests int
 	FailStatus   int
-	// CrashPart is a part of prompts on which the replica crashes after the head of its
-	// response. It answers nothing afterwards.
+	// CrashPart is a part of prompts on which the replica crashes. It answers nothing
+	// afterwards.
 	CrashPart string
+	// CrashPoint is how far the response to such a prompt gets.
+	CrashPoint CrashPoint
 	// StallAfterHead sends the head of a stream and no event until the caller leaves.
 	StallAfterHead bool
 	// Hold keeps requests in the queue until the fault ends or their caller leaves.
@@ -49,6 +51,23 @@
 	LoseReports bool
 }
 
+// CrashPoint is how far a response gets before its replica crashes.
+type CrashPoint int
+
+// A crash after the head leaves the replica's port open, so that only the response shows
+// it; the others close the port, as the end of a process does.
+const (
+	CrashAfterHead CrashPoint = iota
+	CrashBeforeHead
+	CrashAfterEvent
+	CrashInBody
+)
+
+// crashes reports whether the replica crashes on a request at a point of its response.
+func (f *ReplicaFaults) crashes(req *http.Request, at CrashPoint) bool {
+	return f.CrashPart != "" && f.CrashPoint == at && strings.Contains(req.Header.Get("X-Prefix-Hash"), f.CrashPart)
+}
+
 // FixedResponse is a response of a faulty replica.
 type FixedResponse struct {
 	Status            int
@@ -113,6 +132,7 @@
 	weightsVersion      int64
 	loading             bool
 	crashed             bool
+	stopServing         func() // nil if the replica does not serve by itself
 	running             int
 	loadWhenIdle        func() // starts the load of an accepted order; nil if none waits
 	store               *Store // the store in which the replica is registered
@@ -367,10 +387,32 @@
 	return r.faults, r.weightsVersion, http.StatusOK
 }
 
-func (r *Replica) crash() {
+// Serve serves requests on a new port of the loopback address until stop is called.
+func (r *Replica) Serve() (address string, stop func(), err error) {
+	address, stop, err = Serve(r)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.stopServing = stop
+	return address, stop, err
+}
+
+// crash ends the handler, and all answers from now on.
+func (r *Replica) crash() {
+	r.mu.Lock()
 	r.crashed = true
+	r.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+// crashWithPort also closes the port and all connections.
+func (r *Replica) crashWithPort() {
+	r.mu.Lock()
+	stop := r.stopServing
+	r.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+	r.crash()
 }
 
 func (r *Replica) hasCrashed() bool {
@@ -460,6 +502,9 @@
 	if faults.LoseResponse {
 		panic(http.ErrAbortHandler)
 	}
+	if faults.crashes(req, CrashBeforeHead) {
+		r.crashWithPort()
+	}
 	w.Header().Set("X-Response-Stamp", "stamp-"+id)
 	if fixed := faults.ResumeResponse; fixed.Status != 0 && req.Header.Get("Last-Event-Id") != "" {
 		w.Header().Set("Content-Type", fixed.ContentType)
@@ -472,8 +517,16 @@
 		return
 	}
 	time.Sleep(r.options.ProcessingTime)
+	answer := "answer to " + id
+	if faults.crashes(req, CrashInBody) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+1))
+	}
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, "answer to "+id)
+	_, _ = io.WriteString(w, answer)
+	if faults.crashes(req, CrashInBody) {
+		_ = http.NewResponseController(w).Flush()
+		r.crashWithPort()
+	}
 }
 
 func (r *Replica) writeStream(w http.ResponseWriter, req *http.Request, faults ReplicaFaults) {
@@ -482,10 +535,9 @@
 		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no framing then
 	}
 	w.WriteHeader(http.StatusOK)
-	if faults.CrashPart != "" && strings.Contains(req.Header.Get("X-Prefix-Hash"), faults.CrashPart) {
+	if faults.crashes(req, CrashAfterHead) {
 		_ = http.NewResponseController(w).Flush()
 		r.crash()
-		panic(http.ErrAbortHandler)
 	}
 	if faults.StallAfterHead {
 		_ = http.NewResponseController(w).Flush()
@@ -506,6 +558,9 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		if faults.crashes(req, CrashAfterEvent) {
+			r.crashWithPort()
+		}
 		select {
 		case <-req.Context().Done():
 			return
--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -178,7 +178,7 @@
 		o.Zone = "zone-a"
 	}
 	r := standin.NewReplica(o)
-	address, stop, err := standin.Serve(r)
+	address, stop, err := r.Serve()
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(stop)
 	f.g.Expect(r.Register(f.store, address, "ready")).To(Succeed())
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -33,17 +34,7 @@
 		engine.SetFaults(standin.ReplicaFaults{CrashPart: deadlyPart})
 		engines = append(engines, engine)
 	}
-	runs := func() int {
-		n := 0
-		for _, engine := range engines {
-			for _, run := range engine.Executions() {
-				if strings.Contains(run.Header.Get("X-Prefix-Hash"), deadlyPart) {
-					n++
-				}
-			}
-		}
-		return n
-	}
+	runs := func() int { return countRunsWith(deadlyPart, engines) }
 	hosts := []*host{f.startHost("host-1"), f.startHost("host-2"), f.startHost("host-3")}
 	for _, h := range hosts {
 		f.g.Eventually(h.locate, "5s", "20ms").Should(HaveLen(3))
@@ -64,3 +55,138 @@
 	}
 	f.g.Expect(runs()).To(Equal(before))
 }
+
+// countRunsWith returns how many runs of the engines had a part in their prompt.
+func countRunsWith(part string, engines []*standin.Replica) int {
+	n := 0
+	for _, engine := range engines {
+		for _, run := range engine.Executions() {
+			if strings.Contains(run.Header.Get("X-Prefix-Hash"), part) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// addPlainPromptRoute adds a route to the engines whose answers are no streams.
+func (f *fixture) addPlainPromptRoute() {
+	f.updateConfig(func(c object) {
+		c["routes"] = append(c["routes"].([]any), object{
+			"name": "plain", "host": virtualHost, "prefix": "/plain/", "kind": "unsafe", "service": engineService,
+			"timeout_ms": 3000, "slo_ms": 400, "priority": 1, "max_attempts": 1, "sticky": true,
+		})
+	})
+}
+
+// startCrashingEngines starts engines that crash on a part at a point of the response.
+func (f *fixture) startCrashingEngines(n int, part string, at standin.CrashPoint, events int) []*standin.Replica {
+	var engines []*standin.Replica
+	for i := range n {
+		engine := f.startEngine(fmt.Sprintf("engine-%d", i), events)
+		engine.SetFaults(standin.ReplicaFaults{CrashPart: part, CrashPoint: at})
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// crashPoints are the points of a response at which an engine may end.
+var crashPoints = map[string]struct {
+	at     standin.CrashPoint
+	events int
+	uri    string
+}{
+	"before the head": {standin.CrashBeforeHead, 3, "/brief/1"},
+	"after the head":  {standin.CrashAfterHead, 3, "/brief/1"},
+	"after an event":  {standin.CrashAfterEvent, 3, "/brief/1"},
+	"within the body": {standin.CrashInBody, 0, "/plain/1"},
+}
+
+// Guards against a part that goes on crashing engines because they end before the head of
+// the answer, after its first event or within a body that is no stream, where only an end
+// between the head and the first event counted as a crash.
+func TestPartThatCrashesEnginesIsRejectedWhereverTheAnswerEnds(t *testing.T) {
+	t.Parallel()
+	for name, point := range crashPoints {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.addPlainPromptRoute()
+			engines := f.startCrashingEngines(7, deadlyPart, point.at, point.events)
+			h := f.startHost("host-1")
+			sent := 0
+			f.g.Eventually(func() int {
+				sent++
+				q := deadlyPrompt(point.uri)
+				q.header["X-Prefix-Hash"] += fmt.Sprintf(",e4%06x:10", sent) // no two are alike
+				return f.send(h, q).status
+			}, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
+			f.g.Expect(countRunsWith(deadlyPart, engines)).To(Equal(3))
+			f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "50ms").Should(Equal(http.StatusOK))
+		})
+	}
+}
+
+// Guards against a request that comes again, part for part, and crashes one engine after
+// the other, while sound requests complete with all parts that it shares with them.
+func TestRepeatedRequestThatCrashesEnginesIsRejected(t *testing.T) {
+	t.Parallel()
+	const lastPart = "e4dead01"
+	for name, point := range crashPoints {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.addPlainPromptRoute()
+			engines := f.startCrashingEngines(7, lastPart, point.at, point.events)
+			h := f.startHost("host-1")
+			deadly := promptRequest(point.uri)
+			deadly.header["X-Prefix-Hash"] = "5c1e07a2:1000," + lastPart + ":20"
+			f.g.Eventually(func() int {
+				f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "20ms").Should(Equal(http.StatusOK))
+				return f.send(h, deadly).status
+			}, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
+			f.g.Expect(countRunsWith(lastPart, engines)).To(Equal(3))
+			f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "50ms").Should(Equal(http.StatusOK))
+		})
+	}
+}
+
+// Guards against sound requests in quarantine because connections of theirs broke while
+// their engines lived on.
+func TestBrokenStreamsOfLiveEnginesAreNoCrashes(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	var engines []*standin.Replica
+	for i := range 4 {
+		engine := f.startEngine(fmt.Sprintf("engine-%d", i), 3)
+		engine.SetFaults(standin.ReplicaFaults{DropAfterEvents: 1})
+		engines = append(engines, engine)
+	}
+	h := f.startHost("host-1")
+	for range 12 {
+		f.g.Expect(f.send(h, promptRequest("/brief/1")).err).To(HaveOccurred())
+	}
+	time.Sleep(500 * time.Millisecond) // the host looks at engines whose answers ended
+	for _, engine := range engines {
+		engine.SetFaults(standin.ReplicaFaults{})
+	}
+	f.g.Expect(f.send(h, promptRequest("/brief/1")).status).To(Equal(http.StatusOK))
+	f.g.Expect(h.log.String()).NotTo(ContainSubstring("a target ended while"))
+}
+
+// Guards against an engine that crashes between two events of a stream without a length or
+// chunks, which looks complete and cleared the part that crashed it.
+func TestCrashWithinUnframedStreamIsNoCompletion(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	var engines []*standin.Replica
+	for i := range 7 {
+		engine, _ := f.startUnframedEngine(fmt.Sprintf("engine-%d", i))
+		engine.SetFaults(standin.ReplicaFaults{CrashPart: deadlyPart, CrashPoint: standin.CrashAfterEvent})
+		engines = append(engines, engine)
+	}
+	h := f.startHost("host-1")
+	f.g.Eventually(func() int { return f.send(h, deadlyPrompt("/brief/d")).status }, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(countRunsWith(deadlyPart, engines)).To(Equal(3))
+	f.g.Eventually(func() int { return f.send(h, promptRequest("/brief/1")).status }, "5s", "50ms").Should(Equal(http.StatusOK))
+}
