quarantine: crashes of long prompts take time in step with their parts

Callers of every route got no answer from any host for some ten seconds after an engine had crashed under prompts of many parts.

Suspects that have been in the same crashes are now one group, so that a crash takes time in step with its parts; requests use an index of the entries without a mutex; what the registry holds is bounded. On the same path: shared parts beyond 32 are folded before a target is chosen, and attempts that a new entry withdraws are looked for outside the router's mutex.

TestRegistryAgreesWithPartsOneByOne compares the decisions with a registry that looks at the parts one by one.

--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 )
 
 // maxSends bounds how often one request is sent, including rejected attempts. During a
@@ -124,7 +126,7 @@
 		args = append(args, "route", c.route.Name)
 	}
 	if f.began {
-		args = append(args, "response_began", true, "parts", strings.Join(c.parts, " "))
+		args = append(args, "response_began", true, "parts", strings.Join(quarantine.Summarize(c.parts), " "))
 	}
 	if c.account != nil {
 		args = append(args, "account", c.account.Name)
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -42,17 +42,18 @@
 	targets := s.ByService[c.service.Name]
 	hosts, _ := r.Fleet.CountHosts()
 	r.updateSharingHosts()
+	prompt := r.newPrompt(c)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := &plan{sentAt: now, envelope: message.Envelope{Priority: c.route.Priority, LastEventID: c.lastEventID}}
+	p := &plan{prompt: prompt, sentAt: now, envelope: message.Envelope{Priority: c.route.Priority, LastEventID: c.lastEventID}}
 	if c.account != nil {
 		p.envelope.Account = c.account.Name
 		if c.account.Priority != nil {
 			p.envelope.Priority = *c.account.Priority
 		}
 	}
-	if c.service.Engine != nil {
+	if p.prompt != nil {
 		r.planPrompt(c, p, targets, now)
 	} else {
 		p.target = r.balancer.PickPlain(targets, c.tried, len(c.body), now)
@@ -82,7 +83,6 @@
 }
 
 func (r *Router) planPrompt(c *call, p *plan, targets []*topology.Target, now time.Time) {
-	p.prompt = r.newPrompt(c)
 	choice := r.balancer.Pick(p.prompt, targets, c.tried, now)
 	p.target, p.tooOutdated = choice.Target, choice.TooOutdated
 	if p.target == nil {
@@ -99,14 +99,21 @@
 	r.metrics.recordOutdatedWeights(c, choice.OutdatedFor)
 }
 
+// newPrompt returns what the choice of a target needs to know of a prompt; nil if the service
+// has no engines.
 func (r *Router) newPrompt(c *call) *balance.Prompt {
+	if c.service.Engine == nil {
+		return nil
+	}
 	prompt := &balance.Prompt{Model: c.meta.Model, BodyBytes: len(c.body), Engine: c.service.Engine, SampleSeed: rand.Uint64() | 1}
 	if c.account != nil && c.account.Isolated {
 		prompt.IsolatedAccount = c.account.Name
 	}
+	parts := make([]balance.Part, 0, len(c.meta.Parts))
 	for _, part := range c.meta.Parts {
-		prompt.Parts = append(prompt.Parts, balance.Part(part))
+		parts = append(parts, balance.Part(part))
 	}
+	prompt.Parts = balance.FoldParts(parts)
 	prompt.DesiredWeights, prompt.MaxStaleness = r.View.Snapshot().DesiredWeights[prompt.Model], r.MaxWeightsStaleness
 	if store := c.config.KVStore(); store != nil {
 		prompt.StoreAddress, prompt.StoreZone = store.StoreAddress, store.StoreZone
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -46,7 +47,7 @@
 	}
 	f := notExecutedFailure(http.StatusServiceUnavailable, "the prompt has parts on which several targets crashed", time.Until(e.Until))
 	f.final = true
-	f.cause = errors.Errorf("entry %s: %s", e.ID, strings.Join(e.Parts, " "))
+	f.cause = errors.Errorf("entry %s: %s", e.ID, strings.Join(quarantine.Summarize(e.Parts), " "))
 	return f
 }
 
@@ -163,14 +164,13 @@
 // that have sent no event, before they crash their targets too.
 func (r *Router) WithdrawMatching(e quarantine.Entry) {
 	r.mu.Lock()
-	var matching []*promptAttempt
-	for _, a := range r.prompts {
-		if !slices.ContainsFunc(e.Parts, func(part string) bool { return !slices.Contains(a.call.parts, part) }) {
-			matching = append(matching, a)
-		}
-	}
+	attempts := slices.Collect(maps.Values(r.prompts))
 	r.mu.Unlock()
-	for _, a := range matching {
+	index := quarantine.NewIndex(e)
+	for _, a := range attempts {
+		if _, ok := index.Match(a.call.parts, time.Now()); !ok {
+			continue
+		}
 		a.watchdog.abort(&failure{
 			status: http.StatusBadGateway, reason: "the prompt has parts on which several targets crashed", retryAfter: time.Until(e.Until), final: true,
 			cause: errors.Errorf("withdrawn from target %s: entry %s", a.plan.target.ID, e.ID),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -44,6 +45,9 @@
 	// maxContestDelay spreads the hosts that know a completed part of a new entry, so that
 	// the first reports it for all.
 	maxContestDelay = 300 * time.Millisecond
+	// partsPerUpdate bounds the parts of a completed prompt that are recorded at once, since
+	// all prompts wait for the same mutex as they complete.
+	partsPerUpdate = 64
 	// queueSize bounds the notices that wait to be sent.
 	queueSize = 256
 	// maxRestoreDelay spreads the hosts that write entries again after the store was
@@ -93,6 +97,10 @@
 type Keeper struct {
 	Options
 
+	// index holds the entries of the registry. Requests use it without the mutex, which is
+	// held over work that grows with the parts of a crash.
+	index atomic.Pointer[quarantine.Index]
+
 	mu       sync.Mutex
 	registry *quarantine.Registry
 	// lastDigest is the last digest of a peer for which the table was read.
@@ -114,6 +122,7 @@
 		Options: o, registry: quarantine.New(), contested: map[string]bool{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
+	k.index.Store(k.registry.Index())
 	o.View.OnRestoration(func() { time.AfterFunc(rand.N(maxRestoreDelay), k.requestRestore) })
 	return k
 }
@@ -128,9 +137,15 @@
 
 // Match returns the entry that rejects a request with the given parts.
 func (k *Keeper) Match(parts []string) (quarantine.Entry, bool) {
+	return k.index.Load().Match(parts, time.Now())
+}
+
+// update changes the registry, and the index that requests use.
+func (k *Keeper) update(change func(r *quarantine.Registry)) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Match(parts, time.Now())
+	change(k.registry)
+	k.index.Store(k.registry.Index())
 }
 
 // Suspected reports whether a request with the given parts must not be retried.
@@ -143,13 +158,18 @@
 // RecordCompletion records that a target completed a request.
 func (k *Keeper) RecordCompletion(parts []string) {
 	now := time.Now()
-	k.mu.Lock()
-	cleared, changed := k.registry.RecordCompletion(parts, now)
-	k.mu.Unlock()
+	var cleared []string
+	var changed []quarantine.Entry
+	for some := range slices.Chunk(parts, partsPerUpdate) {
+		k.update(func(r *quarantine.Registry) {
+			c, e := r.RecordCompletion(some, now)
+			cleared, changed = append(cleared, c...), append(changed, e...)
+		})
+	}
 	if len(cleared) == 0 {
 		return
 	}
-	k.Log.Info("parts are no longer suspected of crashes", "parts", cleared)
+	k.Log.Info("parts are no longer suspected of crashes", "parts", quarantine.Summarize(cleared))
 	n := &peers.QuarantineNotice{}
 	for _, part := range cleared {
 		n.Innocent = append(n.Innocent, peers.InnocentPart{Part: part})
@@ -178,13 +198,13 @@
 // that this adds.
 func (k *Keeper) applyCrash(c quarantine.Crash) []quarantine.Entry {
 	now := time.Now()
-	k.mu.Lock()
-	added, innocent := k.registry.RecordCrash(c, now)
-	k.mu.Unlock()
-	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", c.Parts, "innocent", len(innocent))
+	var added []quarantine.Entry
+	var innocent []quarantine.Completion
+	k.update(func(r *quarantine.Registry) { added, innocent = r.RecordCrash(c, now) })
+	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", quarantine.Summarize(c.Parts), "innocent", len(innocent))
 	k.reportInnocent(innocent, now)
 	for _, e := range added {
-		k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", e.Parts, "for_s", int(e.Duration.Seconds()))
+		k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", quarantine.Summarize(e.Parts), "for_s", int(e.Duration.Seconds()))
 		k.OnEntry(e)
 	}
 	return added
@@ -252,12 +272,12 @@
 // HandleNotice handles the notice of a peer.
 func (k *Keeper) HandleNotice(n *peers.QuarantineNotice) {
 	now := time.Now()
-	for _, i := range n.Innocent {
-		k.mu.Lock()
-		delete(k.contested, i.Part)
-		k.registry.RecordCompletion([]string{i.Part}, now.Add(-milliseconds(i.AgeMs)))
-		k.mu.Unlock()
-	}
+	k.update(func(r *quarantine.Registry) {
+		for _, i := range n.Innocent {
+			delete(k.contested, i.Part)
+			r.RecordCompletion([]string{i.Part}, now.Add(-milliseconds(i.AgeMs)))
+		}
+	})
 	for _, c := range n.Crashes {
 		k.applyCrash(c)
 	}
@@ -301,11 +321,10 @@
 
 // addEntry adds an entry of a peer or of the store, and returns it as it holds here.
 func (k *Keeper) addEntry(e quarantine.Entry) quarantine.Entry {
-	k.mu.Lock()
-	e, added := k.registry.AddEntry(e, time.Now())
-	k.mu.Unlock()
+	var added bool
+	k.update(func(r *quarantine.Registry) { e, added = r.AddEntry(e, time.Now()) })
 	if added {
-		k.Log.Info("entry of the quarantine received", "entry", e.ID, "parts", e.Parts, "for_s", int(time.Until(e.Until).Seconds()))
+		k.Log.Info("entry of the quarantine received", "entry", e.ID, "parts", quarantine.Summarize(e.Parts), "for_s", int(time.Until(e.Until).Seconds()))
 		k.OnEntry(e)
 	}
 	return e
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -182,3 +182,40 @@
 	g.Eventually(rejects(one, "deadly", "other"), "2s", "10ms").Should(BeTrue(), "what is left of the entry")
 	g.Expect(rejects(one, "rare", "other")()).To(BeFalse())
 }
+
+// Guards against hosts that answer nobody for seconds after an engine has crashed under
+// prompts of many parts: the time of a crash grew with the cube of their number, and each
+// request waited for it.
+func TestRequestsDoNotWaitForCrashesOfManyParts(t *testing.T) {
+	g := NewWithT(t)
+	k := startKeeper(t, newTable(), &fleet{})
+	const (
+		prompts, partsOfPrompt = 16, 600
+		maxWait                = 500 * time.Millisecond // what a timeout may be exceeded by
+	)
+	var recorded sync.WaitGroup
+	done := make(chan struct{})
+	for prompt := range prompts {
+		recorded.Go(func() {
+			var parts []string
+			for i := range partsOfPrompt {
+				parts = append(parts, fmt.Sprint("model/", i))
+			}
+			crash(k, 0, append(parts, fmt.Sprint("model/prompt:", prompt))...)
+		})
+	}
+	go func() { recorded.Wait(); close(done) }()
+	longest := time.Duration(0)
+	for ended := false; !ended; {
+		select {
+		case <-done:
+			ended = true
+		default:
+		}
+		before := time.Now()
+		k.Match([]string{"model/sound"})
+		k.RecordCompletion([]string{"model/sound"})
+		longest = max(longest, time.Since(before))
+	}
+	g.Expect(longest).To(BeNumerically("<", maxWait))
+}
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -72,6 +72,28 @@
 	Tokens int
 }
 
+// maxSharedParts bounds the parts of a prompt that are looked up one by one, so that the work
+// of a choice, and the notice of it, do not grow with what a caller sends.
+const maxSharedParts = 32
+
+// FoldParts joins the shared parts beyond maxSharedParts to one. Targets are then known to
+// have either all or none of these.
+func FoldParts(parts []Part) []Part {
+	shared := len(parts) - 1
+	if shared <= maxSharedParts {
+		return parts
+	}
+	var ids xxhash.Digest
+	ids.Reset()
+	var folded Part
+	for _, part := range parts[maxSharedParts-1 : shared] {
+		_, _ = ids.WriteString(part.ID + ",") // xxhash never fails
+		folded.Tokens += part.Tokens
+	}
+	folded.ID = "folded:" + strconv.FormatUint(ids.Sum64(), 16)
+	return append(slices.Clone(parts[:maxSharedParts-1]), folded, parts[shared])
+}
+
 // Prompt is a request with a prompt for an engine.
 type Prompt struct {
 	Model string
--- /dev/null
+++ b/policy/quarantine/many_parts_test.go
@@ -0,0 +1,194 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// manyParts returns the parts of a prompt; those below shared are the same for all prompts.
+func manyParts(n, shared, prompt int) []string {
+	parts := make([]string, 0, n)
+	for i := range n {
+		if i < shared {
+			parts = append(parts, fmt.Sprint("model/shared-", i))
+			continue
+		}
+		parts = append(parts, fmt.Sprint("model/", prompt, "-", i))
+	}
+	return parts
+}
+
+// simpleRegistry decides like Registry, part by part and without bounds on memory.
+type simpleRegistry struct {
+	crashes   []Crash
+	completed map[string]time.Time
+	entries   map[string]Entry
+}
+
+// crashesOf returns the recorded crashes that have a part.
+func (r *simpleRegistry) crashesOf(part string) []Crash {
+	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return !slices.Contains(c.Parts, part) })
+}
+
+func targetsOf(crashes []Crash) map[string]bool {
+	out := map[string]bool{}
+	for _, c := range crashes {
+		out[c.Target] = true
+	}
+	return out
+}
+
+// commonParts returns what all crashes share.
+func commonParts(crashes []Crash) []string {
+	common := slices.Sorted(slices.Values(crashes[0].Parts))
+	for _, c := range crashes[1:] {
+		common = slices.DeleteFunc(common, func(part string) bool { return !slices.Contains(c.Parts, part) })
+	}
+	return common
+}
+
+func (r *simpleRegistry) complete(parts []string, at time.Time) {
+	for _, part := range parts {
+		r.completed[part] = at
+		for i := range r.crashes {
+			r.crashes[i].Parts = slices.DeleteFunc(r.crashes[i].Parts, func(p string) bool { return p == part })
+		}
+		for id, e := range r.entries {
+			e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(p string) bool { return p == part })
+			if r.entries[id] = e; len(e.Parts) == 0 {
+				delete(r.entries, id)
+			}
+		}
+	}
+}
+
+func (r *simpleRegistry) crash(c Crash) {
+	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(p string) bool { return !r.completed[p].IsZero() })
+	r.crashes = append(r.crashes, c)
+	for _, part := range c.Parts {
+		crashes := r.crashesOf(part)
+		common := commonParts(crashes)
+		if len(targetsOf(crashes)) < crashesToQuarantine || r.isExplained(crashes, common) {
+			continue
+		}
+		id := entryID(common)
+		if _, known := r.entries[id]; !known {
+			r.entries[id] = Entry{ID: id, Parts: common}
+		}
+	}
+}
+
+func (r *simpleRegistry) isExplained(crashes []Crash, common []string) bool {
+	unexplained := targetsOf(crashes)
+	for _, c := range r.crashes {
+		for _, part := range c.Parts {
+			others := r.crashesOf(part)
+			wider := commonParts(others)
+			if len(targetsOf(others)) < 2 || len(wider) <= len(common) || slices.ContainsFunc(common, func(p string) bool { return !slices.Contains(wider, p) }) {
+				continue
+			}
+			maps.DeleteFunc(unexplained, func(target string, _ bool) bool { return targetsOf(others)[target] })
+		}
+	}
+	return len(unexplained) < crashesToQuarantine
+}
+
+// Guards against groups of suspects that decide otherwise than their parts one by one.
+func TestRegistryAgreesWithPartsOneByOne(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		r, simple := New(), &simpleRegistry{completed: map[string]time.Time{}, entries: map[string]Entry{}}
+		names := []string{"a", "b", "c", "d", "e", "f", "g"}
+		for step := range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			parts := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 5, rapid.ID[string]).Draw(rt, "parts")
+			if rapid.IntRange(0, 5).Draw(rt, "completion") == 0 {
+				parts = parts[:1]
+				r.RecordCompletion(parts, at(step))
+				simple.complete(parts, at(step))
+			} else {
+				c := Crash{parts, fmt.Sprint("engine-", rapid.IntRange(0, 5).Draw(rt, "engine"))}
+				r.RecordCrash(c, at(step))
+				simple.crash(c)
+			}
+			found := map[string][]string{}
+			for _, e := range r.Entries(at(step)) {
+				found[e.ID] = e.Parts
+			}
+			wanted := map[string][]string{}
+			for id, e := range simple.entries {
+				wanted[id] = e.Parts
+			}
+			g.Expect(found).To(Equal(wanted))
+			held := 0
+			for s := range r.suspects.all {
+				held += s.size()
+			}
+			g.Expect(r.suspects.held).To(Equal(held))
+		}
+	})
+}
+
+// Guards against prompts of many parts that crash targets and fill the memory of the host,
+// and against the bounds that make it forget a part that goes on crashing them.
+func TestSuspectsAndEntriesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	for n := range 60 {
+		for target := range crashesToQuarantine {
+			r.RecordCrash(Crash{manyParts(2000, 0, n), fmt.Sprint("engine-", n, target)}, at(n))
+		}
+		r.RecordCompletion(manyParts(1000, 0, 100_000+n), at(n))
+		g.Expect(r.suspects.held).To(BeNumerically("<=", maxHeld))
+		g.Expect(r.entries.held).To(BeNumerically("<=", maxParts))
+		g.Expect(len(r.completed)).To(BeNumerically("<=", maxParts))
+	}
+	g.Expect(matches(r, manyParts(2000, 0, 59)...)).To(BeTrue())
+	for n := range crashesToQuarantine {
+		r.RecordCrash(Crash{append(manyParts(2000, 0, 1000+n), "deadly"), fmt.Sprint("engine-", n)}, at(1000))
+	}
+	g.Expect(matches(r, "deadly")).To(BeTrue())
+}
+
+// partCounts are the sizes of the benchmarks; 1,000 parts take most of a caller's header.
+var partCounts = [...]int{10, 100, 1000}
+
+// BenchmarkCrashes records the crashes of an engine under prompts that share all parts but
+// one, at three engines.
+func BenchmarkCrashes(b *testing.B) {
+	for _, n := range partCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				r := New()
+				for crash := range 16 {
+					r.RecordCrash(Crash{manyParts(n, n-1, crash), fmt.Sprint("engine-", crash%3)}, at(crash))
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRequests matches a prompt and records its completion while another one is in
+// quarantine.
+func BenchmarkRequests(b *testing.B) {
+	for _, n := range partCounts {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := New()
+			for crash := range crashesToQuarantine {
+				r.RecordCrash(Crash{append(manyParts(n, n-1, crash), "deadly"), fmt.Sprint("engine-", crash)}, at(crash))
+			}
+			parts := manyParts(n, n-1, 100)
+			for b.Loop() {
+				if _, ok := r.Match(parts, at(1000)); ok {
+					b.Fatal("a sound prompt is in quarantine")
+				}
+				r.RecordCompletion(parts, at(1000))
+			}
+		})
+	}
+}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -33,8 +34,12 @@
 	completionTTL = 15 * time.Second
 	// crashTTL is how long a crash counts.
 	crashTTL = 5 * time.Minute
-	// maxParts bounds the memory for suspects and for completions.
+	// maxParts bounds the parts in memory for completions, and for entries.
 	maxParts = 20_000
+	// maxHeld bounds the parts that suspects hold.
+	maxHeld = 100_000
+	// summarizedParts is the number of parts at each end of a list that a log line shows.
+	summarizedParts = 4
 )
 
 // Crash is an attempt that a target did not survive.
@@ -46,68 +51,43 @@
 	Target string `msgpack:"t"`
 }
 
-// Entry is a set of parts in quarantine: requests that have all of them are rejected
-// until its end.
-type Entry struct {
-	ID       string
-	Parts    []string
-	Until    time.Time
-	Duration time.Duration
-}
-
 // Completion is a part of a request that a target completed.
 type Completion struct {
 	Part string
 	At   time.Time
 }
 
-// suspect is a part that some crashes have in common.
-type suspect struct {
-	targets map[string]time.Time
-	// common are the parts that all crashes of this part share.
-	common []string
-	last   time.Time
-}
-
 // Registry holds the suspects and the entries. It is not safe for concurrent use.
 type Registry struct {
-	suspects  map[string]*suspect
+	suspects  *suspects
 	completed map[string]time.Time
-	entries   map[string]Entry
-	// entriesOf lists the IDs of the entries that have a part.
-	entriesOf map[string][]string
+	entries   *entries
 	lastSweep time.Time
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{
-		suspects: map[string]*suspect{}, completed: map[string]time.Time{},
-		entries: map[string]Entry{}, entriesOf: map[string][]string{},
+	return &Registry{suspects: newSuspects(), completed: map[string]time.Time{}, entries: newEntries()}
+}
+
+// Index returns an index of the current entries.
+func (r *Registry) Index() *Index {
+	if r.entries.index == nil {
+		r.entries.index = NewIndex(slices.Collect(maps.Values(r.entries.byID))...)
 	}
+	return r.entries.index
 }
 
-// Match returns the entry that rejects a request with the given parts.
+// Match returns the entry that rejects a request with the given parts, which are distinct.
 func (r *Registry) Match(parts []string, now time.Time) (Entry, bool) {
-	if len(r.entries) == 0 {
-		return Entry{}, false
-	}
-	for _, part := range parts {
-		for _, id := range r.entriesOf[part] {
-			e := r.entries[id]
-			if now.Before(e.Until) && containsAll(parts, e.Parts) {
-				return e, true
-			}
-		}
-	}
-	return Entry{}, false
+	return r.Index().Match(parts, now)
 }
 
 // Suspected reports whether a part has crashed more than one target, so that a request
 // with it must not be retried.
 func (r *Registry) Suspected(parts []string) bool {
 	return slices.ContainsFunc(parts, func(p string) bool {
-		s := r.suspects[p]
+		s := r.suspects.byPart[p]
 		return s != nil && len(s.targets) > 1
 	})
 }
@@ -117,23 +97,34 @@
 // the entries that had any of them, without these parts.
 func (r *Registry) RecordCompletion(parts []string, at time.Time) (cleared []string, changed []Entry) {
 	r.sweep(at)
+	index := r.Index()
 	for _, part := range parts {
-		known, ok := r.completed[part]
-		if (ok || len(r.completed) < maxParts) && known.Before(at) {
-			r.completed[part] = at
-		}
-		if r.suspects[part] != nil || len(r.entriesOf[part]) > 0 {
+		r.complete(part, at)
+		if r.suspects.byPart[part] != nil || len(index.entriesOf[part]) > 0 {
 			cleared = append(cleared, part)
 		}
-		delete(r.suspects, part)
-		changed = append(changed, r.removeFromEntries(part)...)
 	}
-	for _, part := range cleared {
-		for _, s := range r.suspects {
-			s.common = without(s.common, part)
+	if len(cleared) == 0 {
+		return nil, nil
+	}
+	r.suspects.exonerate(cleared)
+	return cleared, r.entries.exonerate(newSet(cleared))
+}
+
+// complete records the completion of a part. If too many are known, it takes the place of
+// another one: parts in steady use are soon recorded again.
+func (r *Registry) complete(part string, at time.Time) {
+	known, ok := r.completed[part]
+	if ok && !known.Before(at) {
+		return
+	}
+	if !ok && len(r.completed) >= maxParts {
+		for other := range r.completed {
+			delete(r.completed, other)
+			break
 		}
 	}
-	return cleared, changed
+	r.completed[part] = at
 }
 
 func (r *Registry) isInnocent(part string, now time.Time) bool {
@@ -157,124 +148,63 @@
 func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []Completion) {
 	r.sweep(now)
 	innocent = r.Innocent(c.Parts, now)
-	var parts []string
+	known, parts := make(set, len(c.Parts)), make([]string, 0, len(c.Parts))
 	for _, part := range c.Parts {
-		if !r.isInnocent(part, now) {
+		if !known.has(part) && !r.isInnocent(part, now) {
 			parts = append(parts, part)
 		}
+		known[part] = struct{}{}
 	}
-	for _, part := range parts {
-		r.suspect(part, parts).crash(c.Target, parts, now)
-	}
-	if resumed := r.resume(parts, now); len(resumed) > 0 {
+	concerned := r.suspects.record(c.Target, parts, now)
+	if resumed := r.entries.resume(newSet(parts), now); len(resumed) > 0 {
 		return resumed, innocent
 	}
-	for _, part := range parts {
-		if e, ok := r.judge(part, now); ok {
+	for _, s := range concerned {
+		if e, ok := r.judge(s, now); ok {
 			added = append(added, e)
 		}
 	}
 	return added, innocent
 }
 
-// resume prolongs the entries that have ended and whose parts have crashed a target again.
-func (r *Registry) resume(parts []string, now time.Time) []Entry {
-	var out []Entry
-	for id, e := range r.entries {
-		if now.Before(e.Until) || !containsAll(parts, e.Parts) {
-			continue
-		}
-		e.Duration = min(e.Duration*durationFactor, maxDuration)
-		e.Until = now.Add(e.Duration)
-		r.entries[id] = e
-		out = append(out, e)
-	}
-	return out
-}
-
-func (r *Registry) suspect(part string, common []string) *suspect {
-	s := r.suspects[part]
-	if s == nil {
-		s = &suspect{targets: map[string]time.Time{}, common: common}
-		if len(r.suspects) < maxParts {
-			r.suspects[part] = s
-		}
-	}
-	return s
-}
-
-func (s *suspect) crash(target string, parts []string, now time.Time) {
-	s.targets[target], s.last = now, now
-	maps.DeleteFunc(s.targets, func(_ string, at time.Time) bool { return now.Sub(at) >= crashTTL })
-	var common []string
-	for _, part := range s.common {
-		if slices.Contains(parts, part) {
-			common = append(common, part)
-		}
-	}
-	s.common = common
-}
-
-// judge puts a part in quarantine if enough targets crashed on it and its crashes are not
-// explained by a more specific suspect.
-func (r *Registry) judge(part string, now time.Time) (Entry, bool) {
-	s := r.suspects[part]
-	if s == nil || len(s.targets) < crashesToQuarantine || r.isExplained(s) {
+// judge puts what the crashes of a suspect share in quarantine if enough targets crashed and
+// the crashes are not explained by a more specific suspect.
+func (r *Registry) judge(s *suspect, now time.Time) (Entry, bool) {
+	if len(s.targets) < crashesToQuarantine || r.suspects.isExplained(s) {
 		return Entry{}, false
 	}
-	return r.AddEntry(Entry{ID: entryID(s.common), Parts: s.common, Until: now.Add(FirstDuration), Duration: FirstDuration}, now)
-}
-
-// isExplained reports whether s is only what several causes have in common: suspects that
-// share all parts of its crashes, and more, account for all but a few of its targets.
-// Suspects with a single crash explain nothing, since each request has parts of its own.
-func (r *Registry) isExplained(s *suspect) bool {
-	explained := map[string]bool{}
-	for _, other := range r.suspects {
-		if len(other.targets) < 2 || len(other.common) <= len(s.common) || !containsAll(other.common, s.common) {
-			continue
-		}
-		for target := range other.targets {
-			explained[target] = true
-		}
-	}
-	unexplained := 0
-	for target := range s.targets {
-		if !explained[target] {
-			unexplained++
-		}
-	}
-	return unexplained < crashesToQuarantine
+	parts := slices.Sorted(maps.Keys(s.common))
+	return r.AddEntry(Entry{ID: entryID(parts), Parts: parts, Until: now.Add(FirstDuration), Duration: FirstDuration}, now)
 }
 
 // AddEntry adds an entry, or extends one that is known. Parts that have completed here
 // are left out. It returns the entry as it holds here, and false if nothing changed.
 func (r *Registry) AddEntry(e Entry, now time.Time) (Entry, bool) {
-	known, ok := r.entries[e.ID]
-	if ok {
+	if known, ok := r.entries.byID[e.ID]; ok {
 		if !known.Until.Before(e.Until) {
 			return known, false
 		}
 		prolonged := e.Until.Sub(known.Until) > time.Second
 		known.Until, known.Duration = e.Until, max(known.Duration, e.Duration)
-		r.entries[e.ID] = known
+		r.entries.set(known)
 		return known, prolonged
 	}
-	e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool { return r.isInnocent(part, now) })
+	// A peer or a row may name a part twice.
+	distinct := newSet(e.Parts)
+	maps.DeleteFunc(distinct, func(part string, _ struct{}) bool { return r.isInnocent(part, now) })
+	e.Parts = slices.Sorted(maps.Keys(distinct))
 	if len(e.Parts) == 0 || now.Sub(e.Until) >= Probation {
 		return e, false
 	}
-	r.entries[e.ID] = e
-	for _, part := range e.Parts {
-		r.entriesOf[part] = append(r.entriesOf[part], e.ID)
-	}
+	r.entries.set(e)
+	r.entries.shrink()
 	return e, true
 }
 
 // Entries returns the entries that reject requests.
 func (r *Registry) Entries(now time.Time) []Entry {
 	var out []Entry
-	for _, e := range r.entries {
+	for _, e := range r.entries.byID {
 		if now.Before(e.Until) {
 			out = append(out, e)
 		}
@@ -285,80 +215,32 @@
 // Digest identifies the set of entries; zero if there is none.
 func (r *Registry) Digest() uint64 {
 	var digest uint64
-	for id, e := range r.entries {
+	for id, e := range r.entries.byID {
 		digest ^= xxhash.Sum64String(id + "/" + e.Duration.String())
 	}
 	return digest
 }
 
-// removeFromEntries removes an innocent part from all entries, and returns them. Entries
-// without parts have ended.
-func (r *Registry) removeFromEntries(part string) []Entry {
-	var changed []Entry
-	for _, id := range r.entriesOf[part] {
-		e := r.entries[id]
-		e.Parts = without(e.Parts, part)
-		changed = append(changed, e)
-		if len(e.Parts) == 0 {
-			delete(r.entries, id)
-			continue
-		}
-		r.entries[id] = e
-	}
-	delete(r.entriesOf, part)
-	return changed
-}
-
-func (r *Registry) removeEntry(id string) {
-	for _, part := range r.entries[id].Parts {
-		r.entriesOf[part] = without(r.entriesOf[part], id)
-		if len(r.entriesOf[part]) == 0 {
-			delete(r.entriesOf, part)
-		}
-	}
-	delete(r.entries, id)
-}
-
 // sweep drops what has expired, at most once per second.
 func (r *Registry) sweep(now time.Time) {
 	if now.Sub(r.lastSweep) < time.Second {
 		return
 	}
 	r.lastSweep = now
-	for part, at := range r.completed {
-		if now.Sub(at) >= completionTTL {
-			delete(r.completed, part)
-		}
-	}
-	for part, s := range r.suspects {
-		if now.Sub(s.last) >= crashTTL {
-			delete(r.suspects, part)
-		}
-	}
-	for id, e := range r.entries {
-		if now.Sub(e.Until) >= Probation {
-			r.removeEntry(id)
-		}
-	}
+	maps.DeleteFunc(r.completed, func(_ string, at time.Time) bool { return now.Sub(at) >= completionTTL })
+	r.suspects.expire(now)
+	r.entries.expire(now)
 }
 
-func containsAll(parts, wanted []string) bool {
-	for _, part := range wanted {
-		if !slices.Contains(parts, part) {
-			return false
-		}
+// Summarize returns some of the parts for a log line: those at both ends of a long list, with
+// the number of the others between them.
+func Summarize(parts []string) []string {
+	if len(parts) <= 2*summarizedParts {
+		return parts
 	}
-	return true
-}
-
-func without(parts []string, part string) []string {
-	var out []string
-	for _, p := range parts {
-		if p != part {
-			out = append(out, p)
-		}
-	}
-	return out
+	omitted := len(parts) - 2*summarizedParts
+	out := append(slices.Clone(parts[:summarizedParts]), fmt.Sprintf("(%d more)", omitted))
+	return append(out, parts[len(parts)-summarizedParts:]...)
 }
 
 // entryID returns the same ID on all hosts for the same parts.
