topology: what an account cached before it was isolated is not found by others

Prompts of other accounts ran on KV cache that an account had made before the operator isolated it.

Cause: only the isolated account got a cache salt of its own. All others kept the salt under which engines and the KV store held its parts, and engines find parts by salt alone.

The salt now has a cache scope, which for all accounts that are not isolated is a hash of the set of isolated ones. Under the scope of a set only accounts outside it have ever made parts, whatever the order of changes, and hosts agree on it without messages.

Price: shared parts start cold once when an account is isolated or released.

--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -91,7 +91,7 @@
 	p.prefillDone = r.balancer.AddPrefill(p.target, choice.PrefillMs, now)
 	p.latestStart = choice.LatestStart
 	p.envelope.WeightsVersion = choice.WeightsVersion
-	p.envelope.CacheSalt = balance.Salt(choice.WeightsVersion, p.prompt.IsolatedAccount)
+	p.envelope.CacheSalt = balance.Salt(choice.WeightsVersion, p.prompt.CacheScope)
 	p.envelope.FetchFrom, p.envelope.SaveTo = choice.FetchFrom, choice.SaveTo
 	r.recordCached(p.prompt, &choice, now)
 	c.log.Info("target chosen", "route", c.route.Name, "account", p.envelope.Account, "config", c.config.Version, "target", p.target.ID, "cost_ms", int(choice.CostMs),
@@ -105,9 +105,8 @@
 	if c.service.Engine == nil {
 		return nil
 	}
-	prompt := &balance.Prompt{Model: c.meta.Model, BodyBytes: len(c.body), Engine: c.service.Engine, SampleSeed: rand.Uint64() | 1}
-	if c.account != nil && c.account.Isolated {
-		prompt.IsolatedAccount = c.account.Name
+	prompt := &balance.Prompt{
+		Model: c.meta.Model, BodyBytes: len(c.body), Engine: c.service.Engine, SampleSeed: rand.Uint64() | 1, CacheScope: c.config.CacheScope(c.account),
 	}
 	parts := make([]balance.Part, 0, len(c.meta.Parts))
 	for _, part := range c.meta.Parts {
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -70,10 +70,10 @@
 func TestCacheKeysDifferByAccountIsolationAndWeightsVersion(t *testing.T) {
 	g := NewWithT(t)
 	plain, isolated := prompt("manual", 1000), prompt("manual", 1000)
-	isolated.IsolatedAccount = "club"
+	isolated.CacheScope = "account:club"
 	g.Expect(plain.Keys(1)).NotTo(Equal(isolated.Keys(1)))
 	g.Expect(plain.Keys(1)).NotTo(Equal(plain.Keys(2)))
-	g.Expect(Salt(1, "")).NotTo(Equal(Salt(1, "club")))
+	g.Expect(Salt(1, "")).NotTo(Equal(Salt(1, "account:club")))
 }
 
 // Guards against short prompts that wait behind a long one, as in a load peak while one
--- a/policy/balance/prompt.go
+++ b/policy/balance/prompt.go
@@ -97,11 +97,10 @@
 // Prompt is a request with a prompt for an engine.
 type Prompt struct {
 	Model string
-	// IsolatedAccount is the name of an account whose cached parts are not shared with
-	// others; empty for all other accounts.
-	IsolatedAccount string
-	Parts           []Part
-	BodyBytes       int
+	// CacheScope names the requests that may share cached parts with this one.
+	CacheScope string
+	Parts      []Part
+	BodyBytes  int
 	// DesiredWeights holds the published weights versions of the model.
 	DesiredWeights topology.DesiredWeights
 	// MaxStaleness is the time within which published weights must be loaded; zero
@@ -154,9 +153,9 @@
 }
 
 // Salt returns the cache salt that separates the cached parts of different weights
-// versions and isolated accounts.
-func Salt(version int64, isolatedAccount string) string {
-	return strconv.FormatInt(version, 10) + "." + isolatedAccount
+// versions and cache scopes.
+func Salt(version int64, cacheScope string) string {
+	return strconv.FormatInt(version, 10) + "." + cacheScope
 }
 
 // PartKey returns the key of a part that is cached under a salt.
@@ -175,7 +174,7 @@
 		return nil
 	}
 	keys := make([]Key, 0, len(p.Parts)-1)
-	salt := Salt(version, p.IsolatedAccount)
+	salt := Salt(version, p.CacheScope)
 	for _, part := range p.Parts[:len(p.Parts)-1] {
 		keys = append(keys, PartKey(p.Model, salt, part.ID))
 	}
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -6,8 +6,11 @@
 	"cmp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says whether requests on a route may be retried, and whether they stream.
@@ -123,6 +126,39 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
+	// sharedCacheScope is the cache scope of all accounts that are not isolated.
+	sharedCacheScope string
+}
+
+// CacheScope names the requests that may share cached parts of prompts with those of an
+// account, which is nil on public routes.
+//
+// Invariant: no request under the scope that accounts share came from an account that is
+// isolated now. What an account put into caches before it was isolated must not be found by
+// others afterwards, and hosts do not know who made a cached part, so that the scope differs
+// with the set of isolated accounts. It depends on nothing else: hosts agree on it without
+// messages, also after a restart, and an account that is isolated again finds only its own.
+func (c *Config) CacheScope(a *Account) string {
+	if a != nil && a.Isolated {
+		return "account:" + a.Name
+	}
+	return c.sharedCacheScope
+}
+
+// findSharedCacheScope returns the scope of the accounts that are not isolated; it is empty
+// if there are only such.
+func (c *Config) findSharedCacheScope() string {
+	var isolated []string
+	for _, a := range c.Accounts {
+		if a.Isolated {
+			isolated = append(isolated, a.Name)
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	return "without:" + strconv.FormatUint(xxhash.Sum64String(strings.Join(isolated, "\x00")), 16)
 }
 
 // Index builds the lookup tables. It must be called once, before the value is shared.
@@ -134,6 +170,7 @@
 	for _, routes := range c.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
+	c.sharedCacheScope = c.findSharedCacheScope()
 	c.byKey = map[string]*Account{}
 	for _, a := range c.Accounts {
 		for _, key := range a.Keys {
