view: trouble of one host is no outage of the store

Requests began on replaced weights 8.1 and 8.4 s after the newer version was acknowledged; the bound is 8 s. They were sent by a host that had been frozen for 3.8 s and was awake for 3.4 s.

Suspected cause: a host keeps outages of the store out of the age of a version, and judged them by its own calls. A call that a freeze outlives times out; until the next answer the age stands still, and nothing bounds that time. The other hosts reached the store and went on rolling out.

Hosts now tell each other whether the store has just responded to them. Time counts as an outage only if it has answered no host that responds for 2.5 s.

Evidence: TestFailedCallsOfOneHostAreNoOutage failed before (1.0 s of 1.9 s counted).

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -240,8 +240,11 @@
 // round sends the reports of one round.
 func (e *Exchange) round(ctx context.Context) {
 	local := e.local.LocalState()
-	if e.view.StoreUnreachable() {
+	switch {
+	case e.view.StoreUnreachable():
 		local.Status |= exchange.StoreUnreachable
+	case e.view.ReachesStore(time.Now()):
+		local.Status |= exchange.StoreReached
 	}
 	now := time.Now()
 	e.mu.Lock()
@@ -249,7 +252,9 @@
 		e.node.AddHost(h.Host, now)
 	}
 	outgoing, learned := e.node.Round(local, now)
+	storeReached := e.node.StoreReachedElsewhere()
 	e.mu.Unlock()
+	e.view.CheckOutage(storeReached, now)
 	e.handleLearned(&learned)
 	versions := e.versions()
 	for _, o := range outgoing {
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -57,7 +57,10 @@
 			"routes", len(config.Routes), "accounts", len(config.Accounts))
 	case desired != nil && desired.Version > v.desired[desired.Model].Version:
 		before := v.desired[desired.Model]
-		before.Model, before.StoreLostAt = desired.Model, v.storeLostAt
+		before.Model = desired.Model
+		if v.outage {
+			before.StoreLostAt = v.storeLostAt
+		}
 		v.desired[desired.Model] = before.WithVersion(desired.Version, time.Now())
 		v.documents[r.Key] = document{r, desired.Version}
 		v.log.Info("desired weights changed", "model", desired.Model, "weights", desired.Version)
--- a/internal/view/table.go
+++ b/internal/view/table.go
@@ -29,6 +29,9 @@
 	// listing and while a new one is needed.
 	lastContact time.Time
 	listed      bool
+	// answeredAt is when the store last responded, without the time for which this host
+	// intentionally does not call it.
+	answeredAt time.Time
 	// unreachable means that the store did not respond to the last call.
 	unreachable bool
 }
@@ -73,7 +76,7 @@
 func (t *Table) applyList(rows []store.Row, at store.Position, now time.Time) (u update, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastContact = now
+	t.lastContact, t.answeredAt = now, now
 	if at.Before(t.cursor) {
 		return update{}, false
 	}
@@ -89,7 +92,7 @@
 func (t *Table) applyChanges(rows []store.Row, at store.Position, now time.Time) (u update, before store.Position, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastContact = now
+	t.lastContact, t.answeredAt = now, now
 	if at.Era != t.cursor.Era {
 		return update{}, t.newest, false
 	}
@@ -220,6 +223,13 @@
 	return t.unreachable
 }
 
+// isReached reports whether the store responded to the last call and did so recently.
+func (t *Table) isReached(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.unreachable && now.Sub(t.answeredAt) < outageConfirmation
+}
+
 // invalidateListing makes the next call list the table again.
 func (t *Table) invalidateListing() {
 	t.mu.Lock()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -43,6 +43,10 @@
 	// outageThreshold is the time without a response of the store after which its
 	// entries may expire.
 	outageThreshold = 1500 * time.Millisecond
+	// outageConfirmation is how long the store must not answer this host, nor any other that
+	// responds, before this counts as an outage. Within that time hosts whose long polls had
+	// just begun notice an outage, too, and have told it.
+	outageConfirmation = longPollTimeout + time.Second
 	// idleCheckInterval is the interval between checks whether this host should watch the
 	// store.
 	idleCheckInterval = 100 * time.Millisecond
@@ -114,8 +118,11 @@
 	// before the store was restored.
 	distrusted map[string]*topology.Target
 	hosts      map[string]Host
-	// storeLostAt is since when the store has not answered; zero if it answers.
+	// storeLostAt is since when the store has not answered this host; zero if it answers.
 	storeLostAt time.Time
+	// outage means that it answers no other host either: the time since storeLostAt does not
+	// count as staleness of weights.
+	outage bool
 	// storeRecoveredAt is when the store last responded again after an outage.
 	storeRecoveredAt time.Time
 	// removeAt is when targets whose entries expired are removed.
@@ -185,6 +192,11 @@
 	return v.Operator.isUnreachable() || v.Targets.isUnreachable()
 }
 
+// ReachesStore reports whether the store responds to this host, which calls it.
+func (v *View) ReachesStore(now time.Time) bool {
+	return v.Operator.isReached(now) && v.Targets.isReached(now)
+}
+
 // StoreRecoveredAt returns when the store last responded again after an outage; zero if
 // never.
 func (v *View) StoreRecoveredAt() time.Time {
@@ -326,9 +338,9 @@
 	v.observeClock(page, time.Now())
 }
 
-// recordReachability keeps outages of the store out of the staleness of weights. An
-// outage begins with the first failed call, not with the last answer: a single failure
-// after a long poll is not an outage of the time that the poll waited.
+// recordReachability records since when the store has not answered this host, and ends an
+// outage when it answers again. The time begins with the first failed call, not with the last
+// answer: a single failure after a long poll is not an outage of the time that the poll waited.
 func (v *View) recordReachability(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -336,17 +348,53 @@
 	if lost != v.storeLostAt.IsZero() {
 		return
 	}
-	for model, w := range v.desired {
-		if lost {
-			w.StoreLostAt = now
-		} else {
-			w = w.AfterOutage(v.storeLostAt, now)
-		}
-		v.desired[model] = w
+	if lost {
+		v.storeLostAt = now
+		return
+	}
+	if v.outage {
+		v.endOutage(now, "the store answers again")
 	}
 	v.storeLostAt = time.Time{}
-	if lost {
+}
+
+// CheckOutage decides whether the time for which the store has not answered this host is an
+// outage of the store, which is kept out of the staleness of weights since no host can roll
+// them out meanwhile. Other hosts roll them out if the store answers one of them: this host
+// may have been frozen or slow, or its connections may have become silent.
+//
+// Invariant: no time in which the store answered a responding host that watches it is kept
+// out of the staleness, but for the delay of that host's status.
+func (v *View) CheckOutage(reachedElsewhere bool, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.storeLostAt.IsZero():
+	case reachedElsewhere:
+		if v.outage {
+			v.endOutage(now, "the store answers another host")
+		}
 		v.storeLostAt = now
+	case !v.outage && now.Sub(v.storeLostAt) >= outageConfirmation:
+		v.beginOutage(now)
+	}
+}
+
+func (v *View) beginOutage(now time.Time) {
+	v.log.Warn("outage of the store pauses the staleness of weights", "lost_ms", now.Sub(v.storeLostAt).Milliseconds())
+	v.outage = true
+	for model, w := range v.desired {
+		w.StoreLostAt = v.storeLostAt
+		v.desired[model] = w
+	}
+	v.publish()
+}
+
+func (v *View) endOutage(now time.Time, reason string) {
+	v.log.Info("staleness of weights counts again", "paused_ms", now.Sub(v.storeLostAt).Milliseconds(), "reason", reason)
+	v.outage = false
+	for model, w := range v.desired {
+		v.desired[model] = w.AfterOutage(v.storeLostAt, now)
 	}
 	v.publish()
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -309,6 +309,7 @@
 	v.recordReachability(at(2))
 	v.Targets.setUnreachable(true)
 	v.recordReachability(at(3))
+	v.CheckOutage(false, at(5))
 	g.Expect(outdatedFor(20)).To(Equal(2 * time.Second))
 	v.Operator.setUnreachable(false)
 	v.recordReachability(at(20))
@@ -318,6 +319,53 @@
 	g.Expect(outdatedFor(27)).To(Equal(4 * time.Second))
 }
 
+// Guards against requests on old weights at a host whose own calls of the store failed, since
+// it had been frozen or its connections had become silent, while the store answered others:
+// the time until its next answer was taken off the age of the weights.
+func TestFailedCallsOfOneHostAreNoOutage(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView()
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	v.desired["m"] = topology.DesiredWeights{Model: "m"}.WithVersion(2, start)
+	v.publish()
+	outdatedFor := func(ms int) time.Duration { return v.Snapshot().DesiredWeights["m"].OutdatedFor(1, at(ms)) }
+	lose := func(ms int) { v.Operator.setUnreachable(true); v.recordReachability(at(ms)) }
+	recover := func(ms int) { v.Operator.setUnreachable(false); v.recordReachability(at(ms)) }
+
+	lose(1000)
+	g.Expect(outdatedFor(1900)).To(Equal(1900 * time.Millisecond))
+	recover(2000)
+	g.Expect(outdatedFor(2000)).To(Equal(2*time.Second), "no host has said anything meanwhile")
+
+	lose(3000)
+	v.CheckOutage(true, at(3500))
+	v.CheckOutage(false, at(4000)) // the others are heard no more
+	v.CheckOutage(false, at(6500))
+	g.Expect(outdatedFor(7000)).To(Equal(3500*time.Millisecond), "an outage since the store last answered another host")
+	v.CheckOutage(true, at(8000))
+	g.Expect(outdatedFor(9000)).To(Equal(4500*time.Millisecond), "the store answers another host again")
+	recover(9000)
+	g.Expect(outdatedFor(9000)).To(Equal(4500 * time.Millisecond))
+}
+
+// Guards against a version that is published within an outage, which others have told, and
+// whose age counts from the begin of the outage, and against calls that fail without one.
+func TestVersionLearnedFromPeersIsPausedInOutagesOnly(t *testing.T) {
+	g := NewWithT(t)
+	v := newTestView()
+	v.decoder.DecodeOperatorRow = func(_ string, value []byte) (*topology.Config, *topology.DesiredWeights, error) {
+		return nil, &topology.DesiredWeights{Model: "m", Version: int64(value[0])}, nil
+	}
+	v.Operator.setUnreachable(true)
+	v.recordReachability(time.Now())
+	v.applyOperatorRow(store.Row{Value: []byte{2}})
+	g.Expect(v.desired["m"].StoreLostAt).To(BeZero())
+	v.CheckOutage(false, time.Now().Add(outageConfirmation))
+	v.applyOperatorRow(store.Row{Value: []byte{3}})
+	g.Expect(v.desired["m"].StoreLostAt).To(Equal(v.storeLostAt))
+}
+
 // Guards against weights that stay recent while the machine is suspended, since the
 // clock of the process stands still meanwhile.
 func TestSuspensionCountsAsStaleness(t *testing.T) {
--- a/policy/exchange/handle.go
+++ b/policy/exchange/handle.go
@@ -366,6 +366,16 @@
 	return out
 }
 
+// StoreReachedElsewhere reports whether the store responds to another host.
+func (n *Node) StoreReachedElsewhere() bool {
+	for _, h := range n.hosts.byID {
+		if status := h.status(); status.Has(StoreReached) && !status.Has(Unresponsive) {
+			return true
+		}
+	}
+	return false
+}
+
 // Responds reports whether a host is known and responds.
 func (n *Node) Responds(id string) bool {
 	h := n.hosts.byID[id]
--- a/policy/exchange/messages.go
+++ b/policy/exchange/messages.go
@@ -33,6 +33,8 @@
 	StoreUnreachable
 	// Unresponsive means that nothing has been heard from the host for liveTimeout.
 	Unresponsive
+	// StoreReached means that the store has just responded to the host.
+	StoreReached
 )
 
 // Has reports whether all the given flags are set.
--- a/policy/exchange/model_test.go
+++ b/policy/exchange/model_test.go
@@ -27,8 +27,9 @@
 	others map[string]int
 	// down hosts are killed, frozen ones do nothing until they are thawed.
 	down, frozen bool
-	// storeLost means that the store does not respond to the host.
-	storeLost bool
+	// storeLost means that the store does not respond to the host; reachesStore means that it
+	// has just done so.
+	storeLost, reachesStore bool
 	// notices is the number of cache notices of other hosts.
 	notices int
 	// retired is what earlier incarnations have admitted; restarted means that there was one.
@@ -111,8 +112,11 @@
 
 func (h *modelHost) local() Local {
 	status := Ready
-	if h.storeLost {
+	switch {
+	case h.storeLost:
 		status |= StoreUnreachable
+	case h.reachesStore:
+		status |= StoreReached
 	}
 	return Local{Status: status, Usage: h.admitted, Loads: h.inFlight}
 }
--- a/policy/exchange/node_test.go
+++ b/policy/exchange/node_test.go
@@ -58,6 +58,40 @@
 	g.Expect(m.watchers()).NotTo(BeEmpty())
 }
 
+// Guards against a host that takes failures of its own for an outage of the store, since it is
+// not told that the store responds to another one, and against one that goes on believing so
+// after that host has been lost or has lost the store.
+func TestHostsKnowWhetherStoreRespondsElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	for _, size := range [...]int{7, 40} {
+		m := newModel(6, size, 2)
+		m.run(4 * time.Second)
+		informed := func() int {
+			n := 0
+			for _, h := range m.hosts {
+				if h.StoreReachedElsewhere() {
+					n++
+				}
+			}
+			return n
+		}
+		g.Expect(informed()).To(BeZero())
+		watcher := m.byAddr[m.watchers()[0]]
+		watcher.reachesStore = true
+		m.run(time.Second)
+		g.Expect(informed()).To(Equal(size - 1))
+		watcher.storeLost = true
+		m.run(time.Second)
+		g.Expect(informed()).To(BeZero())
+		watcher.storeLost = false
+		m.run(time.Second)
+		g.Expect(informed()).To(Equal(size - 1))
+		watcher.down = true
+		m.run(3 * time.Second)
+		g.Expect(informed()).To(BeNumerically("<=", 1), "the host itself does not run")
+	}
+}
+
 // Guards against hosts that all report to each other when all start at the same time.
 func TestStartOfAllHostsDoesNotConnectEachToAll(t *testing.T) {
 	g := NewWithT(t)
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -253,9 +253,9 @@
 	Version int64
 	// Published lists the versions in ascending order.
 	Published []PublishedVersion
-	// StoreLostAt is since when the store has not answered this host; zero if it answers.
-	// No host can roll out weights without the store, so that this time does not count
-	// as staleness.
+	// StoreLostAt is since when the store has answered no host; zero without an outage. No
+	// host can roll out weights without the store, so that this time does not count as
+	// staleness.
 	StoreLostAt time.Time
 }
 
