--- a/test/site/cut_head_test.go
+++ b/test/site/cut_head_test.go
@@ -38,6 +38,7 @@
 		}
 	}()
 	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = listener.Addr().String(), "zone-a", "ready", 8, 1
+	entry["version"], entry["seq"] = "v1", 1
 	value, err := json.Marshal(entry)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.store.Put("servers", "cutting", value)
