forward: bodies that are being read count against the bound of memory

Hosts were ended for their memory when many callers sent long bodies at the same time, and answers of other requests were lost with them.

Cause: a body counted once it had been read whole. Memory is now reserved before, or as a body in chunks arrives; what finds none is refused at once. Bodies over 64 KB may use three quarters of the bound, so that slow ones keep no short request out.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -74,30 +74,74 @@
 	if c.req.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", notExecuted: true, closeConn: true}
 	}
-	if r.MemoryBytes > 0 && r.bufferedBytes.Load()+max(0, c.req.ContentLength) > r.MemoryBytes/bodyMemoryDivisor {
-		return notExecutedFailure(http.StatusServiceUnavailable, "the host holds too many bodies", noTargetRetryAfter)
-	}
 	if c.req.Body == http.NoBody {
 		return nil
 	}
+	if !r.reserveBody(c, max(0, c.req.ContentLength)) {
+		return tooManyBodies()
+	}
 	r.setReadDeadline(c, time.Now().Add(bodyTimeout))
 	var buffer bytes.Buffer
 	if c.req.ContentLength > 0 {
 		buffer.Grow(int(c.req.ContentLength) + bytes.MinRead)
 	}
-	n, err := buffer.ReadFrom(io.LimitReader(c.req.Body, limit+1))
+	n, err := buffer.ReadFrom(io.LimitReader(reservingReader{r, c}, limit+1))
 	r.setReadDeadline(c, time.Time{})
-	if err != nil {
+	switch {
+	case errors.Is(err, errTooManyBodies):
+		f := tooManyBodies()
+		f.closeConn = true
+		return f
+	case err != nil:
 		return &failure{status: http.StatusBadRequest, reason: "the body was not read", cause: err, notExecuted: true, closeConn: true}
-	}
-	if n > limit {
+	case n > limit:
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", notExecuted: true, closeConn: true}
 	}
 	c.body = buffer.Bytes()
-	r.bufferedBytes.Add(n)
 	return nil
 }
 
+// errTooManyBodies means that the host holds as many bytes of bodies as it may.
+var errTooManyBodies = errors.New("the bodies in memory exceed their bound")
+
+func tooManyBodies() *failure {
+	return notExecutedFailure(http.StatusServiceUnavailable, "the host holds too many bodies", noTargetRetryAfter)
+}
+
+// reserveBody reserves memory for bytes of a body before they are read, since many bodies may
+// be on their way at the same time. It returns false if too much is reserved. Large bodies may
+// not use all of the bound, so that callers that send them slowly keep no small one out.
+func (r *Router) reserveBody(c *call, bytes int64) bool {
+	limit := r.MemoryBytes / bodyMemoryDivisor
+	if c.reservedBytes+bytes > smallBodyBytes {
+		limit = limit / 4 * 3
+	}
+	reserved := r.bufferedBytes.Add(bytes)
+	if r.MemoryBytes > 0 && reserved > limit {
+		r.bufferedBytes.Add(-bytes)
+		return false
+	}
+	c.reservedBytes += bytes
+	return true
+}
+
+// reservingReader reads the body of a call and reserves memory for what exceeds the length
+// stated in advance, as for a body in chunks.
+type reservingReader struct {
+	router *Router
+	call   *call
+}
+
+func (r reservingReader) Read(p []byte) (int, error) {
+	n, err := r.call.req.Body.Read(p)
+	r.call.readBytes += int64(n)
+	missing := r.call.readBytes - r.call.reservedBytes
+	if missing > 0 && !r.router.reserveBody(r.call, missing) {
+		return n, errTooManyBodies
+	}
+	return n, err
+}
+
 func (r *Router) setReadDeadline(c *call, t time.Time) {
 	if err := http.NewResponseController(c.w).SetReadDeadline(t); err != nil {
 		c.log.Debug("failed to set the read deadline", "error", err)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -42,6 +42,8 @@
 	// bodyMemoryDivisor divides the memory limit; the result bounds the request bodies
 	// held in memory.
 	bodyMemoryDivisor = 4
+	// smallBodyBytes is the size of a body from which it may use three quarters of that bound.
+	smallBodyBytes = 64 << 10
 	// defaultBodyBytes bounds a body if the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
 )
@@ -179,6 +181,8 @@
 	req  *http.Request
 	meta message.Request
 	body []byte
+	// reservedBytes is the memory reserved for the body, readBytes what was read of it.
+	reservedBytes, readBytes int64
 	// parts are what other requests may have in common with the prompt: the parts that they
 	// may share, and the prompt as a whole.
 	parts   []string
@@ -217,7 +221,7 @@
 	c := &call{w: w, req: req, started: time.Now(), meta: r.Codec.Request(req.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
 	c.parts = promptParts(&c.meta)
-	defer func() { r.bufferedBytes.Add(-int64(len(c.body))) }()
+	defer func() { r.bufferedBytes.Add(-c.reservedBytes) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
 		return
--- a/test/site/path_test.go
+++ b/test/site/path_test.go
@@ -1,9 +1,18 @@
 package site
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -176,3 +185,63 @@
 	got := f.send(h, request{method: "POST", uri: "/order/1", body: body, key: schoolKey})
 	f.g.Expect(got.status).To(Equal(http.StatusOK), got.body)
 }
+
+// Guards against a host that runs out of memory because many callers send long bodies at the
+// same time, of which each was counted only once it had arrived whole, and against callers
+// that send them slowly and keep all short requests out.
+func TestBodiesOnTheirWayStayWithinTheMemory(t *testing.T) {
+	t.Parallel()
+	for _, framing := range [...]string{"Content-Length: 1048576\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n100000\r\n"} {
+		f := newFixture(t)
+		f.startDesk("desk-1")
+		h := f.startHost("host-1")
+		f.g.Eventually(func() int { return f.send(h, orderRequest).status }, "5s", "20ms").Should(Equal(http.StatusOK))
+		// The fixture's memory limit is 200 MB; long bodies may use three quarters of a quarter.
+		const bodies, sent, held = 60, 900 << 10, (200 << 20) / 4 / 4 * 3
+		var conns []net.Conn
+		for i := range bodies {
+			conn, err := net.Dial("tcp", h.callerAddress)
+			f.g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			conns = append(conns, conn)
+			head := fmt.Sprintf("POST /order/%d HTTP/1.1\r\nHost: %s\r\nX-Request-Id: long-%d\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 9000\r\n", i, virtualHost, i, clubKey)
+			_, err = io.WriteString(conn, head+framing)
+			f.g.Expect(err).NotTo(HaveOccurred())
+		}
+		// All send most of a body and then nothing; those that get no answer are held. The
+		// others get 503, or a reset if they were still sending.
+		for _, conn := range conns {
+			_, _ = io.WriteString(conn, strings.Repeat("x", sent)) // fails where the host has answered and closed
+		}
+		unanswered := f.countUnanswered(conns)
+		f.g.Expect(unanswered*sent).To(BeNumerically("<=", held), framing)
+		f.g.Expect(unanswered).To(BeNumerically(">", 0))
+		f.g.Expect(f.send(h, orderRequest).status).To(Equal(http.StatusOK))
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		long := request{method: "POST", uri: "/order/1", key: clubKey, body: strings.Repeat("x", 1<<20)}
+		f.g.Eventually(func() int { return f.send(h, long).status }, "2s", "20ms").Should(Equal(http.StatusOK))
+	}
+}
+
+// countUnanswered returns the number of connections on which nothing arrives. What arrives on
+// the others is a refusal.
+func (f *fixture) countUnanswered(conns []net.Conn) int {
+	var unanswered atomic.Int64
+	var reading sync.WaitGroup
+	for _, conn := range conns {
+		reading.Go(func() {
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				unanswered.Add(1)
+			case err == nil && !strings.Contains(line, "503"):
+				f.t.Errorf("the host answered %q", line)
+			}
+		})
+	}
+	reading.Wait()
+	return int(unanswered.Load())
+}
