forward: reserve memory for chunks in small steps, refuse without the rest of a body

Reads are at most 32 KB now. A refusal within a body also waited for the rest of it, since net/http reads on before it sends the response; the read deadline ends that.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -86,7 +86,13 @@
 		buffer.Grow(int(c.req.ContentLength) + bytes.MinRead)
 	}
 	n, err := buffer.ReadFrom(io.LimitReader(reservingReader{r, c}, limit+1))
-	r.setReadDeadline(c, time.Time{})
+	if err == nil && n <= limit {
+		r.setReadDeadline(c, time.Time{})
+		c.body = buffer.Bytes()
+		return nil
+	}
+	// net/http must not wait for the rest of the body before it sends the refusal.
+	r.setReadDeadline(c, time.Now())
 	switch {
 	case errors.Is(err, errTooManyBodies):
 		f := tooManyBodies()
@@ -94,11 +100,8 @@
 		return f
 	case err != nil:
 		return &failure{status: http.StatusBadRequest, reason: "the body was not read", cause: err, notExecuted: true, closeConn: true}
-	case n > limit:
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", notExecuted: true, closeConn: true}
 	}
-	c.body = buffer.Bytes()
-	return nil
+	return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is too large", notExecuted: true, closeConn: true}
 }
 
 // errTooManyBodies means that the host holds as many bytes of bodies as it may.
@@ -133,7 +136,8 @@
 }
 
 func (r reservingReader) Read(p []byte) (int, error) {
-	n, err := r.call.req.Body.Read(p)
+	// The reader of chunks returns only once p is full or the chunk ends.
+	n, err := r.call.req.Body.Read(p[:min(len(p), bodyReadBytes)])
 	r.call.readBytes += int64(n)
 	missing := r.call.readBytes - r.call.reservedBytes
 	if missing > 0 && !r.router.reserveBody(r.call, missing) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -44,6 +44,8 @@
 	bodyMemoryDivisor = 4
 	// smallBodyBytes is the size of a body from which it may use three quarters of that bound.
 	smallBodyBytes = 64 << 10
+	// bodyReadBytes bounds what is read of a body before memory is reserved for it.
+	bodyReadBytes = 32 << 10
 	// defaultBodyBytes bounds a body if the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
 )
