weights: each host without a hub learns when weights were published

Requests began on replaced weights 8.1 to 8.4 s after the newer version was acknowledged; the bound is 8 s.

Cause: the age of a version begins when a host receives it. A host that is frozen at the publication receives it when it goes on. Four hosts compare their record with the store and hubs tell their members, but in a small fleet each host is its own hub, so that those after the fourth kept their late time for good; in a large fleet hubs did.

Each host that no hub tells now compares a version with the record in the store within a second.

Evidence: TestLateHostLearnsTheAgeOfWeights failed before with six other hosts. Ruled out: that the time of a freeze is not counted.

--- a/internal/weights/publications.go
+++ b/internal/weights/publications.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,8 +19,10 @@
 	// recordRetryDelay follows a failed record of a publication.
 	recordRetryDelay = time.Second
 	// maxRecorders is the number of hosts that record a publication, one after the
-	// other, so that it does not depend on one host. Hubs tell the others.
+	// other, so that it does not depend on one host.
 	maxRecorders = 4
+	// maxComparisonDelay spreads the other hosts that compare their record with the store.
+	maxComparisonDelay = time.Second
 )
 
 // record is what this host has done about the newest publication of a model.
@@ -45,10 +48,7 @@
 	r := c.records[desired.Model]
 	now := c.Clock()
 	if r == nil || r.version < desired.Version && !r.busy {
-		r = &record{version: desired.Version}
-		if position := c.takeoverPosition(); position < maxRecorders {
-			r.dueAt = now.Add(rollout.TakeoverDelay(position))
-		}
+		r = &record{version: desired.Version, dueAt: c.comparisonTime(now)}
 		c.records[desired.Model] = r
 	}
 	if r.busy || r.dueAt.IsZero() || now.Before(r.dueAt) {
@@ -67,6 +67,19 @@
 	})
 }
 
+// comparisonTime returns when this host compares the newest publication that it knows with the
+// store; zero if its hub tells it. Each host that has no hub must do so: it may have received
+// the version late, since it was frozen, and would take older weights for newly outdated.
+func (c *Controller) comparisonTime(now time.Time) time.Time {
+	if position := c.takeoverPosition(); position < maxRecorders {
+		return now.Add(rollout.TakeoverDelay(position))
+	}
+	if !c.Fleet.ReadsForItself() {
+		return time.Time{}
+	}
+	return now.Add(rand.N(maxComparisonDelay))
+}
+
 // syncPublications reads the row of a model and adds what this host knows better. The
 // write is conditional, so that a late one does not replace a newer row.
 func (c *Controller) syncPublications(ctx context.Context, model string) error {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -66,6 +66,8 @@
 	Live() []view.Host
 	// IsJoining reports whether this host does not know the others yet.
 	IsJoining() bool
+	// ReadsForItself reports whether no hub tells this host what the store has.
+	ReadsForItself() bool
 	// BroadcastEngineNotice sends a notice to all other hosts, and waits until they have
 	// acknowledged it or ctx ends.
 	BroadcastEngineNotice(ctx context.Context, n *peers.EngineNotice)
