quarantine: crashes of many targets together are not reported

Since answers that break off before their head or after an event count, each host reports each of its requests at an engine that ended to all others, and each part that completes again is reported as innocent.

No prompt ends six targets within a second before it is in quarantine by the first three. Hosts now wait for up to half a second before they report crashes, and do not report them if they have heard of six or more within the last second; each host still counts its own.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -42,6 +43,12 @@
 	// innocenceReporters is the expected number of hosts that report a completed part
 	// after a crash.
 	innocenceReporters = 4
+	// maxCrashReportDelay spreads the reports of crashes, so that hosts hear of each other's
+	// before they send theirs. massCrash is the number of targets that must have crashed
+	// within massCrashWindow for further crashes not to be reported.
+	maxCrashReportDelay = 500 * time.Millisecond
+	massCrash           = 6
+	massCrashWindow     = time.Second
 	// maxContestDelay spreads the hosts that know a completed part of a new entry, so that
 	// the first reports it for all.
 	maxContestDelay = 300 * time.Millisecond
@@ -109,6 +116,8 @@
 	// contested are the parts of new entries that have completed here and that no peer has
 	// reported yet.
 	contested map[string]bool
+	// crashedAt is when the targets crashed that crashed last, here or at peers.
+	crashedAt map[string]time.Time
 	// restored means that the store may have lost entries since the table was last read.
 	restored bool
 
@@ -119,7 +128,7 @@
 // New returns a keeper that has read no entry.
 func New(o Options) *Keeper {
 	k := &Keeper{
-		Options: o, registry: quarantine.New(), contested: map[string]bool{},
+		Options: o, registry: quarantine.New(), contested: map[string]bool{}, crashedAt: map[string]time.Time{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 	k.index.Store(k.registry.Index())
@@ -183,7 +192,6 @@
 	if len(crashes) == 0 {
 		return
 	}
-	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: crashes}})
 	var added []quarantine.Entry
 	for _, c := range crashes {
 		added = append(added, k.applyCrash(c)...)
@@ -191,6 +199,22 @@
 	if len(added) > 0 {
 		k.announce(added)
 	}
+	time.AfterFunc(rand.N(maxCrashReportDelay), func() { k.reportCrashes(crashes) })
+}
+
+// reportCrashes tells the peers of crashes, unless many targets have ended at the same time.
+// No prompt does that, and a notice from each host for each of its requests would cost the
+// fleet more than they do.
+func (k *Keeper) reportCrashes(crashes []quarantine.Crash) {
+	k.mu.Lock()
+	maps.DeleteFunc(k.crashedAt, func(_ string, at time.Time) bool { return time.Since(at) >= massCrashWindow })
+	together := len(k.crashedAt)
+	k.mu.Unlock()
+	if together >= massCrash {
+		k.Log.Info("crashes are not reported: many targets ended together", "crashes", len(crashes), "targets", together)
+		return
+	}
+	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: crashes}})
 	k.requestRead()
 }
 
@@ -200,7 +224,10 @@
 	now := time.Now()
 	var added []quarantine.Entry
 	var innocent []quarantine.Completion
-	k.update(func(r *quarantine.Registry) { added, innocent = r.RecordCrash(c, now) })
+	k.update(func(r *quarantine.Registry) {
+		added, innocent = r.RecordCrash(c, now)
+		k.crashedAt[c.Target] = now
+	})
 	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", quarantine.Summarize(c.Parts), "innocent", len(innocent))
 	k.reportInnocent(innocent, now)
 	for _, e := range added {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,11 +71,14 @@
 // fleet delivers notices to the keepers that are connected.
 type fleet struct {
 	keepers []*Keeper
+	// reported counts the crashes in notices.
+	reported atomic.Int64
 	// hosts is the number of hosts that the fleet claims to have, if it is not zero.
 	hosts int
 }
 
 func (f *fleet) BroadcastQuarantineNotice(_ context.Context, n *peers.QuarantineNotice) {
+	f.reported.Add(int64(len(n.Crashes)))
 	for _, k := range f.keepers {
 		k.HandleNotice(n)
 	}
@@ -219,3 +223,40 @@
 	}
 	g.Expect(longest).To(BeNumerically("<", maxWait))
 }
+
+// Guards against notices of each host for each request to all others when a third of the
+// targets ends at once, and against a host that then goes on reporting nothing.
+func TestCrashesOfManyTargetsTogetherAreNotReported(t *testing.T) {
+	g := NewWithT(t)
+	store, fleets := newTable(), []*fleet{{}, {}, {}, {}}
+	var keepers []*Keeper
+	for _, f := range fleets {
+		keepers = append(keepers, startKeeper(t, store, f))
+	}
+	for i, f := range fleets {
+		for j, k := range keepers {
+			if i != j {
+				f.keepers = append(f.keepers, k)
+			}
+		}
+	}
+	reported := func() int64 {
+		var sum int64
+		for _, f := range fleets {
+			sum += f.reported.Load()
+		}
+		return sum
+	}
+	for n := range 40 {
+		crash(keepers[n%len(keepers)], n, "manual", fmt.Sprint("own-", n))
+	}
+	time.Sleep(maxCrashReportDelay + 100*time.Millisecond)
+	g.Expect(reported()).To(BeNumerically("<", massCrash))
+	time.Sleep(massCrashWindow)
+	before := reported()
+	for n := range 3 {
+		crash(keepers[n], 100+n, "deadly", fmt.Sprint("another-", n))
+	}
+	g.Eventually(rejects(keepers[3], "deadly"), "2s", "10ms").Should(BeTrue())
+	g.Expect(reported() - before).To(BeEquivalentTo(3))
+}
