quarantine: the test of a missed notice waits until both hosts have read the table

TestEntryReachesHostsThatMissedTheNotice failed once beside other work: the host that was to miss the entry learned it from its first read of the table, when that came after the write.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	started time.Time
+	// listed counts the lists of Table.
+	listed int
 }
 
 func newTable() *table { return &table{rows: map[string]platform.Row{}, started: time.Now()} }
@@ -32,6 +34,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	page := platform.Page{Version: 1, Clock: time.Since(t.started)}
+	if name == Table {
+		t.listed++
+	}
 	for _, r := range t.rows {
 		if name == Table {
 			page.Rows = append(page.Rows, r)
@@ -62,6 +67,12 @@
 	return 1, nil
 }
 
+func (t *table) lists() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.listed
+}
+
 func (t *table) size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -122,6 +133,7 @@
 	g := NewWithT(t)
 	store, connected := newTable(), &fleet{}
 	one, cut := startKeeper(t, store, connected), startKeeper(t, store, &fleet{})
+	g.Eventually(store.lists, "2s", "1ms").Should(Equal(2), "both have read the table before the entry is in it")
 	for n := range 3 {
 		crash(one, n, "manual", "deadly")
 	}
