quarantine: an entry that all hosts learned from notices is kept in the store

Cause: only the host that saw the last of three crashes announces an entry and writes its row. When two hosts see crashes at about the same time, each has fewer than three until the other's notice comes, so that notices alone complete the entry at all hosts and none writes it. Hosts that start later then crash three more targets themselves.

Each host that adds an entry on a notice now announces and writes it within half a second, unless another host has announced it by then.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -52,6 +52,9 @@
 	// maxContestDelay spreads the hosts that know a completed part of a new entry, so that
 	// the first reports it for all.
 	maxContestDelay = 300 * time.Millisecond
+	// maxAnnounceDelay spreads the hosts that learned of the last crash of a new entry from a
+	// notice, so that the first announces it if the host that saw the crash does not.
+	maxAnnounceDelay = 500 * time.Millisecond
 	// partsPerUpdate bounds the parts of a completed prompt that are recorded at once, since
 	// all prompts wait for the same mutex as they complete.
 	partsPerUpdate = 64
@@ -116,6 +119,9 @@
 	// contested are the parts of new entries that have completed here and that no peer has
 	// reported yet.
 	contested map[string]bool
+	// unannounced are the IDs of entries that notices of crashes added here and that no host
+	// has announced yet.
+	unannounced map[string]bool
 	// crashedAt is when the targets crashed that crashed last, here or at peers.
 	crashedAt map[string]time.Time
 	// restored means that the store may have lost entries since the table was last read.
@@ -128,7 +134,7 @@
 // New returns a keeper that has read no entry.
 func New(o Options) *Keeper {
 	k := &Keeper{
-		Options: o, registry: quarantine.New(), contested: map[string]bool{}, crashedAt: map[string]time.Time{},
+		Options: o, registry: quarantine.New(), contested: map[string]bool{}, unannounced: map[string]bool{}, crashedAt: map[string]time.Time{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 	k.index.Store(k.registry.Index())
@@ -284,8 +290,34 @@
 	}
 }
 
-// announce sends new entries to the peers and keeps them in the store. Only the host that
-// saw the last crash does so.
+// announceLater announces entries that a notice of a crash added here, unless another host
+// does so first. The host that saw the crash does not if it lacked an earlier one, whose
+// notice came after it.
+func (k *Keeper) announceLater(added []quarantine.Entry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, e := range added {
+		k.unannounced[e.ID] = true
+	}
+	time.AfterFunc(rand.N(maxAnnounceDelay), func() {
+		k.mu.Lock()
+		var left []quarantine.Entry
+		for _, e := range added {
+			// Parts may have completed since, which has ended the entry or left less of it.
+			if current, ok := k.registry.Entry(e.ID); ok && k.unannounced[e.ID] {
+				left = append(left, current)
+			}
+			delete(k.unannounced, e.ID)
+		}
+		k.mu.Unlock()
+		if len(left) > 0 {
+			k.announce(left)
+		}
+	})
+}
+
+// announce sends new entries to the peers and keeps them in the store. The host that saw the
+// last crash does so at once.
 func (k *Keeper) announce(added []quarantine.Entry) {
 	n := &peers.QuarantineNotice{}
 	for _, e := range added {
@@ -300,13 +332,18 @@
 func (k *Keeper) HandleNotice(n *peers.QuarantineNotice) {
 	now := time.Now()
 	k.update(func(r *quarantine.Registry) {
+		for _, e := range n.Entries {
+			delete(k.unannounced, e.ID)
+		}
 		for _, i := range n.Innocent {
 			delete(k.contested, i.Part)
 			r.RecordCompletion([]string{i.Part}, now.Add(-milliseconds(i.AgeMs)))
 		}
 	})
 	for _, c := range n.Crashes {
-		k.applyCrash(c)
+		if added := k.applyCrash(c); len(added) > 0 {
+			k.announceLater(added)
+		}
 	}
 	for _, e := range n.Entries {
 		k.contestEntry(e.Parts, now)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -236,6 +237,34 @@
 	g.Expect(longest).To(BeNumerically("<", maxWait))
 }
 
+// startConnectedKeepers starts keepers on one table that send their notices to each other.
+func startConnectedKeepers(t *testing.T, store *table, n int) (keepers []*Keeper, fleets []*fleet) {
+	for range n {
+		f := &fleet{}
+		keepers, fleets = append(keepers, startKeeper(t, store, f)), append(fleets, f)
+	}
+	for i, f := range fleets {
+		f.keepers = append(slices.Clone(keepers[:i]), keepers[i+1:]...)
+	}
+	return keepers, fleets
+}
+
+// Guards against an entry that is never kept, so that hosts that start later crash more
+// targets: no host had seen the last crash itself, each learned of one that made three from
+// the notice of another.
+func TestEntryThatAllHostsLearnedFromNoticesIsKept(t *testing.T) {
+	g := NewWithT(t)
+	store := newTable()
+	keepers, _ := startConnectedKeepers(t, store, 2)
+	for n := range 4 {
+		crash(keepers[n%2], n, "manual", "deadly")
+	}
+	for _, k := range keepers {
+		g.Eventually(rejects(k, "manual", "deadly"), "2s", "10ms").Should(BeTrue())
+	}
+	g.Eventually(store.size, "2s", "10ms").Should(Equal(1))
+}
+
 // Guards against notices of each host for each request to all others when a third of the
 // targets ends at once, and against a host that then goes on reporting nothing.
 func TestCrashesOfManyTargetsTogetherAreNotReported(t *testing.T) {
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -201,6 +201,12 @@
 	return e, true
 }
 
+// Entry returns the entry with an ID.
+func (r *Registry) Entry(id string) (Entry, bool) {
+	e, ok := r.entries.byID[id]
+	return e, ok
+}
+
 // Entries returns the entries that reject requests.
 func (r *Registry) Entries(now time.Time) []Entry {
 	var out []Entry
