quarantine: crashes of many targets together are reported late, not never

If many targets end for another reason while a part crashes some more, and each host sees a few of all these crashes, no host reports the part: it goes on crashing three targets at each host (BUDGET).

Reports now wait for 0.5 to 1.5 s more in that case, and leave out the parts that have completed meanwhile, as most of the requests do at other targets. 2 s after a crash at most all hosts know what is left; contact_ms is 5 s.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -45,10 +45,15 @@
 	innocenceReporters = 4
 	// maxCrashReportDelay spreads the reports of crashes, so that hosts hear of each other's
 	// before they send theirs. massCrash is the number of targets that must have crashed
-	// within massCrashWindow for further crashes not to be reported.
-	maxCrashReportDelay = 500 * time.Millisecond
-	massCrash           = 6
-	massCrashWindow     = time.Second
+	// within massCrashWindow for reports to wait for minMassCrashReportDelay to
+	// maxMassCrashReportDelay more: a prompt crashes three before it is in quarantine. Both
+	// delays together must leave most of the time in which all hosts have to know a part that
+	// crashes targets (contact_ms, 5 s).
+	maxCrashReportDelay     = 500 * time.Millisecond
+	massCrash               = 6
+	massCrashWindow         = time.Second
+	minMassCrashReportDelay = 500 * time.Millisecond
+	maxMassCrashReportDelay = 1500 * time.Millisecond
 	// maxContestDelay spreads the hosts that know a completed part of a new entry, so that
 	// the first reports it for all.
 	maxContestDelay = 300 * time.Millisecond
@@ -205,22 +210,42 @@
 	if len(added) > 0 {
 		k.announce(added)
 	}
-	time.AfterFunc(rand.N(maxCrashReportDelay), func() { k.reportCrashes(crashes) })
+	time.AfterFunc(rand.N(maxCrashReportDelay), func() {
+		if !k.manyCrashedTogether() {
+			k.reportCrashes(crashes)
+			return
+		}
+		delay := minMassCrashReportDelay + rand.N(maxMassCrashReportDelay-minMassCrashReportDelay)
+		time.AfterFunc(delay, func() { k.reportCrashes(crashes) })
+	})
 }
 
-// reportCrashes tells the peers of crashes, unless many targets have ended at the same time.
-// No prompt does that, and a notice from each host for each of its requests would cost the
-// fleet more than they do.
-func (k *Keeper) reportCrashes(crashes []quarantine.Crash) {
+// manyCrashedTogether reports whether more targets have crashed within a short time than a
+// prompt crashes. Most of their requests complete at other targets soon, and a notice from
+// each host for each of them would cost the fleet more than they do.
+func (k *Keeper) manyCrashedTogether() bool {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	maps.DeleteFunc(k.crashedAt, func(_ string, at time.Time) bool { return time.Since(at) >= massCrashWindow })
-	together := len(k.crashedAt)
+	return len(k.crashedAt) >= massCrash
+}
+
+// reportCrashes tells the peers of crashes, without the parts that have completed since.
+func (k *Keeper) reportCrashes(crashes []quarantine.Crash) {
+	now := time.Now()
+	var left []quarantine.Crash
+	k.mu.Lock()
+	for _, c := range crashes {
+		c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool { return k.registry.IsInnocent(part, now) })
+		if len(c.Parts) > 0 {
+			left = append(left, c)
+		}
+	}
 	k.mu.Unlock()
-	if together >= massCrash {
-		k.Log.Info("crashes are not reported: many targets ended together", "crashes", len(crashes), "targets", together)
+	if len(left) == 0 {
 		return
 	}
-	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: crashes}})
+	k.enqueue(outgoing{notice: &peers.QuarantineNotice{Crashes: left}})
 	k.requestRead()
 }
 
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -127,7 +127,8 @@
 	r.completed[part] = at
 }
 
-func (r *Registry) isInnocent(part string, now time.Time) bool {
+// IsInnocent reports whether a part has completed recently.
+func (r *Registry) IsInnocent(part string, now time.Time) bool {
 	at, ok := r.completed[part]
 	return ok && now.Sub(at) < completionTTL
 }
@@ -136,7 +137,7 @@
 func (r *Registry) Innocent(parts []string, now time.Time) []Completion {
 	var innocent []Completion
 	for _, part := range parts {
-		if r.isInnocent(part, now) {
+		if r.IsInnocent(part, now) {
 			innocent = append(innocent, Completion{part, r.completed[part]})
 		}
 	}
@@ -150,7 +151,7 @@
 	innocent = r.Innocent(c.Parts, now)
 	known, parts := make(set, len(c.Parts)), make([]string, 0, len(c.Parts))
 	for _, part := range c.Parts {
-		if !known.has(part) && !r.isInnocent(part, now) {
+		if !known.has(part) && !r.IsInnocent(part, now) {
 			parts = append(parts, part)
 		}
 		known[part] = struct{}{}
@@ -191,7 +192,7 @@
 	}
 	// A peer or a row may name a part twice.
 	distinct := newSet(e.Parts)
-	maps.DeleteFunc(distinct, func(part string, _ struct{}) bool { return r.isInnocent(part, now) })
+	maps.DeleteFunc(distinct, func(part string, _ struct{}) bool { return r.IsInnocent(part, now) })
 	e.Parts = slices.Sorted(maps.Keys(distinct))
 	if len(e.Parts) == 0 || now.Sub(e.Until) >= Probation {
 		return e, false
