--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -157,7 +158,12 @@
 		ts.Fatalf("unknown signal %s", args[1])
 	}
 	p := processTableOf(ts).get(ts, args[0])
-	ts.Check(p.cmd.Process.Signal(signal))
+	err := p.cmd.Process.Signal(signal)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-p.exited
+		ts.Fatalf("process %s exited with code %d before signal %s\n%s", args[0], p.exitCode, args[1], tail(p.logFile))
+	}
+	ts.Check(err)
 	if signal == syscall.SIGKILL {
 		<-p.exited
 	}
