peers: the exchange takes a clock, and its tests give it one

TestStateReachesAllHostsOfLargeFleet counted messages against the wall clock: a round that took long on a busy machine let hosts time out and added reports (543 to 706 of 540 allowed in earlier plays). The test's clock now advances by the interval of rounds with each round; the bound is as it was.

--- a/internal/peers/notices.go
+++ b/internal/peers/notices.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/wire"
 	"github.com/sequoiaroad/sequoiaroad/policy/exchange"
@@ -44,7 +43,7 @@
 
 func (e *Exchange) broadcast(ctx context.Context, n notice) {
 	e.mu.Lock()
-	group, others := e.node.NoticeRoutes(time.Now())
+	group, others := e.node.NoticeRoutes(e.now())
 	e.mu.Unlock()
 	var running sync.WaitGroup
 	running.Go(func() { e.send(ctx, group, n.withRelay(false)) })
@@ -70,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
-	group, _ := e.node.NoticeRoutes(time.Now())
+	group, _ := e.node.NoticeRoutes(e.now())
 	e.mu.Unlock()
 	e.send(ctx, group, n.withRelay(false))
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -56,6 +56,7 @@
 	view   *view.View
 	local  LocalHost
 	log    hclog.Logger
+	now    func() time.Time
 
 	mu   sync.Mutex
 	node *exchange.Node
@@ -73,8 +74,12 @@
 
 // New returns an exchange that has recorded no other host.
 func New(self view.Host, seeds []string, caller wire.Caller, v *view.View, local LocalHost, log hclog.Logger) *Exchange {
+	return newWithClock(self, seeds, caller, v, local, log, time.Now)
+}
+
+func newWithClock(self view.Host, seeds []string, caller wire.Caller, v *view.View, local LocalHost, log hclog.Logger, now func() time.Time) *Exchange {
 	e := &Exchange{
-		self: self, caller: caller, view: v, local: local, log: log, node: exchange.New(self.Host, seeds, time.Now()),
+		self: self, caller: caller, view: v, local: local, log: log, now: now, node: exchange.New(self.Host, seeds, now()),
 		lags: map[string]*lag{operatorTable: {}, targetTable: {}, documentsInForce: {}},
 	}
 	v.ConfigureSharing(view.Sharing{
@@ -135,21 +140,21 @@
 func (e *Exchange) watchesStore() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.node.WatchesStore(time.Now())
+	return e.node.WatchesStore(e.now())
 }
 
 // ReadsForItself reports whether this host reads from the store what hubs tell their members.
 func (e *Exchange) ReadsForItself() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.node.ReadsForItself(time.Now())
+	return e.node.ReadsForItself(e.now())
 }
 
 // listsHosts reports whether this host reads the hosts' entries in the store.
 func (e *Exchange) listsHosts() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.node.ListsHosts(time.Now())
+	return e.node.ListsHosts(e.now())
 }
 
 // IsEntryHost reports whether this host is to have an entry in the store.
@@ -205,7 +210,7 @@
 func (e *Exchange) CountHosts() (hosts int, unresponsiveShare float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now := time.Now(); e.count.hosts == 0 || now.Sub(e.countedAt) >= hostCountTTL {
+	if now := e.now(); e.count.hosts == 0 || now.Sub(e.countedAt) >= hostCountTTL {
 		e.count.hosts, e.count.unresponsiveShare = e.node.Count()
 		e.countedAt = now
 	}
@@ -216,7 +221,7 @@
 func (e *Exchange) QueueCacheNotice(n balance.CacheNotice) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.node.AddNotice(n, time.Now())
+	e.node.AddNotice(n, e.now())
 }
 
 // Run reports the state of this host until ctx ends. The first report is sent at once, since
@@ -234,7 +239,7 @@
 func (e *Exchange) interval() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.node.Interval(time.Now())
+	return e.node.Interval(e.now())
 }
 
 // round sends the reports of one round.
@@ -243,10 +248,10 @@
 	switch {
 	case e.view.StoreUnreachable():
 		local.Status |= exchange.StoreUnreachable
-	case e.view.ReachesStore(time.Now()):
+	case e.view.ReachesStore(e.now()):
 		local.Status |= exchange.StoreReached
 	}
-	now := time.Now()
+	now := e.now()
 	e.mu.Lock()
 	for _, h := range e.view.Snapshot().Hosts {
 		e.node.AddHost(h.Host, now)
@@ -265,10 +270,10 @@
 func (e *Exchange) sendReport(ctx context.Context, o exchange.Outgoing, m *StateReport) {
 	callCtx, cancel := context.WithTimeout(ctx, exchange.ReplyTimeout)
 	defer cancel()
-	sentAt := time.Now()
+	sentAt := e.now()
 	var reply StateReply
 	err := e.caller.Call(callCtx, o.Address, m, &reply)
-	now := time.Now()
+	now := e.now()
 	if err != nil {
 		e.log.Debug("host did not answer a report", "host", o.To, "address", o.Address, "error", err)
 		e.mu.Lock()
@@ -287,13 +292,13 @@
 // handleReport handles a report of another host.
 func (e *Exchange) handleReport(ctx context.Context, from wire.Peer, m *StateReport) *StateReply {
 	e.mu.Lock()
-	reply, learned := e.node.HandleReport(from.HostID, from.Incarnation, &m.Report, time.Now())
+	reply, learned := e.node.HandleReport(from.HostID, from.Incarnation, &m.Report, e.now())
 	e.mu.Unlock()
 	e.handleLearned(&learned)
 	e.handleVersions(ctx, exchange.Host{ID: from.HostID, InnerAddress: from.Address}, &m.Versions)
 	out := &StateReply{Reply: *reply, Versions: e.versions()}
 	if reply.Changes != nil {
-		out.Publications = e.view.PublicationAges(time.Now())
+		out.Publications = e.view.PublicationAges(e.now())
 	}
 	return out
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -18,11 +18,19 @@
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
-// network delivers messages between the hosts of a test and counts those sent.
+// network delivers messages between the hosts of a test and counts those sent. Its clock
+// advances by the interval of rounds with each round, whatever time a round takes.
 type network struct {
 	mu    sync.Mutex
 	hosts map[string]*testHost
 	sent  int
+	clock time.Time
+}
+
+func (n *network) now() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock
 }
 
 // testDecoder decodes the rows of targets by their keys alone.
@@ -87,7 +95,7 @@
 
 // newNetwork starts count hosts, each of which has recorded all others.
 func newNetwork(count, zones int) *network {
-	n := &network{hosts: map[string]*testHost{}}
+	n := &network{hosts: map[string]*testHost{}, clock: time.Unix(1_700_000_000, 0)}
 	all := make([]view.Host, count)
 	for i := range all {
 		id := fmt.Sprintf("h%03d", i)
@@ -102,9 +110,9 @@
 func (n *network) start(self view.Host, all []view.Host) *testHost {
 	h := &testHost{handlers: map[wire.Type]wire.Handler{}}
 	v := view.New(nil, testDecoder, hclog.NewNullLogger())
-	h.Exchange = New(self, nil, &link{n, self}, v, h, hclog.NewNullLogger())
+	h.Exchange = newWithClock(self, nil, &link{n, self}, v, h, hclog.NewNullLogger(), n.now)
 	for _, other := range all {
-		h.node.AddHost(other.Host, time.Now())
+		h.node.AddHost(other.Host, n.now())
 	}
 	h.Register(h)
 	n.mu.Lock()
@@ -149,7 +157,10 @@
 		for _, h := range n.hosts {
 			h.round(context.Background())
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond) // reports and their replies are delivered meanwhile
+		n.mu.Lock()
+		n.clock = n.clock.Add(exchange.RoundInterval)
+		n.mu.Unlock()
 	}
 }
 
@@ -191,7 +202,7 @@
 		}
 	}
 	sender.Exchange.mu.Lock()
-	_, others := sender.node.NoticeRoutes(time.Now())
+	_, others := sender.node.NoticeRoutes(n.now())
 	sender.Exchange.mu.Unlock()
 	n.mu.Lock()
 	delete(n.hosts, others[0][0].InnerAddress)
--- a/internal/peers/rows.go
+++ b/internal/peers/rows.go
@@ -160,7 +160,7 @@
 		}
 		e.mu.Lock()
 		l := e.lags[name]
-		due := l.due(own, peer, time.Now(), tolerance)
+		due := l.due(own, peer, e.now(), tolerance)
 		if due {
 			l.fetching = true
 		}
