test/site: the two tests of crashes at each point of a response share their steps

TestPartThatCrashesEnginesIsRejectedWhereverTheAnswerEnds and TestRepeatedRequestThatCrashesEnginesIsRejected had the same set-up and the same checks, and differed only in what they send. Both now call testCrashPoints with the part and the sender.

--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -102,53 +102,53 @@
 	"within the body": {standin.CrashInBody, 0, "/plain/1"},
 }
 
-// Guards against a part that goes on crashing engines because they end before the head of
-// the answer, after its first event or within a body that is no stream, where only an end
-// between the head and the first event counted as a crash.
-func TestPartThatCrashesEnginesIsRejectedWhereverTheAnswerEnds(t *testing.T) {
+// testCrashPoints sends requests with a part on which engines crash, at each point of a
+// response, until they are rejected. It expects that three engines have crashed by then and
+// that sound requests are served. newSend returns a function that sends one such request and
+// returns its status.
+func testCrashPoints(t *testing.T, part string, newSend func(f *fixture, h *host, uri string) func() int) {
 	t.Parallel()
 	for name, point := range crashPoints {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t)
 			f.addPlainPromptRoute()
-			engines := f.startCrashingEngines(7, deadlyPart, point.at, point.events)
+			engines := f.startCrashingEngines(7, part, point.at, point.events)
 			h := f.startHost("host-1")
-			sent := 0
-			f.g.Eventually(func() int {
-				sent++
-				q := deadlyPrompt(point.uri)
-				q.header["X-Prefix-Hash"] += fmt.Sprintf(",e4%06x:10", sent) // no two are alike
-				return f.send(h, q).status
-			}, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
-			f.g.Expect(countRunsWith(deadlyPart, engines)).To(Equal(3))
+			f.g.Eventually(newSend(f, h, point.uri), "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
+			f.g.Expect(countRunsWith(part, engines)).To(Equal(3))
 			f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "50ms").Should(Equal(http.StatusOK))
 		})
 	}
 }
 
+// Guards against a part that goes on crashing engines because they end before the head of
+// the answer, after its first event or within a body that is no stream, where only an end
+// between the head and the first event counted as a crash.
+func TestPartThatCrashesEnginesIsRejectedWhereverTheAnswerEnds(t *testing.T) {
+	testCrashPoints(t, deadlyPart, func(f *fixture, h *host, uri string) func() int {
+		sent := 0
+		return func() int {
+			sent++
+			q := deadlyPrompt(uri)
+			q.header["X-Prefix-Hash"] += fmt.Sprintf(",e4%06x:10", sent) // no two are alike
+			return f.send(h, q).status
+		}
+	})
+}
+
 // Guards against a request that comes again, part for part, and crashes one engine after
 // the other, while sound requests complete with all parts that it shares with them.
 func TestRepeatedRequestThatCrashesEnginesIsRejected(t *testing.T) {
-	t.Parallel()
 	const lastPart = "e4dead01"
-	for name, point := range crashPoints {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f := newFixture(t)
-			f.addPlainPromptRoute()
-			engines := f.startCrashingEngines(7, lastPart, point.at, point.events)
-			h := f.startHost("host-1")
-			deadly := promptRequest(point.uri)
-			deadly.header["X-Prefix-Hash"] = "5c1e07a2:1000," + lastPart + ":20"
-			f.g.Eventually(func() int {
-				f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "20ms").Should(Equal(http.StatusOK))
-				return f.send(h, deadly).status
-			}, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
-			f.g.Expect(countRunsWith(lastPart, engines)).To(Equal(3))
-			f.g.Eventually(func() int { return f.send(h, promptRequest(point.uri)).status }, "5s", "50ms").Should(Equal(http.StatusOK))
-		})
-	}
+	testCrashPoints(t, lastPart, func(f *fixture, h *host, uri string) func() int {
+		deadly := promptRequest(uri)
+		deadly.header["X-Prefix-Hash"] = "5c1e07a2:1000," + lastPart + ":20"
+		return func() int {
+			f.g.Eventually(func() int { return f.send(h, promptRequest(uri)).status }, "5s", "20ms").Should(Equal(http.StatusOK))
+			return f.send(h, deadly).status
+		}
+	})
 }
 
 // Guards against sound requests in quarantine because connections of theirs broke while
