quarantine: count crashes by outcome, log why parts are not in quarantine

The logs showed entries that were added and parts that were cleared, but not why parts under which three targets have ended were left out, so that two hypotheses (repetitions explain the part; the part is cleared) looked alike. RecordCrash now also returns the parts that more specific ones explain; the host logs them and counts crashes by outcome, cleared parts, rejected requests and the checks of targets whose responses ended.

No decision changes: the tests of policy/quarantine pass with the new type of the result.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -26,7 +26,11 @@
 	// outdatedWeights counts prompts that were sent to targets, by the time since newer
 	// weights were published; zero for the newest.
 	outdatedWeights metric.Float64Histogram
-	ctx             context.Context
+	// quarantined counts requests that were rejected for parts in quarantine, crashChecks
+	// the checks whether a target crashed as its responses ended, by outcome.
+	quarantined metric.Int64Counter
+	crashChecks metric.Int64Counter
+	ctx         context.Context
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -38,6 +42,12 @@
 	if m.refusals, err = meter.Int64Counter("sequoiaroad_forward_refusals", metric.WithDescription("Requests that ended with a failure of the host's own.")); err != nil {
 		return nil, errors.Wrap(err, "create metric")
 	}
+	if m.quarantined, err = meter.Int64Counter("sequoiaroad_forward_quarantined", metric.WithDescription("Requests that were rejected because their parts are in quarantine.")); err != nil {
+		return nil, errors.Wrap(err, "create metric")
+	}
+	if m.crashChecks, err = meter.Int64Counter("sequoiaroad_forward_crash_checks", metric.WithDescription("Checks whether a target crashed as its responses ended, by outcome.")); err != nil {
+		return nil, errors.Wrap(err, "create metric")
+	}
 	bounds := metric.WithExplicitBucketBoundaries(latencyBounds...)
 	if m.duration, err = meter.Float64Histogram("sequoiaroad_forward_duration_seconds", metric.WithUnit("s"), bounds); err != nil {
 		return nil, errors.Wrap(err, "create metric")
@@ -73,3 +83,9 @@
 func (m *metrics) recordOutdatedWeights(c *call, outdatedFor time.Duration) {
 	m.outdatedWeights.Record(m.ctx, outdatedFor.Seconds(), metric.WithAttributes(c.kindAttribute()))
 }
+
+func (m *metrics) recordQuarantined() { m.quarantined.Add(m.ctx, 1) }
+
+func (m *metrics) recordCrashCheck(crashed bool) {
+	m.crashChecks.Add(m.ctx, 1, metric.WithAttributes(attribute.Bool("crashed", crashed)))
+}
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -45,6 +45,7 @@
 	if !ok {
 		return nil
 	}
+	r.metrics.recordQuarantined()
 	f := notExecutedFailure(http.StatusServiceUnavailable, "the prompt has parts on which several targets crashed", time.Until(e.Until))
 	f.final = true
 	f.cause = errors.Errorf("entry %s: %s", e.ID, strings.Join(quarantine.Summarize(e.Parts), " "))
@@ -129,6 +130,7 @@
 	delete(r.endedAnswers, t.Incarnation())
 	r.mu.Unlock()
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	r.metrics.recordCrashCheck(crashed)
 	var crashes []quarantine.Crash
 	for _, a := range answers {
 		switch {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
 	"github.com/sequoiaroad/sequoiaroad/internal/leasestore"
@@ -90,6 +91,7 @@
 	View   *view.View
 	Fleet  Fleet
 	Log    hclog.Logger
+	Meter  metric.Meter
 	// OnEntry is called after an entry was added or prolonged. It must not block.
 	OnEntry func(e quarantine.Entry)
 }
@@ -111,6 +113,7 @@
 // Keeper decides for this host which requests are in quarantine.
 type Keeper struct {
 	Options
+	metrics *metrics
 
 	// index holds the entries of the registry. Requests use it without the mutex, which is
 	// held over work that grows with the parts of a crash.
@@ -137,14 +140,18 @@
 }
 
 // New returns a keeper that has read no entry.
-func New(o Options) *Keeper {
+func New(o Options) (*Keeper, error) {
+	m, err := newMetrics(o.Meter)
+	if err != nil {
+		return nil, err
+	}
 	k := &Keeper{
-		Options: o, registry: quarantine.New(), contested: map[string]bool{}, unannounced: map[string]bool{}, crashedAt: map[string]time.Time{},
+		Options: o, metrics: m, registry: quarantine.New(), contested: map[string]bool{}, unannounced: map[string]bool{}, crashedAt: map[string]time.Time{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 	k.index.Store(k.registry.Index())
 	o.View.OnRestoration(func() { time.AfterFunc(rand.N(maxRestoreDelay), k.requestRestore) })
-	return k
+	return k, nil
 }
 
 // requestRestore compares the entries of this host with a store that was restored.
@@ -190,6 +197,7 @@
 		return
 	}
 	k.Log.Info("parts are no longer suspected of crashes", "parts", quarantine.Summarize(cleared))
+	k.metrics.recordCleared(len(cleared))
 	n := &peers.QuarantineNotice{}
 	for _, part := range cleared {
 		n.Innocent = append(n.Innocent, peers.InnocentPart{Part: part})
@@ -253,19 +261,22 @@
 // that this adds.
 func (k *Keeper) applyCrash(c quarantine.Crash) []quarantine.Entry {
 	now := time.Now()
-	var added []quarantine.Entry
-	var innocent []quarantine.Completion
+	var outcome quarantine.Outcome
 	k.update(func(r *quarantine.Registry) {
-		added, innocent = r.RecordCrash(c, now)
+		outcome = r.RecordCrash(c, now)
 		k.crashedAt[c.Target] = now
 	})
-	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", quarantine.Summarize(c.Parts), "innocent", len(innocent))
-	k.reportInnocent(innocent, now)
-	for _, e := range added {
+	k.Log.Info("a target ended while it worked on a request", "target", c.Target, "parts", quarantine.Summarize(c.Parts), "innocent", len(outcome.Innocent))
+	k.metrics.recordCrash(&outcome)
+	k.reportInnocent(outcome.Innocent, now)
+	if len(outcome.Explained) > 0 {
+		k.Log.Info("several targets crashed on parts, which more specific ones explain", "parts", quarantine.Summarize(outcome.Explained))
+	}
+	for _, e := range outcome.Added {
 		k.Log.Warn("parts are in quarantine: several targets crashed on them", "entry", e.ID, "parts", quarantine.Summarize(e.Parts), "for_s", int(e.Duration.Seconds()))
 		k.OnEntry(e)
 	}
-	return added
+	return outcome.Added
 }
 
 // reportInnocent tells the peers which parts have completed here. In a large fleet a few
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/peers"
 	"github.com/sequoiaroad/sequoiaroad/internal/platform"
@@ -106,9 +107,10 @@
 		OperatorTable: "operator", TargetTable: "targets", ErrCompacted: errors.New("compacted"),
 		DecodeOperatorRow: func(string, []byte) (*topology.Config, *topology.DesiredWeights, error) { return nil, nil, nil },
 	}, hclog.NewNullLogger())
-	k := New(Options{
-		Store: store, Source: store, View: v, Fleet: f, Log: hclog.NewNullLogger(), OnEntry: func(quarantine.Entry) {},
+	k, err := New(Options{
+		Store: store, Source: store, View: v, Fleet: f, Log: hclog.NewNullLogger(), Meter: noop.Meter{}, OnEntry: func(quarantine.Entry) {},
 	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = v.Run(ctx) })
--- a/internal/routehost/routehost.go
+++ b/internal/routehost/routehost.go
@@ -117,11 +117,14 @@
 	h.client = wire.NewClient(wire.ClientOptions{Self: from, Credentials: credentials, Traffic: h.traffic, Logger: wireLog})
 	h.wire = wire.NewServer(wire.ServerOptions{Self: from, Credentials: credentials, Traffic: h.traffic, Logger: wireLog})
 	h.view = view.New(o.Platform.Source, o.Platform.Decoder, o.Telemetry.Logger.Named("view"))
-	h.quarantine = quarantine.New(quarantine.Options{
+	h.quarantine, err = quarantine.New(quarantine.Options{
 		Store: o.Platform.Store, Source: o.Platform.Source, View: h.view, Fleet: (*localHost)(h),
-		Log:     o.Telemetry.Logger.Named("quarantine"),
+		Log: o.Telemetry.Logger.Named("quarantine"), Meter: o.Telemetry.Meter,
 		OnEntry: func(e policy.Entry) { h.router.WithdrawMatching(e) },
 	})
+	if err != nil {
+		return nil, err
+	}
 	if h.router, err = forward.New(h.routerOptions()); err != nil {
 		return nil, err
 	}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -51,6 +51,17 @@
 	Target string `msgpack:"t"`
 }
 
+// Outcome is what a crash led to.
+type Outcome struct {
+	// Added are the entries that it added or resumed.
+	Added []Entry
+	// Innocent are the completions that prove parts of it innocent.
+	Innocent []Completion
+	// Explained are the parts under which enough targets have crashed, but whose crashes more
+	// specific parts explain.
+	Explained []string
+}
+
 // Completion is a part of a request that a target completed.
 type Completion struct {
 	Part string
@@ -144,11 +155,10 @@
 	return innocent
 }
 
-// RecordCrash records a crash. It returns the entries that it adds or resumes, and the
-// completions that prove parts innocent.
-func (r *Registry) RecordCrash(c Crash, now time.Time) (added []Entry, innocent []Completion) {
+// RecordCrash records a crash.
+func (r *Registry) RecordCrash(c Crash, now time.Time) Outcome {
 	r.sweep(now)
-	innocent = r.Innocent(c.Parts, now)
+	out := Outcome{Innocent: r.Innocent(c.Parts, now)}
 	known, parts := make(set, len(c.Parts)), make([]string, 0, len(c.Parts))
 	for _, part := range c.Parts {
 		if !known.has(part) && !r.IsInnocent(part, now) {
@@ -157,25 +167,30 @@
 		known[part] = struct{}{}
 	}
 	concerned := r.suspects.record(c.Target, parts, now)
-	if resumed := r.entries.resume(newSet(parts), now); len(resumed) > 0 {
-		return resumed, innocent
+	if out.Added = r.entries.resume(newSet(parts), now); len(out.Added) > 0 {
+		return out
 	}
 	for _, s := range concerned {
-		if e, ok := r.judge(s, now); ok {
-			added = append(added, e)
-		}
+		r.judge(s, now, &out)
 	}
-	return added, innocent
+	return out
 }
 
 // judge puts what the crashes of a suspect share in quarantine if enough targets crashed and
 // the crashes are not explained by a more specific suspect.
-func (r *Registry) judge(s *suspect, now time.Time) (Entry, bool) {
-	if len(s.targets) < crashesToQuarantine || r.suspects.isExplained(s) {
-		return Entry{}, false
+func (r *Registry) judge(s *suspect, now time.Time, out *Outcome) {
+	if len(s.targets) < crashesToQuarantine {
+		return
 	}
 	parts := slices.Sorted(maps.Keys(s.common))
-	return r.AddEntry(Entry{ID: entryID(parts), Parts: parts, Until: now.Add(FirstDuration), Duration: FirstDuration}, now)
+	if r.suspects.isExplained(s) {
+		out.Explained = append(out.Explained, parts...)
+		return
+	}
+	e := Entry{ID: entryID(parts), Parts: parts, Until: now.Add(FirstDuration), Duration: FirstDuration}
+	if e, added := r.AddEntry(e, now); added {
+		out.Added = append(out.Added, e)
+	}
 }
 
 // AddEntry adds an entry, or extends one that is known. Parts that have completed here
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -63,8 +63,8 @@
 	g.Expect(matches(r, "p")).To(BeFalse())
 	r.RecordCompletion([]string{"q"}, at(0))
 	for n := range 5 {
-		_, innocent := r.RecordCrash(Crash{[]string{"q"}, fmt.Sprint("engine-", n)}, at(n))
-		g.Expect(innocent).To(ConsistOf(Completion{"q", at(0)}))
+		outcome := r.RecordCrash(Crash{[]string{"q"}, fmt.Sprint("engine-", n)}, at(n))
+		g.Expect(outcome.Innocent).To(ConsistOf(Completion{"q", at(0)}))
 	}
 	g.Expect(matches(r, "q")).To(BeFalse())
 	r.AddEntry(Entry{ID: "x", Parts: []string{"q", "r"}, Until: at(60_000)}, at(5))
@@ -108,8 +108,8 @@
 	}
 	g.Expect(rejects(end.Add(-time.Millisecond))).To(BeTrue())
 	g.Expect(rejects(end)).To(BeFalse())
-	resumed, _ := r.RecordCrash(Crash{[]string{"deadly"}, "engine-9"}, end)
-	g.Expect(resumed).To(HaveLen(1))
+	resumed := r.RecordCrash(Crash{[]string{"deadly"}, "engine-9"}, end)
+	g.Expect(resumed.Added).To(HaveLen(1))
 	g.Expect(rejects(end.Add(durationFactor*FirstDuration - time.Millisecond))).To(BeTrue())
 	r.RecordCompletion([]string{"deadly"}, end.Add(time.Second))
 	g.Expect(rejects(end.Add(2 * time.Second))).To(BeFalse())
@@ -142,8 +142,7 @@
 		now := at(n * 10_000)
 		c := Crash{[]string{"p"}, fmt.Sprint("engine-", n)}
 		for _, pair := range [...][2]*Registry{{one, two}, {two, one}} {
-			_, innocent := pair[0].RecordCrash(c, now)
-			for _, i := range innocent {
+			for _, i := range pair[0].RecordCrash(c, now).Innocent {
 				pair[1].RecordCompletion([]string{i.Part}, i.At)
 			}
 		}
