quarantine: a prompt that is sent again does not explain what others crash

What callers saw: prompts with a part that crashes engines were sent to engines for as long as they came, long after the fifth crash; each crash broke off the other streams of its engine.

Cause: what the crashes of several targets share is put in quarantine unless something more specific explains them. On routes whose requests are sent again, by the host or by callers, each prompt crashes two engines or more by itself and explained these crashes, so that the part which all of them share was left out each time.

Change: a crash names its prompt. Suspects whose crashes all come from one prompt explain nothing of what several prompts crash. A single prompt that is sent again is still rejected by itself, without the parts that it shares.

--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -73,7 +73,11 @@
 }
 
 func (c *call) crashAt(t *topology.Target) quarantine.Crash {
-	return quarantine.Crash{Parts: c.parts, Target: t.ID + "/" + strconv.FormatInt(t.Started, 10)}
+	crash := quarantine.Crash{Parts: c.parts, Target: t.ID + "/" + strconv.FormatInt(t.Started, 10)}
+	if len(c.parts) > 0 {
+		crash.Prompt = c.parts[len(c.parts)-1]
+	}
+	return crash
 }
 
 // recordCrash records a stream that ended after its head and before its first event.
--- a/policy/quarantine/many_parts_test.go
+++ b/policy/quarantine/many_parts_test.go
@@ -84,11 +84,19 @@
 	}
 }
 
+// comeFromSeveralPrompts reports whether crashes come from more than one prompt.
+func comeFromSeveralPrompts(crashes []Crash) bool {
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Prompt != crashes[0].Prompt })
+}
+
 func (r *simpleRegistry) isExplained(crashes []Crash, common []string) bool {
 	unexplained := targetsOf(crashes)
 	for _, c := range r.crashes {
 		for _, part := range c.Parts {
 			others := r.crashesOf(part)
+			if comeFromSeveralPrompts(crashes) && !comeFromSeveralPrompts(others) {
+				continue
+			}
 			wider := commonParts(others)
 			if len(targetsOf(others)) < 2 || len(wider) <= len(common) || slices.ContainsFunc(common, func(p string) bool { return !slices.Contains(wider, p) }) {
 				continue
@@ -112,7 +120,10 @@
 				r.RecordCompletion(parts, at(step))
 				simple.complete(parts, at(step))
 			} else {
-				c := Crash{parts, fmt.Sprint("engine-", rapid.IntRange(0, 5).Draw(rt, "engine"))}
+				c := Crash{
+					Parts: parts, Target: fmt.Sprint("engine-", rapid.IntRange(0, 5).Draw(rt, "engine")),
+					Prompt: fmt.Sprint("prompt-", rapid.IntRange(0, 3).Draw(rt, "prompt")),
+				}
 				r.RecordCrash(c, at(step))
 				simple.crash(c)
 			}
@@ -141,7 +152,7 @@
 	r := New()
 	for n := range 60 {
 		for target := range crashesToQuarantine {
-			r.RecordCrash(Crash{manyParts(2000, 0, n), fmt.Sprint("engine-", n, target)}, at(n))
+			r.RecordCrash(Crash{Parts: manyParts(2000, 0, n), Target: fmt.Sprint("engine-", n, target)}, at(n))
 		}
 		r.RecordCompletion(manyParts(1000, 0, 100_000+n), at(n))
 		g.Expect(r.suspects.held).To(BeNumerically("<=", maxHeld))
@@ -150,7 +161,7 @@
 	}
 	g.Expect(matches(r, manyParts(2000, 0, 59)...)).To(BeTrue())
 	for n := range crashesToQuarantine {
-		r.RecordCrash(Crash{append(manyParts(2000, 0, 1000+n), "deadly"), fmt.Sprint("engine-", n)}, at(1000))
+		r.RecordCrash(Crash{Parts: append(manyParts(2000, 0, 1000+n), "deadly"), Target: fmt.Sprint("engine-", n)}, at(1000))
 	}
 	g.Expect(matches(r, "deadly")).To(BeTrue())
 }
@@ -166,7 +177,7 @@
 			for b.Loop() {
 				r := New()
 				for crash := range 16 {
-					r.RecordCrash(Crash{manyParts(n, n-1, crash), fmt.Sprint("engine-", crash%3)}, at(crash))
+					r.RecordCrash(Crash{Parts: manyParts(n, n-1, crash), Target: fmt.Sprint("engine-", crash%3)}, at(crash))
 				}
 			}
 		})
@@ -180,7 +191,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := New()
 			for crash := range crashesToQuarantine {
-				r.RecordCrash(Crash{append(manyParts(n, n-1, crash), "deadly"), fmt.Sprint("engine-", crash)}, at(crash))
+				r.RecordCrash(Crash{Parts: append(manyParts(n, n-1, crash), "deadly"), Target: fmt.Sprint("engine-", crash)}, at(crash))
 			}
 			parts := manyParts(n, n-1, 100)
 			for b.Loop() {
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	// Parts are what other requests may have in common with this one: the parts that they may
 	// share, with their model, and the prompt as a whole.
 	Parts []string `msgpack:"p"`
+	// Prompt identifies the prompt as a whole. It is one of Parts unless it has completed.
+	Prompt string `msgpack:"w"`
 	// Target identifies the incarnation of the target.
 	Target string `msgpack:"t"`
 }
@@ -166,7 +168,7 @@
 		}
 		known[part] = struct{}{}
 	}
-	concerned := r.suspects.record(c.Target, parts, now)
+	concerned := r.suspects.record(c, parts, now)
 	if out.Added = r.entries.resume(newSet(parts), now); len(out.Added) > 0 {
 		return out
 	}
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -25,7 +25,7 @@
 	r := New()
 	for n := range 3 {
 		g.Expect(matches(r, "manual", "deadly")).To(BeFalse())
-		r.RecordCrash(Crash{[]string{"manual", "deadly"}, fmt.Sprint("engine-", n)}, at(n))
+		r.RecordCrash(Crash{Parts: []string{"manual", "deadly"}, Target: fmt.Sprint("engine-", n)}, at(n))
 	}
 	g.Expect(matches(r, "manual", "deadly")).To(BeTrue())
 	g.Expect(matches(r, "manual")).To(BeFalse())
@@ -44,8 +44,8 @@
 	g := NewWithT(t)
 	r := New()
 	for n := range 4 {
-		r.RecordCrash(Crash{[]string{"manual", "one"}, fmt.Sprint("a", n)}, at(n))
-		r.RecordCrash(Crash{[]string{"manual", "two"}, fmt.Sprint("b", n)}, at(n))
+		r.RecordCrash(Crash{Parts: []string{"manual", "one"}, Target: fmt.Sprint("a", n)}, at(n))
+		r.RecordCrash(Crash{Parts: []string{"manual", "two"}, Target: fmt.Sprint("b", n)}, at(n))
 	}
 	g.Expect(matches(r, "manual", "one")).To(BeTrue())
 	g.Expect(matches(r, "manual", "two")).To(BeTrue())
@@ -58,12 +58,12 @@
 	g := NewWithT(t)
 	r := New()
 	for n := range 5 {
-		r.RecordCrash(Crash{[]string{"p"}, "engine-1"}, at(n))
+		r.RecordCrash(Crash{Parts: []string{"p"}, Target: "engine-1"}, at(n))
 	}
 	g.Expect(matches(r, "p")).To(BeFalse())
 	r.RecordCompletion([]string{"q"}, at(0))
 	for n := range 5 {
-		outcome := r.RecordCrash(Crash{[]string{"q"}, fmt.Sprint("engine-", n)}, at(n))
+		outcome := r.RecordCrash(Crash{Parts: []string{"q"}, Target: fmt.Sprint("engine-", n)}, at(n))
 		g.Expect(outcome.Innocent).To(ConsistOf(Completion{"q", at(0)}))
 	}
 	g.Expect(matches(r, "q")).To(BeFalse())
@@ -83,7 +83,7 @@
 		for step := range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			parts := rapid.SliceOfNDistinct(rapid.SampledFrom(sound), 1, 3, rapid.ID[string]).Draw(rt, "parts")
 			if rapid.Bool().Draw(rt, "crash") {
-				r.RecordCrash(Crash{append(parts, "deadly"), fmt.Sprint("engine-", step%7)}, at(step))
+				r.RecordCrash(Crash{Parts: append(parts, "deadly"), Target: fmt.Sprint("engine-", step%7)}, at(step))
 				continue
 			}
 			r.RecordCompletion(parts, at(step))
@@ -99,7 +99,7 @@
 	g := NewWithT(t)
 	r := New()
 	for n := range 3 {
-		r.RecordCrash(Crash{[]string{"deadly"}, fmt.Sprint("engine-", n)}, at(n))
+		r.RecordCrash(Crash{Parts: []string{"deadly"}, Target: fmt.Sprint("engine-", n)}, at(n))
 	}
 	end := at(2).Add(FirstDuration)
 	rejects := func(now time.Time) bool {
@@ -108,7 +108,7 @@
 	}
 	g.Expect(rejects(end.Add(-time.Millisecond))).To(BeTrue())
 	g.Expect(rejects(end)).To(BeFalse())
-	resumed := r.RecordCrash(Crash{[]string{"deadly"}, "engine-9"}, end)
+	resumed := r.RecordCrash(Crash{Parts: []string{"deadly"}, Target: "engine-9"}, end)
 	g.Expect(resumed.Added).To(HaveLen(1))
 	g.Expect(rejects(end.Add(durationFactor*FirstDuration - time.Millisecond))).To(BeTrue())
 	r.RecordCompletion([]string{"deadly"}, end.Add(time.Second))
@@ -127,7 +127,7 @@
 		if matches(r, other, "deadly") {
 			break
 		}
-		r.RecordCrash(Crash{[]string{other, "deadly"}, fmt.Sprint("engine-", n)}, at(n))
+		r.RecordCrash(Crash{Parts: []string{other, "deadly"}, Target: fmt.Sprint("engine-", n)}, at(n))
 		crashes++
 	}
 	g.Expect(crashes).To(BeNumerically("<=", 5))
@@ -140,7 +140,7 @@
 	one.RecordCompletion([]string{"p"}, at(0))
 	for n := range 6 {
 		now := at(n * 10_000)
-		c := Crash{[]string{"p"}, fmt.Sprint("engine-", n)}
+		c := Crash{Parts: []string{"p"}, Target: fmt.Sprint("engine-", n)}
 		for _, pair := range [...][2]*Registry{{one, two}, {two, one}} {
 			for _, i := range pair[0].RecordCrash(c, now).Innocent {
 				pair[1].RecordCompletion([]string{i.Part}, i.At)
@@ -150,3 +150,35 @@
 	_, ok := one.Match([]string{"p"}, at(51_000))
 	g.Expect(ok).To(BeTrue())
 }
+
+// Guards against a part that goes on crashing engines because each prompt that has it is sent
+// again: every such prompt explained its own crashes, and the part was left out.
+func TestPartOfRepeatedPromptsIsQuarantined(t *testing.T) {
+	for _, sends := range [...]int{2, 3, 4} {
+		g := NewWithT(t)
+		r := New()
+		crashes := 0
+		for n := 0; !matches(r, "deadly", "other") && crashes < 50; n++ {
+			prompt := fmt.Sprint("prompt:", n)
+			for range sends {
+				if !matches(r, "deadly", prompt) {
+					r.RecordCrash(Crash{Parts: []string{"deadly", prompt}, Prompt: prompt, Target: fmt.Sprint("engine-", crashes)}, at(crashes))
+					crashes++
+				}
+			}
+		}
+		g.Expect(crashes).To(BeNumerically("<=", crashesToQuarantine+1), "each prompt is sent %d times", sends)
+	}
+}
+
+// Guards against a sound part that is rejected because one prompt that has it crashes engines
+// each time it is sent again.
+func TestPartOfOneRepeatedPromptIsNotQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	for n := range 4 {
+		r.RecordCrash(Crash{Parts: []string{"manual", "prompt:1"}, Prompt: "prompt:1", Target: fmt.Sprint("engine-", n)}, at(n))
+	}
+	g.Expect(matches(r, "manual", "prompt:1")).To(BeTrue())
+	g.Expect(matches(r, "manual", "prompt:2")).To(BeFalse())
+}
--- a/policy/quarantine/suspects.go
+++ b/policy/quarantine/suspects.go
@@ -41,14 +41,19 @@
 	targets map[string]time.Time
 	// common are the parts that all crashes of this group share.
 	common set
-	last   time.Time
+	// prompt is the prompt of the first crash; severalPrompts means that another one has
+	// crashed a target, too.
+	prompt         string
+	severalPrompts bool
+	last           time.Time
 }
 
 // size is the number of strings that the suspect holds.
 func (s *suspect) size() int { return len(s.parts) + len(s.common) }
 
-func (s *suspect) crash(target string, parts set, now time.Time) {
-	s.targets[target], s.last = now, now
+func (s *suspect) crash(c Crash, parts set, now time.Time) {
+	s.targets[c.Target], s.last = now, now
+	s.severalPrompts = s.severalPrompts || s.prompt != c.Prompt
 	maps.DeleteFunc(s.targets, func(_ string, at time.Time) bool { return now.Sub(at) >= crashTTL })
 	maps.DeleteFunc(s.common, func(part string, _ struct{}) bool { return !parts.has(part) })
 }
@@ -84,7 +89,7 @@
 
 // selectExactly returns the suspects that consist of the parts of a crash, in the order of the
 // parts. Groups that have other parts too are divided, and parts that are new form a group.
-func (s *suspects) selectExactly(parts []string, asSet set) []*suspect {
+func (s *suspects) selectExactly(c Crash, parts []string, asSet set) []*suspect {
 	members := map[*suspect][]string{}
 	var order []*suspect
 	for _, part := range parts {
@@ -96,16 +101,16 @@
 	}
 	selected := make([]*suspect, 0, len(order))
 	for _, group := range order {
-		selected = append(selected, s.divide(group, members[group], asSet))
+		selected = append(selected, s.divide(group, members[group], c.Prompt, asSet))
 	}
 	return selected
 }
 
 // divide returns the suspect that consists of some members of a group; the group keeps the
 // others. New parts have no group yet.
-func (s *suspects) divide(group *suspect, members []string, crash set) *suspect {
+func (s *suspects) divide(group *suspect, members []string, prompt string, crash set) *suspect {
 	if group == nil {
-		n := &suspect{parts: newSet(members), targets: map[string]time.Time{}, common: maps.Clone(crash)}
+		n := &suspect{parts: newSet(members), targets: map[string]time.Time{}, common: maps.Clone(crash), prompt: prompt}
 		s.add(n)
 		return n
 	}
@@ -116,19 +121,20 @@
 		delete(group.parts, part)
 	}
 	s.held -= len(members)
-	n := &suspect{parts: newSet(members), targets: maps.Clone(group.targets), common: maps.Clone(group.common), last: group.last}
-	s.add(n)
-	return n
+	n := *group
+	n.parts, n.targets, n.common = newSet(members), maps.Clone(group.targets), maps.Clone(group.common)
+	s.add(&n)
+	return &n
 }
 
-// record records a crash of a target under a request with the given parts, and returns the
-// suspects that it concerns.
-func (s *suspects) record(target string, parts []string, now time.Time) []*suspect {
+// record records a crash under a request of which the given parts are not innocent, and
+// returns the suspects that it concerns.
+func (s *suspects) record(c Crash, parts []string, now time.Time) []*suspect {
 	crash := newSet(parts)
-	selected := s.selectExactly(parts, crash)
+	selected := s.selectExactly(c, parts, crash)
 	for _, suspect := range selected {
 		before := suspect.size()
-		suspect.crash(target, crash, now)
+		suspect.crash(c, crash, now)
 		s.held += suspect.size() - before
 	}
 	s.shrink()
@@ -189,10 +195,14 @@
 
 // isExplained reports whether a suspect is only what several causes have in common: suspects
 // that share all parts of its crashes, and more, account for all but a few of its targets.
-// Suspects with a single crash explain nothing, since each request has parts of its own.
+// Suspects with a single crash explain nothing, since each request has parts of its own. For
+// the same reason, a prompt that is sent again does not explain what other prompts crash.
 func (s *suspects) isExplained(candidate *suspect) bool {
 	unexplained := maps.Clone(candidate.targets)
 	for other := range s.all {
+		if candidate.severalPrompts && !other.severalPrompts {
+			continue
+		}
 		if len(other.targets) < 2 || len(other.common) <= len(candidate.common) || !other.common.containsAll(candidate.common) {
 			continue
 		}
