--- a/test/soak/installation_test.go
+++ b/test/soak/installation_test.go
@@ -127,6 +127,7 @@
 		"routes": []any{
 			route("order", "unsafe", "desk", 1, false), route("status", "safe", "desk", 3, false),
 			route("brief", "streaming", "engines", 1, false), route("query", "streaming", "engines", 3, true),
+			route("plain", "unsafe", "engines", 1, false),
 		},
 		"services": []any{
 			object{"name": "engines", "health_path": "/health", "max_conns": 100, "engine": object{
