forward: an unframed body clears its parts only if its target lives

What callers saw: on a route that does not stream, part of an answer as a complete one, and engine after engine ending under prompts with the same part.

Cause: a body with neither a length nor chunks ends with its connection, so that what an engine had sent when it crashed looked complete. It counted as a completion and cleared the part that had crashed the engine. The end of an unframed stream was checked, that of an unframed body was not.

Change: one function records the end of every relayed response; unframed ones wait for the target's report before they clear anything.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -267,7 +267,7 @@
 func (r *Router) recordEnd(c *call, p *plan, resp *http.Response) {
 	switch {
 	case resp.StatusCode != http.StatusOK || len(c.parts) == 0:
-	case isUnframed(resp) && c.route.Kind.Streams():
+	case isUnframed(resp):
 		r.recordUnframedEnd(c, p)
 	default:
 		r.Quarantine.RecordCompletion(c.parts)
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -61,6 +61,7 @@
 	CrashBeforeHead
 	CrashAfterEvent
 	CrashInBody
+	CrashInUnframedBody
 )
 
 // crashes reports whether the replica crashes on a request at a point of its response.
@@ -521,9 +522,12 @@
 	if faults.crashes(req, CrashInBody) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)+1))
 	}
+	if faults.crashes(req, CrashInUnframedBody) {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no framing then
+	}
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, answer)
-	if faults.crashes(req, CrashInBody) {
+	if faults.crashes(req, CrashInBody) || faults.crashes(req, CrashInUnframedBody) {
 		_ = http.NewResponseController(w).Flush()
 		r.crashWithPort()
 	}
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -100,6 +100,8 @@
 	"after the head":  {standin.CrashAfterHead, 3, "/brief/1"},
 	"after an event":  {standin.CrashAfterEvent, 3, "/brief/1"},
 	"within the body": {standin.CrashInBody, 0, "/plain/1"},
+	// Without a length or chunks, what was sent of the body looks complete.
+	"within an unframed body": {standin.CrashInUnframedBody, 0, "/plain/1"},
 }
 
 // testCrashPoints sends requests with a part on which engines crash, at each point of a
