quarantine: one request in the whole fleet is tried when a quarantine is due to end

What callers saw: a minute after a part had been put in quarantine, engines ended under it again, as many as prompts with it came until the next crash was known everywhere: at 8 hosts and 40 such prompts a second 8 each time, three are allowed over the whole time.

Cause: a quarantine ended at its time, at all hosts at the same moment, and the first crash after it resumed it. What reaches engines in between grows with the number of hosts and with the rate.

Change: an entry goes on rejecting requests. From its time on, a host may claim to try one: it prolongs the row in the store under a condition on its version before it lets the request pass, so that the others go on rejecting whatever the outcome is; without the store nothing is tried. A completion ends the entry everywhere, as before. A request that is tried is sent to one target at most. Hosts spread their first attempts, so that most hear of the trial before they ask the store. TestQuarantineEndsAndIsResumed asked for the end itself; it now asks for the trial that is due, and TestOneRequestIsTriedAtATime for the rest.

--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -77,6 +77,9 @@
 	if f.brokenOff && r.Quarantine.Suspected(c.parts) {
 		return false
 	}
+	if len(c.trials) > 0 && !f.notExecuted { // one target at most
+		return false
+	}
 	if !f.notExecuted && (!c.route.Kind.Retryable() || c.possibleExecutions >= c.route.MaxAttempts) {
 		return false
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -192,7 +192,9 @@
 	reservedBytes, readBytes int64
 	// parts are what other requests may have in common with the prompt: the parts that they
 	// may share, and the prompt as a whole.
-	parts   []string
+	parts []string
+	// trials are the entries in quarantine for which the request is tried.
+	trials  quarantine.Trials
 	route   *topology.Route
 	account *topology.Account
 	service *topology.Service
@@ -249,6 +251,7 @@
 		defer cancel()
 	}
 	r.countRequest(c)
+	r.claimTrials(ctx, c)
 	var last *failure
 	for {
 		p, f := r.planAttempt(c)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -20,8 +20,11 @@
 // Quarantine decides which requests are rejected because prompts with the same parts
 // crashed targets.
 type Quarantine interface {
-	// Match returns the entry that rejects a request with the given parts.
-	Match(parts []string) (quarantine.Entry, bool)
+	// Match returns the entry that rejects a request with the given parts, other than those
+	// for which it is tried.
+	Match(parts []string, trials quarantine.Trials) (quarantine.Entry, bool)
+	// ClaimTrial reports whether a request may be tried although an entry rejects it.
+	ClaimTrial(ctx context.Context, e quarantine.Entry) bool
 	// Suspected reports whether a request with the given parts must not be retried.
 	Suspected(parts []string) bool
 	// RecordCrashes records that targets ended while they worked on requests.
@@ -38,14 +41,33 @@
 	cancel   context.CancelFunc
 }
 
+// trialRetryAfter is the least retry hint of a request that is rejected while another one may
+// be tried.
+const trialRetryAfter = time.Second
+
+// claimTrials claims the trials that let a request pass, if all entries that reject it are
+// due for one.
+func (r *Router) claimTrials(ctx context.Context, c *call) {
+	for {
+		e, ok := r.Quarantine.Match(c.parts, c.trials)
+		if !ok || !e.IsTrialDue(time.Now()) || !r.Quarantine.ClaimTrial(ctx, e) {
+			return
+		}
+		if c.trials == nil {
+			c.trials = quarantine.Trials{}
+		}
+		c.trials[e.ID] = true
+	}
+}
+
 // checkQuarantine returns the failure of a request that is in quarantine, or nil.
 func (r *Router) checkQuarantine(c *call) *failure {
-	e, ok := r.Quarantine.Match(c.parts)
+	e, ok := r.Quarantine.Match(c.parts, c.trials)
 	if !ok {
 		return nil
 	}
 	r.metrics.recordQuarantined()
-	f := notExecutedFailure(http.StatusServiceUnavailable, "the prompt has parts on which several targets crashed", time.Until(e.Until))
+	f := notExecutedFailure(http.StatusServiceUnavailable, "the prompt has parts on which several targets crashed", max(trialRetryAfter, time.Until(e.Until)))
 	f.final = true
 	f.cause = errors.Errorf("entry %s: %s", e.ID, strings.Join(quarantine.Summarize(e.Parts), " "))
 	return f
@@ -108,7 +130,7 @@
 	r.mu.Unlock()
 	index := quarantine.NewIndex(e)
 	for _, a := range attempts {
-		if _, ok := index.Match(a.call.parts, time.Now()); !ok {
+		if _, ok := index.Match(a.call.parts, a.call.trials, time.Now()); !ok {
 			continue
 		}
 		a.watchdog.abort(&failure{
--- a/internal/quarantine/hour_test.go
+++ b/internal/quarantine/hour_test.go
@@ -1,9 +1,11 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,10 +70,13 @@
 // prompts with its other parts complete at all hosts.
 func (r *crashRun) send(n int) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	host := r.keepers[r.random.IntN(len(r.keepers))]
+	r.mu.Unlock()
 	parts := []string{"manual", "deadly", fmt.Sprint("prompt:", n)}
-	if _, rejected := host.Match(parts); rejected {
+	admitted := admits(host, parts)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !admitted {
 		r.rejections++
 		return
 	}
@@ -84,11 +89,19 @@
 	time.AfterFunc(crashDelay, func() {
 		r.crash(t, incarnation)
 		time.AfterFunc(crashDetectionDelay, func() {
-			host.RecordCrashes([]quarantine.Crash{{Parts: parts, Target: fmt.Sprint("engine-", t, "/", incarnation)}})
+			host.RecordCrashes([]quarantine.Crash{{
+				Parts: parts, Prompt: parts[len(parts)-1], Target: fmt.Sprint("engine-", t, "/", incarnation),
+			}})
 		})
 	})
 }
 
+// admits reports whether a host lets a prompt pass, as package forward asks it.
+func admits(host *Keeper, parts []string) bool {
+	e, rejected := host.Match(parts, nil)
+	return !rejected || e.IsTrialDue(time.Now()) && host.ClaimTrial(context.Background(), e)
+}
+
 // crash ends an incarnation of a target, unless another prompt has ended it.
 func (r *crashRun) crash(t, incarnation int) {
 	r.mu.Lock()
@@ -127,6 +140,7 @@
 		r.up[n] = 1
 	}
 	store, shared := newTable(), &fleet{}
+	store.delay = 5 * time.Millisecond
 	for range l.hosts {
 		r.keepers = append(r.keepers, startKeeper(t, store, shared))
 	}
@@ -141,10 +155,11 @@
 				k.RecordCompletion([]string{"manual"})
 			}
 		}
-		r.send(n)
+		go r.send(n)
 		time.Sleep(l.interval)
-		synctest.Wait()
 	}
+	time.Sleep(time.Second) // the last prompts and what they cause
+	synctest.Wait()
 	return r
 }
 
@@ -166,3 +181,67 @@
 		})
 	}
 }
+
+// startQuarantine starts keepers that share a store and have one entry, and waits until the
+// trial of it is due everywhere.
+func startQuarantine(t *testing.T, hosts int, store *table) []*Keeper {
+	shared := &fleet{}
+	for range hosts {
+		shared.keepers = append(shared.keepers, startKeeper(t, store, shared))
+	}
+	time.Sleep(time.Second)
+	for n := range 3 {
+		crash(shared.keepers[0], n, "rare")
+	}
+	time.Sleep(quarantine.FirstDuration + maxClaimDelay)
+	return shared.keepers
+}
+
+// admitAtAll asks all keepers at the same time whether a prompt may pass, and returns how
+// many let it.
+func admitAtAll(keepers []*Keeper) int {
+	var admitted atomic.Int64
+	var asked sync.WaitGroup
+	for _, k := range keepers {
+		asked.Go(func() {
+			if admits(k, []string{"rare"}) {
+				admitted.Add(1)
+			}
+		})
+	}
+	asked.Wait()
+	return int(admitted.Load())
+}
+
+// Guards against several hosts that try the same part at once, and against one that does so
+// without the store.
+func TestOneHostTriesAPartForTheWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newTable()
+		store.delay = 5 * time.Millisecond
+		keepers := startQuarantine(t, 9, store)
+		store.setDown(true)
+		g.Expect(admitAtAll(keepers)).To(BeZero(), "the store is down")
+		store.setDown(false)
+		time.Sleep(claimInterval)
+		g.Expect(admitAtAll(keepers)).To(Equal(1))
+		time.Sleep(time.Minute)
+		g.Expect(admitAtAll(keepers)).To(BeZero(), "the next trial is not due yet")
+	})
+}
+
+// Guards against a sound part that stays in quarantine at other hosts after its trial, or in
+// the store.
+func TestCompletedTrialEndsTheQuarantineEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newTable()
+		keepers := startQuarantine(t, 9, store)
+		g.Expect(admits(keepers[4], []string{"rare"})).To(BeTrue())
+		keepers[4].RecordCompletion([]string{"rare"})
+		time.Sleep(time.Second)
+		g.Expect(admitAtAll(keepers)).To(Equal(len(keepers)))
+		g.Expect(store.size()).To(BeZero())
+	})
+}
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -21,6 +21,7 @@
 type metrics struct {
 	crashes metric.Int64Counter
 	cleared metric.Int64Counter
+	trials  metric.Int64Counter
 }
 
 func newMetrics(meter metric.Meter) (*metrics, error) {
@@ -29,6 +30,9 @@
 	if m.crashes, err = meter.Int64Counter("sequoiaroad_quarantine_crashes", metric.WithDescription("Attempts that a target did not survive, seen by this host or a peer, by outcome.")); err != nil {
 		return nil, errors.Wrap(err, "create metric")
 	}
+	if m.trials, err = meter.Int64Counter("sequoiaroad_quarantine_trials", metric.WithDescription("Requests of this host that were tried although their parts are in quarantine.")); err != nil {
+		return nil, errors.Wrap(err, "create metric")
+	}
 	m.cleared, err = meter.Int64Counter("sequoiaroad_quarantine_cleared", metric.WithDescription("Suspected parts that a target completed."))
 	return m, errors.Wrap(err, "create metric")
 }
@@ -45,3 +49,5 @@
 }
 
 func (m *metrics) recordCleared(parts int) { m.cleared.Add(context.Background(), int64(parts)) }
+
+func (m *metrics) recordTrial() { m.trials.Add(context.Background(), 1) }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -130,6 +130,8 @@
 	// unannounced are the IDs of entries that notices of crashes added here and that no host
 	// has announced yet.
 	unannounced map[string]bool
+	// nextClaim is when this host may next claim the trial of an entry, by ID.
+	nextClaim map[string]time.Time
 	// crashedAt is when the targets crashed that crashed last, here or at peers.
 	crashedAt map[string]time.Time
 	// restored means that the store may have lost entries since the table was last read.
@@ -146,7 +148,7 @@
 		return nil, err
 	}
 	k := &Keeper{
-		Options: o, metrics: m, registry: quarantine.New(), contested: map[string]bool{}, unannounced: map[string]bool{}, crashedAt: map[string]time.Time{},
+		Options: o, metrics: m, registry: quarantine.New(), contested: map[string]bool{}, unannounced: map[string]bool{}, nextClaim: map[string]time.Time{}, crashedAt: map[string]time.Time{},
 		outgoing: make(chan outgoing, queueSize), reads: make(chan struct{}, 1),
 	}
 	k.index.Store(k.registry.Index())
@@ -162,9 +164,10 @@
 	k.requestRead()
 }
 
-// Match returns the entry that rejects a request with the given parts.
-func (k *Keeper) Match(parts []string) (quarantine.Entry, bool) {
-	return k.index.Load().Match(parts, time.Now())
+// Match returns the entry that rejects a request with the given parts, other than those for
+// which it is tried.
+func (k *Keeper) Match(parts []string, trials quarantine.Trials) (quarantine.Entry, bool) {
+	return k.index.Load().Match(parts, trials, time.Now())
 }
 
 // update changes the registry, and the index that requests use.
@@ -355,13 +358,17 @@
 // announce sends new entries to the peers and keeps them in the store. The host that saw the
 // last crash does so at once.
 func (k *Keeper) announce(added []quarantine.Entry) {
+	k.enqueue(outgoing{notice: entriesNotice(added), rows: added})
+}
+
+func entriesNotice(entries []quarantine.Entry) *peers.QuarantineNotice {
 	n := &peers.QuarantineNotice{}
-	for _, e := range added {
+	for _, e := range entries {
 		n.Entries = append(n.Entries, peers.QuarantineEntry{
 			ID: e.ID, Parts: e.Parts, RemainingMs: time.Until(e.Until).Milliseconds(), DurationMs: e.Duration.Milliseconds(),
 		})
 	}
-	k.enqueue(outgoing{notice: n, rows: added})
+	return n
 }
 
 // HandleNotice handles the notice of a peer.
@@ -568,6 +575,11 @@
 }
 
 func (k *Keeper) tryWrite(ctx context.Context, e quarantine.Entry) error {
+	return k.commit(ctx, nil, e)
+}
+
+// commit writes the row of an entry if the conditions hold.
+func (k *Keeper) commit(ctx context.Context, conditions []platform.Condition, e quarantine.Entry) error {
 	until, err := k.View.StoreTime(e.Until)
 	if err != nil {
 		return err
@@ -576,6 +588,6 @@
 	if err != nil {
 		return errors.Wrap(err, "encode an entry of the quarantine")
 	}
-	_, err = k.Store.Commit(ctx, nil, []platform.Write{{Table: Table, Key: e.ID, Value: value, Delete: len(e.Parts) == 0}})
+	_, err = k.Store.Commit(ctx, conditions, []platform.Write{{Table: Table, Key: e.ID, Value: value, Delete: len(e.Parts) == 0}})
 	return err
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -28,6 +28,29 @@
 	started time.Time
 	// listed counts the lists of Table.
 	listed int
+	// delay is how long each read of a row and each commit takes; down makes them fail.
+	delay   time.Duration
+	down    bool
+	version uint64
+}
+
+func (t *table) setDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+var errTableDown = errors.New("the table is down")
+
+// wait waits for the delay of a call. It returns an error if the table is down.
+func (t *table) wait() error {
+	time.Sleep(t.delay)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down {
+		return errTableDown
+	}
+	return nil
 }
 
 func newTable() *table { return &table{rows: map[string]platform.Row{}, started: time.Now()} }
@@ -52,21 +75,39 @@
 	return platform.Page{}, ctx.Err()
 }
 
-func (t *table) Get(context.Context, string, string) (platform.Row, error) {
-	return platform.Row{}, errors.New("not used")
+func (t *table) Get(_ context.Context, _, key string) (platform.Row, error) {
+	if err := t.wait(); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return r, nil
 }
 
-func (t *table) Commit(_ context.Context, _ []platform.Condition, writes []platform.Write) (uint64, error) {
+func (t *table) Commit(_ context.Context, conditions []platform.Condition, writes []platform.Write) (uint64, error) {
+	if err := t.wait(); err != nil {
+		return 0, err
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, c := range conditions {
+		if t.rows[c.Key].Version != c.Version {
+			return 0, platform.ErrConflict
+		}
+	}
+	t.version++
 	for _, w := range writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Table: Table, Key: w.Key, Value: w.Value}
+		t.rows[w.Key] = platform.Row{Table: Table, Key: w.Key, Value: w.Value, Version: t.version}
 	}
-	return 1, nil
+	return t.version, nil
 }
 
 func (t *table) lists() int {
@@ -125,7 +166,7 @@
 
 func rejects(k *Keeper, parts ...string) func() bool {
 	return func() bool {
-		_, ok := k.Match(parts)
+		_, ok := k.Match(parts, nil)
 		return ok
 	}
 }
@@ -232,7 +273,7 @@
 		default:
 		}
 		before := time.Now()
-		k.Match([]string{"model/sound"})
+		k.Match([]string{"model/sound"}, nil)
 		k.RecordCompletion([]string{"model/sound"})
 		longest = max(longest, time.Since(before))
 	}
--- a/policy/quarantine/entries.go
+++ b/policy/quarantine/entries.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// Entry is a set of parts in quarantine: requests that have all of them are rejected
-// until its end.
+// Entry is a set of parts in quarantine: requests that have all of them are rejected. From
+// Until on, one request may be tried after the entry was prolonged; the entry ends if none
+// comes for the time of Probation, or once its parts complete.
 type Entry struct {
 	ID       string
 	Parts    []string
@@ -14,6 +15,20 @@
 	Duration time.Duration
 }
 
+// IsTrialDue reports whether a request with the parts may be tried.
+func (e *Entry) IsTrialDue(now time.Time) bool { return !now.Before(e.Until) }
+
+// hasEnded reports whether the entry no longer rejects requests.
+func (e *Entry) hasEnded(now time.Time) bool { return now.Sub(e.Until) >= Probation }
+
+// Prolonged returns the entry as it is while a request is tried, or once another target has
+// crashed on its parts.
+func (e Entry) Prolonged(now time.Time) Entry {
+	e.Duration = min(e.Duration*durationFactor, maxDuration)
+	e.Until = now.Add(e.Duration)
+	return e
+}
+
 // Index finds the entries that reject a request. It does not change, so that requests can
 // use it while entries are added.
 type Index struct {
@@ -34,24 +49,35 @@
 	return x
 }
 
-// Match returns the entry that rejects a request with the given parts, which are distinct.
-func (x *Index) Match(parts []string, now time.Time) (Entry, bool) {
+// Trials are the IDs of the entries for which a request is tried.
+type Trials map[string]bool
+
+// Match returns the entry that rejects a request with the given parts, which are distinct,
+// other than those for which it is tried. An entry that is due for a trial is returned only
+// if no other one rejects the request.
+func (x *Index) Match(parts []string, trials Trials, now time.Time) (Entry, bool) {
 	if len(x.entries) == 0 {
 		return Entry{}, false
 	}
 	var matched map[string]int
+	var due Entry
 	for _, part := range parts {
 		for _, id := range x.entriesOf[part] {
 			if matched == nil {
 				matched = map[string]int{}
 			}
 			matched[id]++
-			if e := x.entries[id]; matched[id] == len(e.Parts) && now.Before(e.Until) {
+			e := x.entries[id]
+			if matched[id] < len(e.Parts) || trials[id] || e.hasEnded(now) {
+				continue
+			}
+			if !e.IsTrialDue(now) {
 				return e, true
 			}
+			due = e
 		}
 	}
-	return Entry{}, false
+	return due, due.ID != ""
 }
 
 // entries holds the parts in quarantine.
@@ -97,8 +123,7 @@
 		if now.Before(e.Until) || !crash.containsAll(newSet(e.Parts)) {
 			continue
 		}
-		e.Duration = min(e.Duration*durationFactor, maxDuration)
-		e.Until = now.Add(e.Duration)
+		e = e.Prolonged(now)
 		s.set(e)
 		out = append(out, e)
 	}
@@ -127,7 +152,7 @@
 // expire drops the entries whose probation has ended.
 func (s *entries) expire(now time.Time) {
 	for id, e := range s.byID {
-		if now.Sub(e.Until) >= Probation {
+		if e.hasEnded(now) {
 			s.remove(id)
 		}
 	}
--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -21,14 +21,13 @@
 	// crashesToQuarantine is the number of different targets that must have crashed on a
 	// part. Two may be a coincidence of requests that a crash interrupts.
 	crashesToQuarantine = 3
-	// FirstDuration is the duration of the first quarantine of parts. Requests are then
-	// tried again, since targets may have broken off responses for another reason. The
-	// first crash after that prolongs the quarantine by durationFactor, up to
-	// maxDuration.
+	// FirstDuration is how long requests are rejected before the first of them is tried
+	// again, since targets may have ended for another reason. Each trial, and each crash of
+	// a target after that time, prolongs the quarantine by durationFactor, up to maxDuration.
 	FirstDuration  = time.Minute
-	durationFactor = 5
-	maxDuration    = time.Hour
-	// Probation is how long after its end a quarantine is resumed by a single crash.
+	durationFactor = 10
+	maxDuration    = 24 * time.Hour
+	// Probation is how long a quarantine that is due for a trial lasts without a request.
 	Probation = time.Hour
 	// completionTTL is how long a completed request exonerates its parts.
 	completionTTL = 15 * time.Second
@@ -93,7 +92,7 @@
 
 // Match returns the entry that rejects a request with the given parts, which are distinct.
 func (r *Registry) Match(parts []string, now time.Time) (Entry, bool) {
-	return r.Index().Match(parts, now)
+	return r.Index().Match(parts, nil, now)
 }
 
 // Suspected reports whether a part has crashed more than one target, so that a request
@@ -211,7 +210,7 @@
 	distinct := newSet(e.Parts)
 	maps.DeleteFunc(distinct, func(part string, _ struct{}) bool { return r.IsInnocent(part, now) })
 	e.Parts = slices.Sorted(maps.Keys(distinct))
-	if len(e.Parts) == 0 || now.Sub(e.Until) >= Probation {
+	if len(e.Parts) == 0 || e.hasEnded(now) {
 		return e, false
 	}
 	r.entries.set(e)
@@ -229,7 +228,7 @@
 func (r *Registry) Entries(now time.Time) []Entry {
 	var out []Entry
 	for _, e := range r.entries.byID {
-		if now.Before(e.Until) {
+		if !e.hasEnded(now) {
 			out = append(out, e)
 		}
 	}
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -106,16 +106,43 @@
 		_, ok := r.Match([]string{"deadly"}, now)
 		return ok
 	}
+	isTrialDue := func(now time.Time) bool {
+		e, ok := r.Match([]string{"deadly"}, now)
+		return ok && e.IsTrialDue(now)
+	}
 	g.Expect(rejects(end.Add(-time.Millisecond))).To(BeTrue())
-	g.Expect(rejects(end)).To(BeFalse())
+	g.Expect(isTrialDue(end.Add(-time.Millisecond))).To(BeFalse())
+	g.Expect(isTrialDue(end)).To(BeTrue())
 	resumed := r.RecordCrash(Crash{Parts: []string{"deadly"}, Target: "engine-9"}, end)
 	g.Expect(resumed.Added).To(HaveLen(1))
 	g.Expect(rejects(end.Add(durationFactor*FirstDuration - time.Millisecond))).To(BeTrue())
+	g.Expect(isTrialDue(end.Add(durationFactor*FirstDuration - time.Millisecond))).To(BeFalse())
 	r.RecordCompletion([]string{"deadly"}, end.Add(time.Second))
 	g.Expect(rejects(end.Add(2 * time.Second))).To(BeFalse())
 	g.Expect(r.Digest()).To(BeZero())
 }
 
+// Guards against requests that follow a trial before its outcome is known, and against a
+// quarantine that no request ends any more.
+func TestOneRequestIsTriedAtATime(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	for n := range 3 {
+		r.RecordCrash(Crash{Parts: []string{"deadly"}, Target: fmt.Sprint("engine-", n)}, at(n))
+	}
+	due := at(2).Add(FirstDuration)
+	e, _ := r.Match([]string{"deadly"}, due)
+	g.Expect(e.IsTrialDue(due)).To(BeTrue())
+	r.AddEntry(e.Prolonged(due), due)
+	_, rejected := r.Index().Match([]string{"deadly"}, Trials{e.ID: true}, due)
+	g.Expect(rejected).To(BeFalse(), "the request that is tried")
+	other, rejected := r.Match([]string{"deadly"}, due)
+	g.Expect(rejected && !other.IsTrialDue(due)).To(BeTrue(), "the next one")
+	abandoned := other.Until.Add(Probation)
+	_, rejected = r.Match([]string{"deadly"}, abandoned)
+	g.Expect(rejected).To(BeFalse(), "no request came for the time of Probation")
+}
+
 // Guards against a part that crashes engines beside ever new other parts and is taken for
 // what these have in common.
 func TestPartBesideManyOthersIsQuarantined(t *testing.T) {
--- a/test/soak/crashing_part_test.go
+++ b/test/soak/crashing_part_test.go
@@ -22,6 +22,7 @@
 	crashHosts  = flag.Int("crash.hosts", 3, "hosts that send a part that crashes engines")
 	crashRate   = flag.Int("crash.rate", 10, "prompts with such a part a second")
 	crashPeriod = flag.Duration("crash.length", 10*time.Second, "how long such prompts come")
+	longPeriod  = flag.Duration("crash.long", 75*time.Second, "the same where the end of a quarantine is to be seen")
 )
 
 const (
@@ -29,6 +30,11 @@
 	crashingEngines = 9
 	// engineDowntime is the time from a crash to the engine's next incarnation.
 	engineDowntime = 3 * time.Second
+	// longHosts and longRate are the hosts and the rate where the end of a quarantine is to be
+	// seen.
+	longHosts, longRate = 8, 40
+	// parallelTrials is the number of installations at a time.
+	parallelTrials = 4
 	// maxLateArrivals is how many prompts with the part may reach engines after contactTime
 	// since the fifth crash.
 	maxLateArrivals = 3
@@ -239,7 +245,7 @@
 	sound, served int
 }
 
-func startCrashTrial(t *testing.T, program string, kind crashKind) *crashTrial {
+func startCrashTrial(t *testing.T, program string, kind crashKind, hosts int) *crashTrial {
 	g := NewWithT(t)
 	trial := &crashTrial{installation: &installation{store: standin.NewStore(), logDir: t.TempDir()}, client: &http.Client{Timeout: requestTimeout + 2*time.Second}}
 	t.Cleanup(trial.close)
@@ -250,7 +256,7 @@
 		t.Cleanup(func() { _ = e.listener.Close() })
 		trial.engines = append(trial.engines, e)
 	}
-	for i := range *crashHosts {
+	for i := range hosts {
 		g.Expect(trial.addHost(i)).To(Succeed())
 	}
 	for _, h := range trial.hosts {
@@ -298,8 +304,9 @@
 	})
 }
 
-// run sends both kinds of prompts for a period. Sound ones count in its second half.
-func (c *crashTrial) run(route string, period time.Duration) {
+// run sends both kinds of prompts for a period, rate of those with the part a second. Sound
+// ones count in its second half.
+func (c *crashTrial) run(route string, rate int, period time.Duration) {
 	var running sync.WaitGroup
 	begin := time.Now()
 	repeat(&running, soundRate, begin.Add(period), func(int) {
@@ -315,7 +322,7 @@
 		}
 	})
 	time.Sleep(500 * time.Millisecond)
-	repeat(&running, *crashRate, begin.Add(period), func(n int) { c.send(route, fmt.Sprintf("5c1e07a2:1000,%s:100,e4%06x:10", crashingPart, n)) })
+	repeat(&running, rate, begin.Add(period), func(n int) { c.send(route, fmt.Sprintf("5c1e07a2:1000,%s:100,e4%06x:10", crashingPart, n)) })
 	running.Wait()
 }
 
@@ -339,20 +346,41 @@
 	return len(crashed), len(arrived), late
 }
 
+// check checks what engines and callers of sound prompts saw.
+func (c *crashTrial) check(t *testing.T) {
+	crashes, arrivals, late := c.count()
+	t.Logf("%d crashes, %d arrivals, %d of them late; %d of %d sound prompts served", crashes, arrivals, late, c.served, c.sound)
+	g := NewWithT(t)
+	g.Expect(late).To(BeNumerically("<=", maxLateArrivals))
+	g.Expect(2 * c.served).To(BeNumerically(">=", c.sound))
+	g.Expect(c.violations).To(BeEmpty())
+}
+
 // Guards against prompts with a part that crashes engines that reach one engine after the
-// other, whatever is left of an engine when it crashes.
+// other, whatever is left of an engine when it crashes, and when the quarantine of the part
+// ends at all hosts at the same moment.
 func TestPartThatCrashesEnginesReachesFewOfThem(t *testing.T) {
 	program := buildProgram(t)
-	for name, kind := range crashKinds {
+	slots := make(chan struct{}, parallelTrials)
+	start := func(name string, f func(t *testing.T)) {
 		t.Run(name, func(t *testing.T) {
-			c := startCrashTrial(t, program, kind)
-			c.run(kind.route, *crashPeriod)
-			crashes, arrivals, late := c.count()
-			t.Logf("%d crashes, %d arrivals, %d of them late; %d of %d sound prompts served", crashes, arrivals, late, c.served, c.sound)
-			g := NewWithT(t)
-			g.Expect(late).To(BeNumerically("<=", maxLateArrivals))
-			g.Expect(2 * c.served).To(BeNumerically(">=", c.sound))
-			g.Expect(c.violations).To(BeEmpty())
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			f(t)
+		})
+	}
+	start("end of the quarantine", func(t *testing.T) {
+		kind := crashKinds["stream after an event"]
+		c := startCrashTrial(t, program, kind, longHosts)
+		c.run(kind.route, longRate, *longPeriod)
+		c.check(t)
+	})
+	for name, kind := range crashKinds {
+		start(name, func(t *testing.T) {
+			c := startCrashTrial(t, program, kind, *crashHosts)
+			c.run(kind.route, *crashRate, *crashPeriod)
+			c.check(t)
 		})
 	}
 }
