quarantine: a crash counts for an hour; hosts that are killed reject the part

What callers saw: nothing yet; found while looking for the same cause elsewhere. Cause: a crash counted for five minutes, so that a part whose prompts come less often than one in two and a half minutes crashed engines without end, and the rule counts over the whole time. Evidence: TestPartOfRarePromptsIsQuarantined failed before. A longer time puts no sound part in quarantine, since a completion at any host clears it.

--- a/policy/quarantine/quarantine.go
+++ b/policy/quarantine/quarantine.go
@@ -31,8 +31,9 @@
 	Probation = time.Hour
 	// completionTTL is how long a completed request exonerates its parts.
 	completionTTL = 15 * time.Second
-	// crashTTL is how long a crash counts.
-	crashTTL = 5 * time.Minute
+	// crashTTL is how long a crash counts if none of its parts completes. Prompts with a part
+	// that crashes targets may be rare.
+	crashTTL = time.Hour
 	// maxParts bounds the parts in memory for completions, and for entries.
 	maxParts = 20_000
 	// maxHeld bounds the parts that suspects hold.
--- a/policy/quarantine/quarantine_test.go
+++ b/policy/quarantine/quarantine_test.go
@@ -209,3 +209,16 @@
 	g.Expect(matches(r, "manual", "prompt:1")).To(BeTrue())
 	g.Expect(matches(r, "manual", "prompt:2")).To(BeFalse())
 }
+
+// Guards against a part that crashes engines for as long as prompts with it come, because
+// they are so rare that a crash no longer counts when the third one happens.
+func TestPartOfRarePromptsIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	const interval = 10 * time.Minute
+	for n := range crashesToQuarantine {
+		r.RecordCrash(Crash{Parts: []string{"deadly"}, Target: fmt.Sprint("engine-", n)}, at(0).Add(time.Duration(n)*interval))
+	}
+	_, ok := r.Match([]string{"deadly"}, at(0).Add(crashesToQuarantine*interval-time.Millisecond))
+	g.Expect(ok).To(BeTrue())
+}
--- a/test/soak/crashing_part_test.go
+++ b/test/soak/crashing_part_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,6 +34,9 @@
 	// longHosts and longRate are the hosts and the rate where the end of a quarantine is to be
 	// seen.
 	longHosts, longRate = 8, 40
+	// killDelay is the time until hosts are killed, long enough for five crashes and the
+	// contact time.
+	killDelay = 5 * time.Second
 	// parallelTrials is the number of installations at a time.
 	parallelTrials = 4
 	// maxLateArrivals is how many prompts with the part may reach engines after contactTime
@@ -376,6 +380,17 @@
 		c.run(kind.route, longRate, *longPeriod)
 		c.check(t)
 	})
+	start("hosts are killed and start again", func(t *testing.T) {
+		kind := crashKinds["stream after an event"]
+		c := startCrashTrial(t, program, kind, *crashHosts)
+		time.AfterFunc(killDelay, func() {
+			for _, h := range c.hosts {
+				c.restart(program, h, syscall.SIGKILL)
+			}
+		})
+		c.run(kind.route, *crashRate, *crashPeriod)
+		c.check(t)
+	})
 	for name, kind := range crashKinds {
 		start(name, func(t *testing.T) {
 			c := startCrashTrial(t, program, kind, *crashHosts)
