forward: a part in quarantine is rejected where it comes last, too

What callers saw: nothing yet; a question of the plan (which requests have the part?). Cause: the last part of a prompt belongs to the request alone and was left out when prompts were compared with the quarantine, so that a part known to crash engines reached them in prompts that end with it. Evidence: TestPartInQuarantineIsRejectedAnywhereInAPrompt got 200 for such a prompt before. Crashes and completions still leave the last part out: it is no more than the prompt as a whole.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -193,6 +193,8 @@
 	// parts are what other requests may have in common with the prompt: the parts that they
 	// may share, and the prompt as a whole.
 	parts []string
+	// namedParts also has the last part of the prompt.
+	namedParts []string
 	// trials are the entries in quarantine for which the request is tried.
 	trials  quarantine.Trials
 	route   *topology.Route
@@ -229,7 +231,7 @@
 	}
 	c := &call{w: w, req: req, started: time.Now(), meta: r.Codec.Request(req.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
-	c.parts = promptParts(&c.meta)
+	c.parts, c.namedParts = promptParts(&c.meta)
 	defer func() { r.bufferedBytes.Add(-c.reservedBytes) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
--- a/internal/forward/quarantine.go
+++ b/internal/forward/quarantine.go
@@ -49,7 +49,7 @@
 // due for one.
 func (r *Router) claimTrials(ctx context.Context, c *call) {
 	for {
-		e, ok := r.Quarantine.Match(c.parts, c.trials)
+		e, ok := r.Quarantine.Match(c.namedParts, c.trials)
 		if !ok || !e.IsTrialDue(time.Now()) || !r.Quarantine.ClaimTrial(ctx, e) {
 			return
 		}
@@ -62,7 +62,7 @@
 
 // checkQuarantine returns the failure of a request that is in quarantine, or nil.
 func (r *Router) checkQuarantine(c *call) *failure {
-	e, ok := r.Quarantine.Match(c.parts, c.trials)
+	e, ok := r.Quarantine.Match(c.namedParts, c.trials)
 	if !ok {
 		return nil
 	}
@@ -74,23 +74,31 @@
 }
 
 // promptParts returns what other requests may have in common with a prompt, with the model:
-// all parts but the last, and the list of all parts, which only a repetition has.
-func promptParts(m *message.Request) []string {
+// all parts but the last, and the list of all parts, which only a repetition has. named also
+// has the last part, which may be in the middle of another prompt.
+func promptParts(m *message.Request) (parts, named []string) {
 	if len(m.Parts) == 0 {
-		return nil
+		return nil, nil
 	}
 	known := make(map[string]bool, len(m.Parts))
-	parts := make([]string, 0, len(m.Parts))
+	named = make([]string, 0, len(m.Parts)+1)
 	var whole xxhash.Digest
 	whole.Reset()
-	for i, part := range m.Parts {
+	last := len(m.Parts) - 1
+	for _, part := range m.Parts[:last] {
 		_, _ = whole.WriteString(part.ID + ",") // xxhash never fails
-		if i < len(m.Parts)-1 && !known[part.ID] {
+		if !known[part.ID] {
 			known[part.ID] = true
-			parts = append(parts, m.Model+"/"+part.ID)
+			named = append(named, m.Model+"/"+part.ID)
 		}
 	}
-	return append(parts, m.Model+"/prompt:"+strconv.FormatUint(whole.Sum64(), 16))
+	_, _ = whole.WriteString(m.Parts[last].ID + ",")
+	named = append(named, m.Model+"/prompt:"+strconv.FormatUint(whole.Sum64(), 16))
+	parts = named[:len(named):len(named)]
+	if !known[m.Parts[last].ID] {
+		named = append(named, m.Model+"/"+m.Parts[last].ID)
+	}
+	return parts, named
 }
 
 func (c *call) crashAt(t *topology.Target) quarantine.Crash {
@@ -130,7 +138,7 @@
 	r.mu.Unlock()
 	index := quarantine.NewIndex(e)
 	for _, a := range attempts {
-		if _, ok := index.Match(a.call.parts, a.call.trials, time.Now()); !ok {
+		if _, ok := index.Match(a.call.namedParts, a.call.trials, time.Now()); !ok {
 			continue
 		}
 		a.watchdog.abort(&failure{
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -153,6 +153,36 @@
 	})
 }
 
+// Guards against a part in quarantine that crashes engines where it comes last in a prompt, or
+// under another order, account or route.
+func TestPartInQuarantineIsRejectedAnywhereInAPrompt(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engines := f.startCrashingEngines(7, deadlyPart, standin.CrashAfterEvent, 3)
+	h := f.startHost("host-1")
+	sent := 0
+	f.g.Eventually(func() int {
+		f.g.Eventually(func() int { return f.send(h, promptRequest("/brief/1")).status }, "5s", "20ms").Should(Equal(http.StatusOK))
+		sent++
+		q := deadlyPrompt("/brief/d")
+		q.header["X-Prefix-Hash"] = fmt.Sprintf("5c1e07a2:1000,%s:100,e5%06x:10", deadlyPart, sent) // no two are alike
+		return f.send(h, q).status
+	}, "8s", "400ms").Should(Equal(http.StatusServiceUnavailable))
+	crashed := countRunsWith(deadlyPart, engines)
+	for _, parts := range []string{
+		deadlyPart + ":100", "5c1e07a2:1000," + deadlyPart + ":100", deadlyPart + ":100,5c1e07a2:1000,e4000001:10", "a0000001:10," + deadlyPart + ":100,e4000002:10",
+	} {
+		for _, uri := range []string{"/brief/2", "/query/2"} {
+			for _, key := range []string{clubKey, schoolKey} {
+				q := promptRequest(uri)
+				q.header["X-Prefix-Hash"], q.key = parts, key
+				f.g.Expect(f.send(h, q).status).To(Equal(http.StatusServiceUnavailable), parts)
+			}
+		}
+	}
+	f.g.Expect(countRunsWith(deadlyPart, engines)).To(Equal(crashed))
+}
+
 // Guards against sound requests in quarantine because connections of theirs broke while
 // their engines lived on.
 func TestBrokenStreamsOfLiveEnginesAreNoCrashes(t *testing.T) {
