httpclient: a status that is none is no response

What callers saw: for 000, 099 and +20 a connection that ended without an answer (net/http panics when it is to write such a status); for 101, 600 and 999, and for another version of the protocol, an answer with a target's signature.

Cause: net/http takes any three bytes that strconv.Atoi reads as a number of 0 or more for a status, and returns 101 although no request asks for another protocol. The host looked at nothing but the number. The store's client took such a response for 'not carried out', and an order for 'refused', although both may take effect.

Change: package httpclient wraps every transport of the program that reads responses of targets, of the store or of engines, of 'route' and of 'serve': a final response has HTTP/1.x and a status of 200 to 599 (RFC 9110, section 15), or the call has failed without a response. Callers get 502 once, on a connection that stays usable; the target's connection is closed; retries and blame are those of any response that broke off. orders and internal/platform now bound the head of a response at 64 KiB, as the other clients do (net/http: 10 MiB).

--- a/internal/forward/clients.go
+++ b/internal/forward/clients.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
 	"github.com/sequoiaroad/sequoiaroad/policy/topology"
 )
 
@@ -29,7 +30,7 @@
 // when the incarnation ends, since another service may reuse the address.
 type client struct {
 	target    *topology.Target
-	transport *http.Transport
+	transport *httpclient.Transport
 	// slots holds an element for each request in progress. A request that waits for a slot
 	// has not been sent, so that it can still be stopped; one that waits inside the
 	// transport could not.
@@ -88,9 +89,9 @@
 	return &clients{byID: map[string]*client{}, idleTimeout: map[string]time.Duration{}, opened: map[string]*atomic.Uint64{}}
 }
 
-func newTransport(idleTimeout time.Duration, maxConns int, opened *atomic.Uint64) *http.Transport {
+func newTransport(idleTimeout time.Duration, maxConns int, opened *atomic.Uint64) *httpclient.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second}
-	return &http.Transport{
+	return httpclient.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err == nil {
@@ -105,7 +106,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		WriteBufferSize:        8 << 10,
 		ReadBufferSize:         4 << 10,
-	}
+	})
 }
 
 // get returns the client of a target. maxConns bounds its connections, but not below
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -14,24 +14,27 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
 	"github.com/sequoiaroad/sequoiaroad/policy/config"
 )
 
 const (
-	maxResponseBytes      = 64 << 10
-	dialTimeout           = 2 * time.Second
-	idleTimeout           = 30 * time.Second
-	maxIdleConnsPerTarget = 1
-	maxIdleConns          = 64
+	maxResponseBytes       = 64 << 10
+	maxResponseHeaderBytes = 64 << 10
+	dialTimeout            = 2 * time.Second
+	idleTimeout            = 30 * time.Second
+	maxIdleConnsPerTarget  = 1
+	maxIdleConns           = 64
 )
 
-func newTransport() *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConnsPerTarget,
-		IdleConnTimeout:     idleTimeout,
-	}
+func newTransport() http.RoundTripper {
+	return httpclient.NewTransport(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
+	})
 }
 
 func newHTTPClient(transport http.RoundTripper) *http.Client {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/clock"
+	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
 )
 
 // Options configure a Client. Zero values select the defaults.
@@ -100,18 +101,21 @@
 	maxIdleConnections = 16
 	maxConnections     = 64
 	idleTimeout        = 30 * time.Second
+	// maxResponseHeaderBytes bounds the memory for a head that never ends.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // NewClient returns a client with its own connection pool.
 func NewClient(o Options) (*Client, error) {
 	o = o.withDefaults()
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		MaxConnsPerHost:     maxConnections,
-		IdleConnTimeout:     idleTimeout,
-	}
+	transport := httpclient.NewTransport(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
+		MaxIdleConns:           maxIdleConnections,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		MaxConnsPerHost:        maxConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	})
 	return newClient(o, transport)
 }
 
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
 )
 
 const (
@@ -163,10 +165,11 @@
 }
 
 func wrapTransport(t *http.Transport, wrap func(http.RoundTripper) http.RoundTripper) http.RoundTripper {
+	checked := httpclient.NewTransport(t)
 	if wrap == nil {
-		return t
+		return checked
 	}
-	return wrap(t)
+	return wrap(checked)
 }
 
 // newHTTPClient returns a client that does not follow redirects: a target's redirect is
