httpclient: a head with a name that is no field name is no response

What callers saw: a 200 for a head with a blank in the name of a field. With 'Content-Length : 5' or 'Transfer-Encoding : chunked' the body was not the target's: the framing was read as an unknown field.

Cause: net/http takes names with blanks as they are (control bytes and empty names it rejects), and its writer drops them, so that reader, writer and next recipient each see another message.

TestOddButValidResponsesAreRelayed shows what stays valid: folded values, a missing reason, bare line feeds, all bytes of a token, interim responses and trailers, whose fields are not passed on.

Change: the check of responses looks at all names of the head.

--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of a final response (RFC 9110, section 15). 101 is none, since no request asks
@@ -27,7 +29,8 @@
 	return fmt.Sprintf("invalid response of %s: %s", e.Peer, e.Reason)
 }
 
-// checkHead returns what makes a head invalid, or "".
+// checkHead returns what makes a head invalid, or "". net/http has checked the values of its
+// fields, and the bytes of their names but for blanks.
 func checkHead(resp *http.Response) string {
 	if resp.ProtoMajor != 1 {
 		return fmt.Sprintf("the protocol is %.20q", resp.Proto)
@@ -35,5 +38,10 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fmt.Sprintf("the status is %.20q", resp.Status)
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Sprintf("a field has the name %.40q", name)
+		}
+	}
 	return ""
 }
--- a/test/site/invalid_response_test.go
+++ b/test/site/invalid_response_test.go
@@ -143,6 +143,22 @@
 	"status of two digits": "HTTP/1.1 20 OK\r\n" + requiredLines + fiveBytes,
 }
 
+// invalidFields are heads with a field whose name is not a token.
+var invalidFields = map[string]string{
+	"blank in a name":             okStatus + requiredLines + "X Odd: 1\r\n" + fiveBytes,
+	"blank after a name":          okStatus + requiredLines + "X-Odd : 1\r\n" + fiveBytes,
+	"blank after a name, no body": okStatus + requiredLines + "X-Odd : 1\r\nContent-Length: 0\r\n\r\n",
+	"blank after the length":      okStatus + requiredLines + "Connection: close\r\nContent-Length : 5\r\n\r\nhello, and more",
+	"blank after the encoding":    okStatus + requiredLines + "Transfer-Encoding : chunked\r\nContent-Length: 15\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	"control byte in a name":      okStatus + requiredLines + "X-\x01Odd: 1\r\n" + fiveBytes,
+	"tab in a name":               okStatus + requiredLines + "X-Odd\t: 1\r\n" + fiveBytes,
+	"empty name":                  okStatus + requiredLines + ": 1\r\n" + fiveBytes,
+	"control byte in a value":     okStatus + requiredLines + "X-Odd: a\x01b\r\n" + fiveBytes,
+	"carriage return in a value":  okStatus + requiredLines + "X-Odd: a\rb\r\n" + fiveBytes,
+	"line without a colon":        okStatus + requiredLines + "X-Odd\r\n" + fiveBytes,
+	"folded first line":           okStatus + " X-Odd: 1\r\n" + requiredLines + fiveBytes,
+}
+
 // testInvalidResponses expects that bytes that are no response end in one 502, on a connection
 // of the caller that stays usable, and that the target's connection is not used again.
 func testInvalidResponses(t *testing.T, responses map[string]string) {
@@ -182,6 +198,10 @@
 // answer or were passed on.
 func TestInvalidStatusIsNoResponse(t *testing.T) { testInvalidResponses(t, invalidStatuses) }
 
+// Guards against heads with names that are no field names, which were passed on with a 200
+// or changed the body that the caller got.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) { testInvalidResponses(t, invalidFields) }
+
 // Guards against sound responses that are taken for none: folded values, a status line
 // without a reason, fields of trailers and of interim responses.
 func TestOddButValidResponsesAreRelayed(t *testing.T) {
