--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -165,7 +165,7 @@
 }
 
 func wrapTransport(t *http.Transport, wrap func(http.RoundTripper) http.RoundTripper) http.RoundTripper {
-	checked := httpclient.NewTransport(t)
+	checked := httpclient.NewUntrackedTransport(t)
 	if wrap == nil {
 		return checked
 	}
--- a/test/site/cut_head_test.go
+++ b/test/site/cut_head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -37,11 +36,7 @@
 			go serve(conn)
 		}
 	}()
-	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = listener.Addr().String(), "zone-a", "ready", 8, 1
-	entry["version"], entry["seq"] = "v1", 1
-	value, err := json.Marshal(entry)
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.store.Put("servers", "cutting", value)
+	f.registerTarget("cutting", listener.Addr().String(), entry)
 }
 
 // Guards against a response that looks like a complete success although the target stopped
--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -185,6 +185,16 @@
 	return r, address
 }
 
+// registerTarget writes the entry of a target that the test serves itself; entry has the
+// service, and the models of an engine.
+func (f *fixture) registerTarget(id, address string, entry object) {
+	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = address, "zone-a", "ready", 8, 1
+	entry["version"], entry["seq"] = "v1", 1
+	value, err := json.Marshal(entry)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.store.Put("servers", id, value)
+}
+
 // startDesk starts a target of the plain service.
 func (f *fixture) startDesk(id string) *standin.Replica {
 	r, _ := f.startReplica(standin.ReplicaOptions{ID: id, Service: deskService})
--- a/test/site/invalid_response_test.go
+++ b/test/site/invalid_response_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -41,11 +40,7 @@
 			go r.serve(conn)
 		}
 	}()
-	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = listener.Addr().String(), "zone-a", "ready", 8, 1
-	entry["version"], entry["seq"] = "v1", 1
-	value, err := json.Marshal(entry)
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.store.Put("servers", id, value)
+	f.registerTarget(id, listener.Addr().String(), entry)
 	return r
 }
 
