forward: a check of a target ends where its entry has decided meanwhile

Found on reading the change again: while a host asked a target for its report, the target's entry could show that it had been replaced. Its responses were then recorded by both, and the check read the target without the mutex.

--- a/internal/forward/crash_check.go
+++ b/internal/forward/crash_check.go
@@ -112,12 +112,18 @@
 func (r *Router) checkCrash(id topology.Incarnation) {
 	r.mu.Lock()
 	check := r.crashChecks[id]
-	r.mu.Unlock()
-	if check == nil {
-		return // the target's entry has decided
+	if check == nil { // the target's entry has decided
+		r.mu.Unlock()
+		return
 	}
-	sign, err := r.observe(check.target)
+	target := check.target
+	r.mu.Unlock()
+	sign, err := r.observe(target)
 	r.mu.Lock()
+	if r.crashChecks[id] != check { // the target's entry has decided meanwhile
+		r.mu.Unlock()
+		return
+	}
 	verdict, delay := check.signs.Observe(sign)
 	if verdict == quarantine.CheckAgain {
 		r.mu.Unlock()
@@ -135,7 +141,7 @@
 	}
 	r.mu.Unlock()
 	r.metrics.recordCrashCheck(verdict)
-	r.Log.Info("checked whether a target crashed as its answers ended", "target", id.ID, "address", check.target.Address,
+	r.Log.Info("checked whether a target crashed as its answers ended", "target", id.ID, "address", target.Address,
 		"answers", len(ended), "crashed", verdict == quarantine.Crashed, "undecided", verdict == quarantine.Undecided, "error", err)
 	r.resolve(ended, verdict)
 }
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -11,8 +11,8 @@
 	tracksWrites bool
 }
 
-// NewTransport returns a transport with the settings of another one, which must not be used
-// otherwise.
+// NewTransport returns a transport with the settings of another one, which has a DialContext and
+// must not be used otherwise.
 func NewTransport(base *http.Transport) *Transport {
 	trackConns(base)
 	return &Transport{base: base, tracksWrites: true}
