--- a/test/site/cut_head_test.go
+++ b/test/site/cut_head_test.go
@@ -10,16 +10,14 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
 // startCuttingTarget starts and registers a target that closes each connection after the
 // given bytes instead of a response; REQUEST-ID in them stands for the request's ID.
 func (f *fixture) startCuttingTarget(entry object, sent *atomic.Pointer[string]) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.t.Cleanup(func() { _ = listener.Close() })
 	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
 		req, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
@@ -27,16 +25,10 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(conn, strings.ReplaceAll(*sent.Load(), "REQUEST-ID", req.Header.Get("X-Request-Id")))
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	f.registerTarget("cutting", listener.Addr().String(), entry)
+	address, stop, err := standin.ServeConnections(serve)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(stop)
+	f.registerTarget("cutting", address, entry)
 }
 
 // Guards against a response that looks like a complete success although the target stopped
--- a/test/site/early_response_test.go
+++ b/test/site/early_response_test.go
@@ -10,16 +10,14 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
 // startEarlyTarget starts and registers a target that answers uploads at once without a
 // length, goes on reading for a while and resets the connection.
 func (f *fixture) startEarlyTarget(reads int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.t.Cleanup(func() { _ = listener.Close() })
 	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
 		req, err := http.ReadRequest(bufio.NewReaderSize(conn, 4<<10))
 		if err != nil {
 			return
@@ -28,16 +26,10 @@
 		_, _ = io.CopyN(io.Discard, req.Body, int64(reads))
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	f.registerTarget("early", listener.Addr().String(), object{"service": deskService})
+	address, stop, err := standin.ServeConnections(serve)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(stop)
+	f.registerTarget("early", address, object{"service": deskService})
 }
 
 // Guards against part of an answer that callers get as a complete one: its target answered a
--- a/test/site/invalid_response_test.go
+++ b/test/site/invalid_response_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	standin "github.com/sequoiaroad/sequoiaroad/standin/site"
 )
 
 // rawTarget is a target that answers each request with given bytes and keeps its connections
@@ -27,25 +29,15 @@
 
 // startRawTarget starts and registers a raw target with the fields of an entry.
 func (f *fixture) startRawTarget(id, response string, entry object) *rawTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.t.Cleanup(func() { _ = listener.Close() })
 	r := &rawTarget{response: response}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.serve(conn)
-		}
-	}()
-	f.registerTarget(id, listener.Addr().String(), entry)
+	address, stop, err := standin.ServeConnections(r.serve)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(stop)
+	f.registerTarget(id, address, entry)
 	return r
 }
 
 func (r *rawTarget) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	r.mu.Lock()
 	number := len(r.requests)
 	r.requests = append(r.requests, 0)
