--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -208,7 +211,7 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			ts.Fatalf("condition not met within %v: %v\nstdout: %s\nstderr: %s", timeout, err, output, ts.ReadFile("stderr"))
+			ts.Fatalf("condition not met within %v: %v\nstdout: %s\nstderr: %s\n%s", timeout, err, output, ts.ReadFile("stderr"), processTableOf(ts).tails())
 		}
 		time.Sleep(retryInterval)
 	}
@@ -255,6 +258,17 @@
 	})
 }
 
+// tails returns the ends of the logs of all processes.
+func (t *processTable) tails() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(t.processes)) {
+		fmt.Fprintf(&out, "log of %s:\n%s\n", name, tail(t.processes[name].logFile))
+	}
+	return out.String()
+}
+
 // tail returns the last 4 KiB of a file.
 func tail(path string) string {
 	const tailBytes = 4096
