forward: one function tells whether a response is unframed

Read again before the landing: internal/httpclient had a copy of the one in internal/forward. No behaviour changes.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
 )
 
 const (
@@ -267,7 +269,7 @@
 func (r *Router) recordEnd(c *call, p *plan, resp *http.Response) {
 	switch {
 	case resp.StatusCode != http.StatusOK || len(c.parts) == 0:
-	case isUnframed(resp):
+	case httpclient.IsUnframed(resp):
 		r.recordUnframedEnd(c, p)
 	default:
 		r.Quarantine.RecordCompletion(c.parts)
@@ -276,9 +278,3 @@
 	c.log.Info("answered", "route", c.route.Name, "config", c.config.Version, "target", p.target.ID, "status", resp.StatusCode, "sends", c.sends,
 		"first_event_ms", c.firstEventLatency.Milliseconds(), "elapsed_ms", time.Since(c.started).Milliseconds())
 }
-
-// isUnframed reports whether a response has neither a length nor chunks, so that the end of
-// its connection ends it.
-func isUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -135,7 +135,8 @@
 	return n, err
 }
 
-// isUnframed reports whether the end of its connection ends a response.
-func isUnframed(resp *http.Response) bool {
+// IsUnframed reports whether a response has neither a length nor chunks, so that the end of
+// its connection ends it.
+func IsUnframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -40,7 +40,7 @@
 		t.base.CloseIdleConnections()
 		return nil, &InvalidResponseError{Peer: req.URL.Host, Reason: reason}
 	}
-	if writes != nil && isUnframed(resp) {
+	if writes != nil && IsUnframed(resp) {
 		resp.Body = &unframedBody{resp.Body, writes}
 	}
 	return resp, nil
