--- a/review/common-2/main.go
+++ b/review/common-2/main.go
@@ -23,12 +23,17 @@
 var cases = map[string]func(w *world) (broken bool, err error){
 	"foreign": runForeign,
 	"keys":    runKeys,
+	"crash":   runCrash,
 	"pause":   runPause,
+	"resumed": runResumed,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	if len(args) == 3 && args[0] == "engine" {
+		return serveEngine(args[1], args[2])
+	}
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER")
 		return exitNotRun
