--- a/review/9/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2 resumed review/9
+exec target/review-2 pause review/10
--- a/review/common-2/crash.go
+++ b/review/common-2/crash.go
@@ -92,7 +92,7 @@
 // ask sends a prompt to one of the hosts in turn.
 func (w *world) ask(turn int, id, parts string) bool {
 	h := w.hosts[turn%len(w.hosts)]
-	s := w.stream(h, fmt.Sprintf("%s-%d", id, turn), parts, 0, streamEvents)
+	s := w.stream(h, fmt.Sprintf("%s-%d", id, turn), parts)
 	return s.status == http.StatusOK && s.err == nil && len(s.events) == streamEvents
 }
 
--- a/review/common-2/engine.go
+++ b/review/common-2/engine.go
@@ -19,6 +19,9 @@
 const (
 	engineModel  = "model-a"
 	streamEvents = 6
+	// halvedEvent is the event that a replica writes in two pieces, halfTime apart.
+	halvedEvent = 4
+	halfTime    = 300 * time.Millisecond
 	// firstEventTime is the time from the head of a stream to its first event: the prompt is
 	// read meanwhile. eventInterval is the time between two events.
 	firstEventTime = 400 * time.Millisecond
@@ -104,7 +107,15 @@
 	}
 	time.Sleep(firstEventTime)
 	for i := last + 1; i <= streamEvents; i++ {
-		if _, err := fmt.Fprintf(resp, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+		if _, err := fmt.Fprintf(resp, "id: %d\ndata: ", i); err != nil {
+			return
+		}
+		if i == halvedEvent {
+			_ = http.NewResponseController(resp).Flush()
+			fmt.Println("half", id, i)
+			time.Sleep(halfTime)
+		}
+		if _, err := fmt.Fprintf(resp, "token %d\n\n", i); err != nil {
 			return
 		}
 		_ = http.NewResponseController(resp).Flush()
--- a/review/common-2/main.go
+++ b/review/common-2/main.go
@@ -21,7 +21,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"foreign": runForeign,
 	"keys":    runKeys,
 	"crash":   runCrash,
 	"pause":   runPause,
--- a/review/common-2/resumed.go
+++ b/review/common-2/resumed.go
@@ -4,37 +4,52 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 )
 
 const (
-	// resumedRounds is the number of streams that are tried; each loses one replica.
-	resumedRounds = 1
-	// killDelay is the time from the head to the end of the replica.
-	killDelay = 150 * time.Millisecond
-	// eventsBeforeBreak is the number of events after which the client's channel breaks.
-	eventsBeforeBreak = 3
+	// resumedEngines is the number of replicas, of which resumedKills are killed.
+	resumedEngines = 8
+	resumedKills   = 2
+	// halfDelay and headDelay are the times from half an event, and from the head of an answer,
+	// to the end of the replica.
+	halfDelay = 50 * time.Millisecond
+	headDelay = 150 * time.Millisecond
+	resumedID = "stream-1"
+	// resumedParts are the parts of the prompt.
+	resumedParts = "5c1e07a2:1000,91bd3f06:500"
 )
 
-// resumedParts are the parts of the prompt.
-const resumedParts = "5c1e07a2:1000,91bd3f06:500"
-
-// runResumed lets a client go on with a stream after its channel broke. The replica that
-// gets the new request is killed between the head of its answer and its first event.
+// runResumed kills the replica that serves a stream while it writes an event, and then the
+// one at which the host goes on with the stream, between the head of its answer and its first
+// event.
 func runResumed(w *world) (bool, error) {
-	var target atomic.Value // the ID of the request whose replica is killed
-	target.Store("")
+	var mu sync.Mutex
+	var killed []string
+	kill := func(e *engine, delay time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !w.trouble || len(killed) >= resumedKills || slices.Contains(killed, e.id) {
+			return
+		}
+		killed = append(killed, e.id)
+		time.Sleep(delay)
+		w.rec.note("%s is killed", e.id)
+		e.kill()
+	}
 	onLine := func(e *engine, fields []string) {
-		if w.trouble && fields[0] == "head" && fields[1] == target.Load().(string) {
-			target.Store("")
-			w.rec.note("%s is killed", e.id)
-			time.Sleep(killDelay) // well before the first event
-			e.kill()
+		switch {
+		case fields[1] != resumedID:
+		case fields[0] == "half":
+			kill(e, halfDelay)
+		case fields[0] == "head" && fields[2] != "0":
+			kill(e, headDelay)
 		}
 	}
-	for i, zone := range zoneNames {
-		if err := w.startEngine(fmt.Sprintf("engine-%d", i+1), zone, "", onLine); err != nil {
+	for i := range resumedEngines {
+		if err := w.startEngine(fmt.Sprintf("engine-%d", i+1), zoneNames[i%len(zoneNames)], "", onLine); err != nil {
 			return false, err
 		}
 	}
@@ -45,20 +60,14 @@
 		return false, err
 	}
 	time.Sleep(contactTime)
-	broken := false
-	for i := range resumedRounds {
-		h := w.hosts[i%len(w.hosts)]
-		first := w.stream(h, fmt.Sprintf("stream-%d-a", i), resumedParts, 0, eventsBeforeBreak)
-		if len(first.events) != eventsBeforeBreak {
-			return false, errors.New("the stream did not begin")
-		}
-		id := fmt.Sprintf("stream-%d-b", i)
-		target.Store(id)
-		second := w.stream(h, id, resumedParts, eventsBeforeBreak, streamEvents)
-		complete := second.status == http.StatusOK && second.err == nil
-		missing := streamEvents - eventsBeforeBreak - len(second.events)
-		w.rec.note("check: the stream that goes on after event %d got %d events, complete: %t, missing: %d", eventsBeforeBreak, len(second.events), complete, missing)
-		broken = broken || complete && missing > 0
+	s := w.stream(w.hosts[0], resumedID, resumedParts)
+	mu.Lock()
+	defer mu.Unlock()
+	if w.trouble && len(killed) < resumedKills {
+		return false, errors.New("the stream did not reach two replicas")
 	}
-	return broken, nil
+	complete := s.status == http.StatusOK && s.err == nil
+	missing := streamEvents - len(s.events)
+	w.rec.note("check: the client got %d of %d events, ended as complete: %t", len(s.events), streamEvents, complete)
+	return complete && missing > 0, nil
 }
--- a/review/common-2/stream.go
+++ b/review/common-2/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -19,9 +18,8 @@
 	err error
 }
 
-// stream asks for the events after one, and breaks the channel off after some events unless
-// these are all.
-func (w *world) stream(h *host, id, parts string, after, limit int) streamed {
+// stream asks a host for a stream.
+func (w *world) stream(h *host, id, parts string) streamed {
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callerAddress+"/query/1", strings.NewReader("prompt"))
@@ -35,10 +33,7 @@
 	} {
 		req.Header.Set(name, value)
 	}
-	if after > 0 {
-		req.Header.Set("Last-Event-Id", fmt.Sprint(after))
-	}
-	w.rec.note("client: %s asks %s for the events after %d", id, h.name, after)
+	w.rec.note("client: %s asks %s", id, h.name)
 	resp, err := h.client.Do(req)
 	if err != nil {
 		w.rec.note("client: %s: %v", id, err)
@@ -60,9 +55,5 @@
 			w.rec.note("client: %s: status %d, stamp %q, %d events, ends with %v", id, s.status, resp.Header.Get("X-Response-Stamp"), len(s.events), err)
 			return s
 		}
-		if limit < streamEvents && len(s.events) == limit && strings.TrimSpace(line) == "" {
-			w.rec.note("client: %s: its channel breaks after event %d", id, limit)
-			return s
-		}
 	}
 }
