forward: a stream that broke off inside an event does not end without it

Cause: what an attempt had shown was lost with it. relayStream knew that a target had begun an event, but mayEndStream only asked whether the response had begun, so that any later target could end the stream by sending nothing. A framed response, and one that consists of comments, had the same effect; no crash of the second target is needed.

Change: completion.Progress is kept for the whole request. It knows whether an event is owed to the caller (a target stopped inside it, and nobody has completed one since) and whether the caller has events at all. Comments count as neither. It is asked wherever a stream ends.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/sequoiaroad/sequoiaroad/internal/view"
 	"github.com/sequoiaroad/sequoiaroad/policy/backpressure"
 	"github.com/sequoiaroad/sequoiaroad/policy/balance"
+	"github.com/sequoiaroad/sequoiaroad/policy/completion"
 	"github.com/sequoiaroad/sequoiaroad/policy/quarantine"
 	"github.com/sequoiaroad/sequoiaroad/policy/ratelimit"
 	"github.com/sequoiaroad/sequoiaroad/policy/retry"
@@ -214,6 +215,8 @@
 	responseStarted bool
 	// contentType is that of the response that was started.
 	contentType string
+	// progress is what all attempts have shown of the response.
+	progress    completion.Progress
 	lastEventID string
 	// firstEventLatency is the time from the arrival of the request to the first event.
 	firstEventLatency time.Duration
@@ -232,6 +235,9 @@
 	c := &call{w: w, req: req, started: time.Now(), meta: r.Codec.Request(req.Header), tried: map[string]bool{}}
 	c.log = r.Log.With("request", c.meta.ID)
 	c.parts, c.namedParts = promptParts(&c.meta)
+	if c.meta.Resumes {
+		c.progress.RecordResumption()
+	}
 	defer func() { r.bufferedBytes.Add(-c.reservedBytes) }()
 	if f := r.admit(c); f != nil {
 		r.refuse(c, f)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
+	"github.com/sequoiaroad/sequoiaroad/policy/completion"
 )
 
 const (
@@ -102,13 +103,14 @@
 }
 
 // readEvent reads one event including the empty line that ends it, and takes its bytes from
-// the budget. It returns io.ErrUnexpectedEOF for a stream that ends within an event.
+// the budget. For a stream that ends within an event, it returns that part and
+// io.ErrUnexpectedEOF.
 func readEvent(reader *bufio.Reader, held *hold) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
 		if full := held.take(len(line)); full != nil {
-			return nil, full
+			return event, full
 		}
 		event = append(event, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(event) < maxEventBytes {
@@ -116,12 +118,12 @@
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0 {
-				return nil, io.ErrUnexpectedEOF
+				err = io.ErrUnexpectedEOF
 			}
-			return nil, err
+			return event, err
 		}
 		if len(event) > maxEventBytes {
-			return nil, errors.Errorf("event exceeds %d bytes", maxEventBytes)
+			return event, errors.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, nil
@@ -149,6 +151,9 @@
 	for {
 		held.release() // the event before was relayed
 		event, err := readEvent(reader, held)
+		if err != nil {
+			c.progress.RecordPartial(event)
+		}
 		if first {
 			w.stop()
 			if err != nil {
@@ -159,15 +164,15 @@
 			r.recordFirstEvent(c, p)
 			first = false
 		}
-		if errors.Is(err, io.EOF) && !c.mayEndStream() {
-			err = io.ErrUnexpectedEOF
-		}
 		if errors.Is(err, io.EOF) {
-			if !c.responseStarted {
-				r.startStream(c, resp)
+			err = c.progress.Check(completion.End{Stream: true, HeadOnly: c.req.Method == http.MethodHead})
+			if err == nil {
+				if !c.responseStarted {
+					r.startStream(c, resp)
+				}
+				r.recordEnd(c, p, resp)
+				return nil
 			}
-			r.recordEnd(c, p, resp)
-			return nil
 		}
 		if err != nil {
 			c.tried[p.target.ID] = true
@@ -200,6 +205,7 @@
 	if id := eventID(event); id != "" {
 		c.lastEventID = id
 	}
+	c.progress.RecordRelayed(event)
 	_, err := c.w.Write(event)
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
@@ -229,14 +235,6 @@
 	return err == nil && id <= last
 }
 
-// mayEndStream reports whether the stream may be complete where the target ends it between
-// two events. Without a length or chunks, a target that crashed ends it like a complete
-// one, so that a stream without any event is complete only if the caller has received the
-// events from an earlier attempt or request, or asked for the head alone.
-func (c *call) mayEndStream() bool {
-	return c.responseStarted || c.meta.Resumes || c.req.Method == http.MethodHead
-}
-
 func (r *Router) streamFailure(ctx context.Context, p *plan, err error) *failure {
 	f := &failure{status: http.StatusBadGateway, reason: "the target's stream broke off", cause: errors.Wrapf(err, "read from target %s", p.target.ID)}
 	if ctx.Err() != nil {
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -19,6 +19,9 @@
 	// DropAfterEvents closes the connection of a stream in the middle of the event that
 	// follows this many events.
 	DropAfterEvents int
+	// CutAfterLastEvent closes the connection of a stream after its last event, before the
+	// end of the response, unless the stream was resumed.
+	CutAfterLastEvent bool
 	// Shed rejects requests, like an overloaded replica.
 	Shed bool
 	// WrongID responds with the id of another request.
@@ -509,6 +512,9 @@
 	w.Header().Set("X-Response-Stamp", "stamp-"+id)
 	if fixed := faults.ResumeResponse; fixed.Status != 0 && req.Header.Get("Last-Event-Id") != "" {
 		w.Header().Set("Content-Type", fixed.ContentType)
+		if r.options.Unframed {
+			w.Header().Set("Transfer-Encoding", "identity") // net/http sends no framing then
+		}
 		w.WriteHeader(fixed.Status)
 		_, _ = io.WriteString(w, fixed.Body)
 		return
@@ -571,4 +577,7 @@
 		case <-time.After(r.options.EventInterval):
 		}
 	}
+	if faults.CutAfterLastEvent && lastEventID == 0 {
+		panic(http.ErrAbortHandler)
+	}
 }
