forward: a response that ends with its connection needs a sign of life

Callers got 1 of 3 events of a stream, or a body, as a complete response from a target that had crashed: without a length or chunks the end of a connection is all there is to see.

Cause: the host asked such a target for a sign of life a tenth of a second later, but only for the quarantine, when the caller's response had ended. The verdict could also rest on a sign asked for before the response ended, and the end of a target that leaves in order counted as a crash.

Change: completion.Progress.Check asks for a sign of life where a response is unframed and the target is not known to leave. confirmEnd waits for it, for streams and bodies, with the check that the quarantine has; the target's slot and connection are given back before. A sign settles only responses that ended before it was asked for. Plain targets are asked for a connection.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +50,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer r.endAttempt(p)
+	defer func() { p.free() }()
 	w := r.startWatchdog(c, p, cancel)
 	defer w.stop()
 	r.trackPrompt(&promptAttempt{call: c, plan: p, watchdog: w, cancel: cancel})
@@ -64,7 +65,11 @@
 		}
 		return r.handleSendError(ctx, c, p, w, err, false)
 	}
-	defer p.client.release()
+	free := p.free
+	p.free = sync.OnceFunc(func() {
+		p.client.release()
+		free()
+	})
 	if f := r.checkDeparture(c, p); f != nil {
 		return f
 	}
--- a/internal/forward/crash_check.go
+++ b/internal/forward/crash_check.go
@@ -31,7 +31,8 @@
 const (
 	// endBroken means that it broke off.
 	endBroken responseEnd = iota
-	// endComplete means that it is complete unless the target has crashed.
+	// endComplete means that it ended with its connection, and is complete unless the target has
+	// crashed.
 	endComplete
 	// endMissing means that it did not come, or not to its end, in time.
 	endMissing
@@ -42,6 +43,16 @@
 	crash quarantine.Crash
 	end   responseEnd
 	at    time.Time
+	// verdict gets the verdict on the target, once; nil if no request waits for it.
+	verdict chan<- quarantine.Verdict
+}
+
+// tell sends the verdict to the request that waits for it.
+func (e *endedResponse) tell(v quarantine.Verdict) {
+	if e.verdict != nil {
+		e.verdict <- v // has room for it
+		e.verdict = nil
+	}
 }
 
 // crashCheck holds the responses that ended at an incarnation of a target.
@@ -53,11 +64,23 @@
 	scheduled bool
 }
 
-// take removes the responses of some ends and returns them.
-func (k *crashCheck) take(ends ...responseEnd) []endedResponse {
+// add adds a response in place of the oldest one for which no request waits if there are too
+// many. The others are bounded by the requests in progress.
+func (k *crashCheck) add(e endedResponse) {
+	k.expire(e.at)
+	if len(k.responses) >= maxEndedResponses {
+		if oldest := slices.IndexFunc(k.responses, func(e endedResponse) bool { return e.verdict == nil }); oldest >= 0 {
+			k.responses = slices.Delete(k.responses, oldest, oldest+1)
+		}
+	}
+	k.responses = append(k.responses, e)
+}
+
+// take removes the responses for which selected is true and returns them.
+func (k *crashCheck) take(selected func(e *endedResponse) bool) []endedResponse {
 	var taken []endedResponse
 	k.responses = slices.DeleteFunc(k.responses, func(e endedResponse) bool {
-		if !slices.Contains(ends, e.end) {
+		if !selected(&e) {
 			return false
 		}
 		taken = append(taken, e)
@@ -68,7 +91,27 @@
 
 // expire drops the responses that no longer count.
 func (k *crashCheck) expire(now time.Time) {
-	k.responses = slices.DeleteFunc(k.responses, func(e endedResponse) bool { return now.Sub(e.at) >= quarantine.MaxEvidenceAge })
+	k.take(func(e *endedResponse) bool { return e.verdict == nil && now.Sub(e.at) >= quarantine.MaxEvidenceAge })
+}
+
+// settle applies the verdict after a sign that was asked for at a time, and returns the
+// responses that it settles. A sign of life says nothing of a response that ended later. again
+// means that another sign is due for such a response.
+func (k *crashCheck) settle(v quarantine.Verdict, asked time.Time) (settled []endedResponse, again bool) {
+	switch v {
+	case quarantine.Crashed:
+		return k.take(func(*endedResponse) bool { return true }), false
+	case quarantine.Alive:
+		settled = k.take(func(e *endedResponse) bool { return e.end != endMissing && !e.at.After(asked) })
+	case quarantine.Undecided: // the target's entry may still decide
+		for i := range k.responses {
+			if e := &k.responses[i]; !e.at.After(asked) {
+				e.tell(v)
+			}
+		}
+	}
+	again = slices.ContainsFunc(k.responses, func(e endedResponse) bool { return e.end != endMissing && e.at.After(asked) })
+	return settled, again
 }
 
 // recordBrokenOff records a crash if the target of a response that ended before its head,
@@ -80,35 +123,30 @@
 // that fails does not close its connections.
 func (r *Router) recordMissing(c *call, p *plan) { r.recordEnded(c, p, endMissing) }
 
-// recordUnframedEnd records a completion if the target of a response that ended with its
-// connection lives: the response of one that has crashed may look complete.
-func (r *Router) recordUnframedEnd(c *call, p *plan) { r.recordEnded(c, p, endComplete) }
-
 func (r *Router) recordEnded(c *call, p *plan, end responseEnd) {
-	crash := c.crashAt(p.target)
-	if len(crash.Parts) == 0 {
-		return
+	if crash := c.crashAt(p.target); len(crash.Parts) > 0 {
+		r.checkTarget(p.target, endedResponse{crash: crash, end: end, at: time.Now()})
 	}
+}
+
+// checkTarget finds out whether a target has ended with a response.
+func (r *Router) checkTarget(t *topology.Target, e endedResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id, now := p.target.Incarnation(), time.Now()
+	id := t.Incarnation()
 	check := r.crashChecks[id]
 	if check == nil {
-		check = &crashCheck{target: p.target}
+		check = &crashCheck{target: t}
 		r.crashChecks[id] = check
 	}
-	check.expire(now)
-	if len(check.responses) >= maxEndedResponses {
-		check.responses = slices.Delete(check.responses, 0, 1)
-	}
-	check.responses = append(check.responses, endedResponse{crash, end, now})
-	if end != endMissing && !check.scheduled {
+	check.add(e)
+	if e.end != endMissing && !check.scheduled {
 		check.scheduled, check.signs = true, quarantine.CrashCheck{}
 		time.AfterFunc(quarantine.FirstCheckDelay, func() { r.checkCrash(id) })
 	}
 }
 
-// checkCrash asks a target for a sign of life, once for all responses that ended meanwhile.
+// checkCrash asks a target for a sign of life, once for all responses that ended before.
 func (r *Router) checkCrash(id topology.Incarnation) {
 	r.mu.Lock()
 	check := r.crashChecks[id]
@@ -116,7 +154,7 @@
 		r.mu.Unlock()
 		return
 	}
-	target := check.target
+	target, asked := check.target, time.Now()
 	r.mu.Unlock()
 	sign, err := r.observe(target)
 	r.mu.Lock()
@@ -130,30 +168,34 @@
 		time.AfterFunc(delay, func() { r.checkCrash(id) })
 		return
 	}
-	check.scheduled = false
-	var ended []endedResponse
-	switch verdict {
-	case quarantine.Crashed:
-		ended = check.take(endBroken, endComplete, endMissing)
+	settled, again := check.settle(verdict, asked)
+	check.scheduled = again
+	if verdict == quarantine.Crashed {
 		delete(r.crashChecks, id)
-	case quarantine.Alive:
-		ended = check.take(endBroken, endComplete)
+	}
+	if again {
+		check.signs = quarantine.CrashCheck{}
+		time.AfterFunc(quarantine.FirstCheckDelay, func() { r.checkCrash(id) })
 	}
 	r.mu.Unlock()
 	r.metrics.recordCrashCheck(verdict)
 	r.Log.Info("checked whether a target crashed as its answers ended", "target", id.ID, "address", target.Address,
-		"answers", len(ended), "crashed", verdict == quarantine.Crashed, "undecided", verdict == quarantine.Undecided, "error", err)
-	r.resolve(ended, verdict)
+		"answers", len(settled), "crashed", verdict == quarantine.Crashed, "undecided", verdict == quarantine.Undecided, "error", err)
+	r.resolve(target, settled, verdict)
 }
 
-// resolve records the responses of a target on which there is a verdict.
-func (r *Router) resolve(ended []endedResponse, verdict quarantine.Verdict) {
+// resolve records the responses of a target on which there is a verdict. A target that leaves
+// may end after a complete response, which is no crash then.
+func (r *Router) resolve(t *topology.Target, ended []endedResponse, verdict quarantine.Verdict) {
+	left := r.leaves(t)
 	var crashes []quarantine.Crash
 	for _, e := range ended {
+		e.tell(verdict)
 		switch {
-		case verdict == quarantine.Crashed:
+		case len(e.crash.Parts) == 0:
+		case verdict == quarantine.Crashed && !(left && e.end == endComplete):
 			crashes = append(crashes, e.crash)
-		case e.end == endComplete:
+		case verdict == quarantine.Alive && e.end == endComplete:
 			r.Quarantine.RecordCompletion(e.crash.Parts)
 		}
 	}
@@ -162,8 +204,12 @@
 	}
 }
 
-// observe asks a target for its report.
+// observe asks a target for a sign of life: an engine for its report, which names its
+// incarnation, and any other target for a connection.
 func (r *Router) observe(t *topology.Target) (quarantine.Sign, error) {
+	if !r.isEngine(t) {
+		return observeConnection(t)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	state, err := r.Reports.State(ctx, t)
@@ -184,10 +230,29 @@
 	return quarantine.SignNoReport, err
 }
 
-// resolveReplaced takes the responses that ended at targets whose entries show by now that
-// they have ended without leaving. The caller holds the mutex.
-func (r *Router) resolveReplaced(targets map[string]*topology.Target, now time.Time) []endedResponse {
-	var ended []endedResponse
+// isEngine reports whether a target serves models.
+func (r *Router) isEngine(t *topology.Target) bool {
+	config := r.View.Snapshot().Config
+	if config == nil || config.Services[t.Service] == nil {
+		return len(t.Weights) > 0
+	}
+	return config.Services[t.Service].Engine != nil
+}
+
+func observeConnection(t *topology.Target) (quarantine.Sign, error) {
+	err := probe(t.Address)
+	switch {
+	case err == nil:
+		return quarantine.SignAlive, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return quarantine.SignEnded, err
+	}
+	return quarantine.SignSilent, err
+}
+
+// resolveReplaced ends the checks of targets whose entries show by now that they have ended.
+// The caller holds the mutex.
+func (r *Router) resolveReplaced(targets map[string]*topology.Target, now time.Time) {
 	for id, check := range r.crashChecks {
 		check.expire(now)
 		current := targets[id.ID]
@@ -198,10 +263,13 @@
 			}
 			continue
 		}
-		if !check.target.Leaving {
-			ended = append(ended, check.responses...)
+		verdict := quarantine.Crashed
+		if check.target.Leaving {
+			verdict = quarantine.Undecided
 		}
 		delete(r.crashChecks, id)
+		if len(check.responses) > 0 {
+			go r.resolve(check.target, check.responses, verdict)
+		}
 	}
-	return ended
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -150,9 +150,7 @@
 	defer r.mu.Unlock()
 	r.balancer.Retain(s.Targets)
 	now := time.Now()
-	if ended := r.resolveReplaced(s.Targets, now); len(ended) > 0 {
-		go r.resolve(ended, quarantine.Crashed)
-	}
+	r.resolveReplaced(s.Targets, now)
 	if len(s.Targets) > 0 { // a new process learns limits from its peers before the targets
 		r.pressure.Retain(s.Targets, now)
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -89,6 +89,5 @@
 func (m *metrics) recordQuarantined() { m.quarantined.Add(m.ctx, 1) }
 
 func (m *metrics) recordCrashCheck(v quarantine.Verdict) {
-	outcome := map[quarantine.Verdict]string{quarantine.Alive: "alive", quarantine.Crashed: "crashed", quarantine.Undecided: "undecided"}[v]
-	m.crashChecks.Add(m.ctx, 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+	m.crashChecks.Add(m.ctx, 1, metric.WithAttributes(attribute.String("outcome", v.String())))
 }
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/message"
@@ -31,6 +32,8 @@
 	// latestStart is when the target must have begun, so that its weights don't exceed
 	// the maximum staleness; zero if there is no such bound.
 	latestStart time.Time
+	// free ends the load that the attempt is at its target. It may be called several times.
+	free func()
 }
 
 // planAttempt chooses a target and builds the envelope for it.
@@ -71,6 +74,7 @@
 	}
 	p.client = r.clients.get(p.target, c.service.MaxConnections/max(1, hosts))
 	r.balancer.Begin(p.target)
+	p.free = sync.OnceFunc(func() { r.endAttempt(p) })
 	return p, nil
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/sequoiaroad/sequoiaroad/internal/httpclient"
-	"github.com/sequoiaroad/sequoiaroad/policy/completion"
 )
 
 const (
@@ -37,8 +36,11 @@
 	held := r.responses.hold(p.client.held)
 	defer held.release()
 	body, err := io.ReadAll(io.LimitReader(heldReader{resp.Body, held}, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = r.confirmEnd(ctx, c, p, resp, false)
+	}
 	if err != nil {
-		r.recordTruncated(ctx, c, p)
+		r.recordTruncated(ctx, c, p, err)
 		f := badResponse(c, p, "the target's answer broke off", errors.Wrapf(err, "read from target %s", p.target.ID))
 		f.brokenOff = true
 		return f
@@ -85,21 +87,26 @@
 	r.copyHeader(c, resp.Header)
 	c.w.WriteHeader(resp.StatusCode)
 	_, err := io.Copy(c.w, io.MultiReader(bytes.NewReader(head), resp.Body))
+	if err == nil {
+		err = r.confirmEnd(ctx, c, p, resp, false)
+	}
 	if err != nil {
-		r.recordTruncated(ctx, c, p)
+		r.recordTruncated(ctx, c, p, err)
 		r.logFailure(c, "response truncated", &failure{status: resp.StatusCode, reason: "relay failed", cause: errors.Wrapf(err, "relay from target %s", p.target.ID)})
 		panic(http.ErrAbortHandler)
 	}
 	r.recordEnd(c, p, resp)
 }
 
-// recordTruncated records a response whose body ended early.
-func (r *Router) recordTruncated(ctx context.Context, c *call, p *plan) {
-	if ctx.Err() != nil {
+// recordTruncated records a response whose body ended early with an error.
+func (r *Router) recordTruncated(ctx context.Context, c *call, p *plan, err error) {
+	switch {
+	case errors.Is(err, errNoSignOfLife): // the check of the target has recorded it
+	case ctx.Err() != nil:
 		r.recordMissing(c, p)
-		return
+	default:
+		r.recordBrokenOff(c, p)
 	}
-	r.recordBrokenOff(c, p)
 }
 
 // readEvent reads one event including the empty line that ends it, and takes its bytes from
@@ -165,8 +172,7 @@
 			first = false
 		}
 		if errors.Is(err, io.EOF) {
-			err = c.progress.Check(completion.End{Stream: true, HeadOnly: c.req.Method == http.MethodHead})
-			if err == nil {
+			if err = r.confirmEnd(ctx, c, p, resp, true); err == nil {
 				if !c.responseStarted {
 					r.startStream(c, resp)
 				}
@@ -178,14 +184,11 @@
 			c.tried[p.target.ID] = true
 			f := r.streamFailure(ctx, p, err)
 			f.began, f.brokenOff = !relayed, true
-			switch {
-			case ctx.Err() != nil:
-				r.recordMissing(c, p)
-			case f.began:
+			if f.began && ctx.Err() == nil && !errors.Is(err, errNoSignOfLife) {
 				r.recordCrash(c, p)
-			default:
-				r.recordBrokenOff(c, p)
+				return f
 			}
+			r.recordTruncated(ctx, c, p, err)
 			return f
 		}
 		if !relayed && c.responseStarted && c.isRepetition(event) {
@@ -265,11 +268,7 @@
 
 // recordEnd records a response that was relayed to its end.
 func (r *Router) recordEnd(c *call, p *plan, resp *http.Response) {
-	switch {
-	case resp.StatusCode != http.StatusOK || len(c.parts) == 0:
-	case httpclient.IsUnframed(resp):
-		r.recordUnframedEnd(c, p)
-	default:
+	if resp.StatusCode == http.StatusOK && len(c.parts) > 0 && !httpclient.IsUnframed(resp) {
 		r.Quarantine.RecordCompletion(c.parts)
 	}
 	r.metrics.recordResponse(c, resp.StatusCode, time.Since(c.started))
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -135,8 +135,8 @@
 	return n, err
 }
 
-// IsUnframed reports whether a response has neither a length nor chunks, so that the end of
-// its connection ends it.
+// IsUnframed reports whether a response has a body with neither a length nor chunks, so that
+// the end of its connection ends it.
 func IsUnframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -227,6 +227,12 @@
 	return 0, true
 }
 
+// IsLeaving reports whether a target has said that it leaves.
+func (t *Table) IsLeaving(target topology.Incarnation) bool {
+	s := t.get(target)
+	return s != nil && s.leaving
+}
+
 // Take takes the permit for one request, and reports whether there was one.
 func (t *Table) Take(target topology.Incarnation, now time.Time) bool {
 	s := t.get(target)
--- a/policy/completion/completion.go
+++ b/policy/completion/completion.go
@@ -1,7 +1,9 @@
 // Package completion decides whether a response is complete where its target has ended it,
 // from what a host has learned in all attempts of the request. It does no I/O.
 //
-// Invariant: a stream is never complete while an event is owed to the caller.
+// Invariants: a stream is never complete while an event is owed to the caller; the end of a
+// connection alone never proves a response complete, since it is also that of a target that
+// crashes.
 package completion
 
 import (
@@ -27,8 +29,23 @@
 type End struct {
 	// Stream means that the response is a series of events, and HeadOnly that it has no body.
 	Stream, HeadOnly bool
+	// Unframed means that the body has neither a length nor chunks and ends with its connection.
+	Unframed bool
+	// TargetLeaves means that the target is known to leave. It may end right after its last
+	// response, so that nothing could tell its end from a crash.
+	TargetLeaves bool
 }
 
+// Proof is what must be known besides before a response counts as complete.
+type Proof uint8
+
+const (
+	// NoProof means that the response is complete as far as anyone can know.
+	NoProof Proof = iota
+	// SignOfLife means that the target must have outlived the response.
+	SignOfLife
+)
+
 // RecordResumption records that the caller has received events from an earlier request.
 func (p *Progress) RecordResumption() { p.hasEvents = true }
 
@@ -59,12 +76,17 @@
 	return false
 }
 
-// Check returns an error if the response is not complete. A stream without any event is only
-// complete if the caller has received the events before: a target that crashes may end its
-// response like that, too.
-func (p *Progress) Check(e End) error {
-	if e.Stream && !e.HeadOnly && (p.owed || !p.hasEvents) {
-		return ErrIncomplete
+// Check returns what must be proved before the response counts as complete, or an error if it
+// is not. A stream without any event is only complete if the caller has received the events
+// before: a target that crashes may end its response like that, too.
+func (p *Progress) Check(e End) (Proof, error) {
+	switch {
+	case e.HeadOnly:
+		return NoProof, nil
+	case e.Stream && (p.owed || !p.hasEvents):
+		return NoProof, ErrIncomplete
+	case e.Unframed && !e.TargetLeaves:
+		return SignOfLife, nil
 	}
-	return nil
+	return NoProof, nil
 }
--- a/policy/completion/completion_test.go
+++ b/policy/completion/completion_test.go
@@ -43,18 +43,42 @@
 			for _, s := range c.steps {
 				s(&p)
 			}
+			_, err := p.Check(End{Stream: true})
 			if c.want == nil {
-				g.Expect(p.Check(End{Stream: true})).To(Succeed())
+				g.Expect(err).NotTo(HaveOccurred())
 				return
 			}
-			g.Expect(p.Check(End{Stream: true})).To(MatchError(c.want))
-			g.Expect(p.Check(End{Stream: true, HeadOnly: true})).To(Succeed(), "a HEAD request asks for no event")
+			g.Expect(err).To(MatchError(c.want))
+			_, err = p.Check(End{Stream: true, HeadOnly: true})
+			g.Expect(err).NotTo(HaveOccurred(), "a HEAD request asks for no event")
 		})
 	}
 }
 
-// Guards against a body without a length of its own that is checked like a stream.
-func TestBodyNeedsNoEvent(t *testing.T) {
-	var p Progress
-	NewWithT(t).Expect(p.Check(End{})).To(Succeed())
+// Guards against a response that counts as complete because its connection has ended, against
+// a framed one that waits for a sign of life, and against asking a target that leaves, whose
+// end would count as a crash.
+func TestEndOfAConnectionAloneProvesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  End
+		want Proof
+	}{
+		"framed body":                      {End{}, NoProof},
+		"framed stream":                    {End{Stream: true}, NoProof},
+		"unframed body":                    {End{Unframed: true}, SignOfLife},
+		"unframed stream":                  {End{Stream: true, Unframed: true}, SignOfLife},
+		"head of an unframed body":         {End{HeadOnly: true, Unframed: true}, NoProof},
+		"unframed body, target leaves":     {End{Unframed: true, TargetLeaves: true}, NoProof},
+		"unframed stream, target leaves":   {End{Stream: true, Unframed: true, TargetLeaves: true}, NoProof},
+		"framed stream of one that leaves": {End{Stream: true, TargetLeaves: true}, NoProof},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var p Progress
+			p.RecordRelayed([]byte("id: 1\ndata: token\n\n"))
+			proof, err := p.Check(c.end)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(proof).To(Equal(c.want))
+		})
+	}
 }
--- a/policy/quarantine/check.go
+++ b/policy/quarantine/check.go
@@ -30,6 +30,10 @@
 	Undecided
 )
 
+func (v Verdict) String() string {
+	return [...]string{CheckAgain: "check again", Alive: "alive", Crashed: "crashed", Undecided: "undecided"}[v]
+}
+
 const (
 	// FirstCheckDelay is how long after the end of a response the first sign is due. A
 	// process that ends may close its connections before its port.
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -22,6 +22,8 @@
 	// CutAfterLastEvent closes the connection of a stream after its last event, before the
 	// end of the response, unless the stream was resumed.
 	CutAfterLastEvent bool
+	// EndAfterStream ends the replica and closes its port when it has sent a whole stream.
+	EndAfterStream bool
 	// Shed rejects requests, like an overloaded replica.
 	Shed bool
 	// WrongID responds with the id of another request.
@@ -577,6 +579,9 @@
 		case <-time.After(r.options.EventInterval):
 		}
 	}
+	if faults.EndAfterStream {
+		r.crashWithPort()
+	}
 	if faults.CutAfterLastEvent && lastEventID == 0 {
 		panic(http.ErrAbortHandler)
 	}
