topology: what is known of a target outlives its entry

Change: topology.States holds a state for each incarnation and is the one rule: kept for five minutes without an entry, dropped once a later incarnation is known, at most 2,048 without an entry; an entry that names an earlier incarnation for 10 s prevails, since clocks jump. backpressure and balance keep their states in it, departures use the same time. A later incarnation also ends what the prefix index has of an earlier one.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -148,8 +148,8 @@
 	r.clients.retain(s.Targets)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.balancer.Retain(s.Targets)
 	now := time.Now()
+	r.balancer.Retain(s.Targets, now)
 	r.resolveReplaced(s.Targets, now)
 	if len(s.Targets) > 0 { // a new process learns limits from its peers before the targets
 		r.pressure.Retain(s.Targets, now)
--- a/policy/backpressure/backpressure.go
+++ b/policy/backpressure/backpressure.go
@@ -22,9 +22,6 @@
 	maxStatementAge = 5 * time.Second
 	// endReportPeriod is how long hosts report that a target no longer names a limit.
 	endReportPeriod = 3 * time.Second
-	// leavingTTL is how long the statement of a target that it leaves outlives its entry,
-	// which comes back if it had lapsed while the target did not reach the store.
-	leavingTTL = 5 * time.Minute
 )
 
 // Statement is what a target asks for in one response.
@@ -63,9 +60,7 @@
 	limitEndedAt time.Time
 	pausedUntil  time.Time
 	leaving      bool
-	// removedAt is when the target's entry was removed; zero while there is one.
-	removedAt time.Time
-	share     share
+	share        share
 }
 
 // Table holds the state of all targets that have asked for something. It is not safe for
@@ -75,12 +70,12 @@
 	// hosts are the hosts that share limits, in order; hostsVersion counts their changes.
 	hosts        []string
 	hostsVersion int
-	states       map[string]*state
+	states       *topology.States[state]
 }
 
 // New returns an empty table of a host.
 func New(self string) *Table {
-	return &Table{self: self, hosts: []string{self}, states: map[string]*state{}}
+	return &Table{self: self, hosts: []string{self}, states: topology.NewStates[state]()}
 }
 
 // SetHosts sets the hosts that share limits, including this one.
@@ -94,10 +89,10 @@
 	t.hostsVersion++
 }
 
-// IsLimited reports whether any target has named a limit.
+// IsLimited reports whether any target that has an entry has named a limit.
 func (t *Table) IsLimited() bool {
-	for _, s := range t.states {
-		if s.limited {
+	for held, s := range t.states.All() {
+		if held.Present && s.limited {
 			return true
 		}
 	}
@@ -105,23 +100,14 @@
 }
 
 // get returns the state of a target, or nil if it has asked for nothing.
-func (t *Table) get(target topology.Incarnation) *state {
-	s := t.states[target.ID]
-	if s == nil || s.target != target {
-		return nil
-	}
-	return s
-}
-
-// isSuperseded reports whether a later incarnation of a target has asked for something.
-func (t *Table) isSuperseded(target topology.Incarnation) bool {
-	s := t.states[target.ID]
-	return s != nil && s.target.Started > target.Started
-}
+func (t *Table) get(target topology.Incarnation) *state { return t.states.Get(target) }
 
+// add returns the state of a target, or nil if a later incarnation of it is known.
 func (t *Table) add(target topology.Incarnation) *state {
-	s := &state{target: target}
-	t.states[target.ID] = s
+	s, _ := t.states.Add(target)
+	if s != nil {
+		s.target = target
+	}
 	return s
 }
 
@@ -129,12 +115,12 @@
 // that differs from what it asked for before.
 func (t *Table) Record(target topology.Incarnation, stated Statement, now time.Time) (changed bool) {
 	s := t.get(target)
-	if s == nil {
-		if stated == (Statement{}) || t.isSuperseded(target) {
-			return false
-		}
+	if s == nil && stated != (Statement{}) {
 		s = t.add(target)
 	}
+	if s == nil {
+		return false
+	}
 	changed = s.limited != stated.Limited || s.rateLimit != stated.RateLimit || stated.Leaving && !s.leaving || stated.RetryAfter > 0
 	t.setLimit(s, stated.RateLimit, stated.Limited, now, now)
 	s.own = true
@@ -157,24 +143,24 @@
 	}
 }
 
-// Reports returns what targets have stated to this host and others may lack. That a target
-// leaves is reported by all hosts, since it never ends, until the entry was removed.
+// Reports returns what targets that have entries have stated to this host and others may lack.
+// That a target leaves is reported by all hosts, since it never ends.
 func (t *Table) Reports(now time.Time) []Report {
-	return t.reports(now, func(s *state) (limit, leaving bool) { return s.own, s.removedAt.IsZero() })
+	return t.reports(now, func(s *state, present bool) (limit, leaving bool) { return present && s.own, present })
 }
 
 // AllReports returns also what this host knows from others. It is for a host that has just
 // started.
 func (t *Table) AllReports(now time.Time) []Report {
-	return t.reports(now, func(*state) (limit, leaving bool) { return true, true })
+	return t.reports(now, func(*state, bool) (limit, leaving bool) { return true, true })
 }
 
 // reports returns the reports of the targets for which include names the limit or the
 // leaving.
-func (t *Table) reports(now time.Time, include func(*state) (limit, leaving bool)) []Report {
+func (t *Table) reports(now time.Time, include func(s *state, present bool) (limit, leaving bool)) []Report {
 	var out []Report
-	for _, s := range t.states {
-		limit, leaving := include(s)
+	for held, s := range t.states.All() {
+		limit, leaving := include(s, held.Present)
 		if leaving && s.leaving || limit && (s.limited || now.Sub(s.limitEndedAt) < endReportPeriod) {
 			out = append(out, Report{
 				Target: s.target, RateLimit: s.rateLimit, Limited: s.limited, AgeMs: now.Sub(s.statedAt).Milliseconds(), Leaving: s.leaving,
@@ -188,12 +174,12 @@
 // reports whether that changes anything.
 func (t *Table) Apply(r Report, now time.Time) (changed bool) {
 	s := t.get(r.Target)
-	if s == nil {
-		if !r.Limited && !r.Leaving || t.isSuperseded(r.Target) {
-			return false
-		}
+	if s == nil && (r.Limited || r.Leaving) {
 		s = t.add(r.Target)
 	}
+	if s == nil {
+		return false
+	}
 	changed = r.Leaving && !s.leaving
 	s.leaving = s.leaving || r.Leaving
 	statedAt := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
@@ -245,28 +231,7 @@
 	return true
 }
 
-// Retain drops the state of all targets that are not in the given set, or that have begun a
-// new incarnation. That a target leaves is remembered for leavingTTL after its entry was
-// removed.
+// Retain drops what is no longer known of targets, given those that have entries.
 func (t *Table) Retain(targets map[string]*topology.Target, now time.Time) {
-	for id, s := range t.states {
-		current := targets[id]
-		if current != nil && current.Started <= s.target.Started {
-			s.removedAt = time.Time{}
-			continue
-		}
-		if current == nil && s.leaving && (s.removedAt.IsZero() || now.Sub(s.removedAt) < leavingTTL) {
-			s.endLimit(now)
-			continue
-		}
-		delete(t.states, id)
-	}
-}
-
-// endLimit reduces the state of a target whose entry was removed to its leaving.
-func (s *state) endLimit(now time.Time) {
-	if s.removedAt.IsZero() {
-		s.removedAt = now
-	}
-	s.limited, s.own = false, false
+	t.states.Retain(targets, now)
 }
--- a/policy/backpressure/backpressure_test.go
+++ b/policy/backpressure/backpressure_test.go
@@ -220,6 +220,30 @@
 	g.Expect(table.Take(target, start.Add(time.Minute))).To(BeFalse())
 	g.Expect(table.Reports(start.Add(time.Minute))).To(HaveLen(1))
 	table.Retain(nil, start.Add(2*time.Minute))
-	table.Retain(nil, start.Add(2*time.Minute+leavingTTL))
+	table.Retain(nil, start.Add(2*time.Minute+5*time.Minute))
 	g.Expect(table.AllReports(start)).To(BeEmpty())
 }
+
+// Guards against a pause or a limit that is forgotten because the target's entry lapsed and came
+// back, against one that a host reports meanwhile, and against a next incarnation that keeps it.
+func TestPauseAndLimitOutliveRemovalOfEntry(t *testing.T) {
+	g := NewWithT(t)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	entries := map[string]*topology.Target{target.ID: {ID: target.ID, Started: target.Started}}
+	table := New("host-1")
+	table.SetHosts([]string{"host-1"})
+	table.Record(target, Statement{RetryAfter: 10 * time.Second, Limited: true, RateLimit: 0.5}, at(0))
+	table.Retain(nil, at(3))
+	g.Expect(table.Reports(at(3))).To(BeEmpty())
+	table.Retain(entries, at(8))
+	wait, ok := table.MaySend(target, at(8))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(wait).To(Equal(2 * time.Second))
+	g.Expect(table.Reports(at(8))).To(HaveLen(1))
+	g.Expect(table.Take(target, at(10))).To(BeTrue())
+	g.Expect(table.Take(target, at(10))).To(BeFalse(), "the limit holds")
+	next := &topology.Target{ID: target.ID, Started: target.Started + 1}
+	table.Record(target, Statement{RetryAfter: 10 * time.Second}, at(11))
+	table.Retain(map[string]*topology.Target{target.ID: next}, at(12))
+	g.Expect(table.Take(next.Incarnation(), at(12))).To(BeTrue())
+}
--- a/policy/balance/balance.go
+++ b/policy/balance/balance.go
@@ -28,7 +28,6 @@
 
 // targetState is this host's state of one incarnation of a target.
 type targetState struct {
-	started  int64
 	inFlight int
 	failures int
 	// prefillUntil is when the target has finished the prefill of all prompts that
@@ -48,7 +47,7 @@
 type Balancer struct {
 	zone         string
 	regionOfZone map[string]string
-	targets      map[string]*targetState
+	targets      *topology.States[targetState]
 	// peerInFlight is the sum of the requests that other hosts have in flight by target.
 	peerInFlight map[string]int
 	cache        *cacheMap
@@ -60,7 +59,7 @@
 func New(zone string, regionOfZone map[string]string) *Balancer {
 	return &Balancer{
 		zone: zone, regionOfZone: regionOfZone,
-		targets:      map[string]*targetState{},
+		targets:      topology.NewStates[targetState](),
 		peerInFlight: map[string]int{}, cache: newCacheMap(), pressure: backpressure.New(""),
 	}
 }
@@ -69,23 +68,25 @@
 // according to the table.
 func (b *Balancer) UseBackpressure(table *backpressure.Table) { b.pressure = table }
 
+// state returns the state of a target. A later incarnation has lost what an earlier one had
+// cached; what is recorded of an earlier one afterwards is lost.
 func (b *Balancer) state(t *topology.Target) *targetState {
-	s := b.targets[t.ID]
-	if s == nil || s.started != t.Started {
-		s = &targetState{started: t.Started, weights: map[string]int64{}}
-		b.targets[t.ID] = s
+	s, replaced := b.targets.Add(t.Incarnation())
+	if replaced {
+		b.cache.dropHolder(t.ID)
+	}
+	if s == nil {
+		s = &targetState{}
+	}
+	if s.weights == nil {
+		s.weights = map[string]int64{}
 	}
 	return s
 }
 
-// Retain drops the state of all targets that are not in the given set and have no
-// request of this host in flight.
-func (b *Balancer) Retain(targets map[string]*topology.Target) {
-	for id, s := range b.targets {
-		if targets[id] == nil && s.inFlight == 0 {
-			delete(b.targets, id)
-		}
-	}
+// Retain drops what is no longer known of targets, given those that have entries.
+func (b *Balancer) Retain(targets map[string]*topology.Target, now time.Time) {
+	b.targets.Retain(targets, now)
 }
 
 // WeightsVersion returns the newest weights version of the model that the target is
@@ -121,7 +122,7 @@
 // RecordPrefillDone corrects the estimate when a prefill ends that was expected to end
 // at the given time.
 func (b *Balancer) RecordPrefillDone(t *topology.Target, expected, now time.Time) {
-	s := b.targets[t.ID]
+	s := b.targets.Get(t.Incarnation())
 	if s == nil || expected.IsZero() {
 		return
 	}
@@ -131,7 +132,7 @@
 
 // End counts a request that has ended.
 func (b *Balancer) End(t *topology.Target) {
-	if s := b.targets[t.ID]; s != nil {
+	if s := b.targets.Get(t.Incarnation()); s != nil {
 		s.inFlight = max(0, s.inFlight-1)
 	}
 }
@@ -178,9 +179,9 @@
 // requests.
 func (b *Balancer) Suspects(now time.Time) []string {
 	var out []string
-	for id, s := range b.targets {
+	for held, s := range b.targets.All() {
 		if s.failures >= failuresToEject && now.Before(s.ejectedUntil) {
-			out = append(out, id)
+			out = append(out, held.ID)
 		}
 	}
 	return out
@@ -199,9 +200,9 @@
 // that has any.
 func (b *Balancer) LocalInFlight() map[string]int {
 	out := map[string]int{}
-	for id, s := range b.targets {
+	for held, s := range b.targets.All() {
 		if s.inFlight > 0 {
-			out[id] = s.inFlight
+			out[held.ID] = s.inFlight
 		}
 	}
 	return out
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -252,3 +252,24 @@
 		g.Expect(New("a", zones).Pick(p, targets, nil, now).Target).To(Equal(targets[7]))
 	}
 }
+
+// Guards against what a host has learned of a target that is forgotten because the target's entry
+// lapsed and came back, and against a next incarnation that counts with it.
+func TestStateOfTargetOutlivesItsEntry(t *testing.T) {
+	g := NewWithT(t)
+	b := New("zone-a", nil)
+	now := time.Unix(1_700_000_000, 0)
+	target := &topology.Target{ID: "engine-1", Started: 1}
+	b.RecordUnresponsive(target, now)
+	b.RecordWeights(target, "model-a", 3)
+	b.RecordCacheNotice(CacheNotice{Keys: []Key{1}, TargetID: target.ID}, now)
+	b.Retain(map[string]*topology.Target{}, now)
+	b.Retain(map[string]*topology.Target{target.ID: target}, now)
+	g.Expect(b.Ejected(target, now)).To(BeTrue())
+	g.Expect(b.WeightsVersion(target, "model-a")).To(BeEquivalentTo(3))
+	g.Expect(b.Cached(1, target.ID, now)).To(BeTrue())
+	next := &topology.Target{ID: "engine-1", Started: 2}
+	g.Expect(b.Ejected(next, now)).To(BeFalse())
+	g.Expect(b.WeightsVersion(next, "model-a")).To(BeZero())
+	g.Expect(b.Cached(1, next.ID, now)).To(BeFalse())
+}
--- a/policy/topology/departures.go
+++ b/policy/topology/departures.go
@@ -2,11 +2,6 @@
 
 import "time"
 
-// departureTTL is how long the departure of a target is remembered after its entry was
-// removed. An entry that lapsed comes back when its target reaches the store again; one
-// that was removed comes back when the store is restored from an older copy.
-const departureTTL = 5 * time.Minute
-
 // departure is what is remembered of an incarnation that leaves or whose entry was removed.
 type departure struct {
 	target *Target
@@ -62,7 +57,7 @@
 func (d *Departures) Remove(t *Target, now time.Time) {
 	d.byID[t.ID] = departure{target: t, leaving: t.Leaving, removedAt: now}
 	for id, known := range d.byID {
-		if !known.removedAt.IsZero() && now.Sub(known.removedAt) > departureTTL {
+		if !known.removedAt.IsZero() && now.Sub(known.removedAt) > absentTTL {
 			delete(d.byID, id)
 		}
 	}
--- a/policy/topology/departures_test.go
+++ b/policy/topology/departures_test.go
@@ -38,11 +38,11 @@
 	now := time.Unix(0, 0)
 	other := func() *Target { return &Target{ID: "other"} }
 	d.Apply(entry(1, true))
-	d.Remove(other(), now.Add(2*departureTTL))
+	d.Remove(other(), now.Add(2*absentTTL))
 	g.Expect(d.Apply(entry(1, false))).To(BeTrue())
 	d.Remove(entry(1, true), now)
 	g.Expect(d.WasRemoved(entry(1, false))).To(BeTrue())
-	d.Remove(other(), now.Add(2*departureTTL))
+	d.Remove(other(), now.Add(2*absentTTL))
 	g.Expect(d.WasRemoved(entry(1, false))).To(BeFalse())
 	g.Expect(d.byID).To(HaveLen(1))
 }
--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -48,6 +48,8 @@
 	Leaving bool
 	// RetryAfter rejects requests and asks for a pause; zero disables it.
 	RetryAfter time.Duration
+	// RejectDelay is how long the replica takes to reject a request.
+	RejectDelay time.Duration
 	// ResumeResponse replaces the response to requests that resume a stream, unless its
 	// status is zero.
 	ResumeResponse FixedResponse
@@ -497,6 +499,7 @@
 		r.recordShed(arrival)
 	}
 	if status == http.StatusMisdirectedRequest || status == http.StatusServiceUnavailable {
+		time.Sleep(faults.RejectDelay)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(status)
 		return
--- a/test/site/backpressure_test.go
+++ b/test/site/backpressure_test.go
@@ -222,3 +222,49 @@
 		})
 	}
 }
+
+// Guards against a pause or a limit that is forgotten because the target's entry lapses and comes
+// back while the target goes on.
+func TestBackpressureOutlivesTheEntry(t *testing.T) {
+	t.Parallel()
+	const pause = 5 * time.Second
+	// The target takes so long that many requests are on their way before its next answer.
+	const delay = 200 * time.Millisecond
+	for name, faults := range map[string]standin.ReplicaFaults{"pause": {RetryAfter: pause, RejectDelay: delay}, "limit": {RateLimit: "2"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			needy, address := f.startReplica(standin.ReplicaOptions{ID: "needy", Service: deskService, ProcessingTime: delay})
+			f.startSlowDesk("other")
+			needy.SetFaults(faults)
+			hosts := []*host{f.startHost("host-1")}
+			begin := time.Now()
+			time.AfterFunc(time.Second, func() { f.store.Delete("servers", "needy") })
+			time.AfterFunc(2*time.Second, func() { _ = needy.Register(f.store, address, "ready") })
+			statuses := f.sendSteadily(hosts, orderRequest, 10*time.Millisecond, pause)
+			f.g.Expect(statuses[http.StatusOK]).To(BeNumerically(">", 0))
+			arrivals := needy.Arrivals()
+			f.g.Expect(arrivals).NotTo(BeEmpty())
+			if name == "limit" {
+				f.g.Expect(maxInWindow(arrivals, begin.Add(reactionTime))).To(BeNumerically("<=", allowedInWindow(2)))
+				return
+			}
+			asked := arrivals[0].At
+			f.g.Expect(arrivalsBetween(needy, asked.Add(reactionTime), asked.Add(pause))).To(BeNumerically("<=", 2))
+		})
+	}
+}
+
+// Guards against a target that restarts during its pause and gets no request until the pause of
+// its earlier incarnation ends.
+func TestRestartedTargetOwesNoPause(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	desk, address := f.startReplica(standin.ReplicaOptions{ID: "desk-1", Service: deskService})
+	desk.SetFaults(standin.ReplicaFaults{RetryAfter: time.Minute})
+	h := f.startHost("host-1")
+	f.g.Eventually(func() int { return f.send(h, orderRequest).status }, "3s", "20ms").Should(Equal(http.StatusServiceUnavailable))
+	desk.SetFaults(standin.ReplicaFaults{})
+	f.g.Expect(desk.Restart(f.store, address)).To(Succeed())
+	f.g.Eventually(func() int { return f.send(h, orderRequest).status }, "2s", "20ms").Should(Equal(http.StatusOK))
+}
