forward: a lapsed entry is no crash while its target reports

A target that was slow and cut from the store counted as crashed: responses that did not come in time, followed by the removal of its entry, were evidence against the prompts' parts, which three such targets put in quarantine.

Now the host asks such a target for a sign of life. One that reports as the same incarnation has not crashed; one from which nothing comes has, as before. Times at which weights are ordered again are dropped once they have passed; they were kept for each ID for good.

--- a/internal/forward/crash_check.go
+++ b/internal/forward/crash_check.go
@@ -62,6 +62,8 @@
 	signs     quarantine.CrashCheck
 	// scheduled means that a sign is asked for soon.
 	scheduled bool
+	// absent means that the target's entry is gone.
+	absent bool
 }
 
 // add adds a response in place of the oldest one for which no request waits if there are too
@@ -94,6 +96,15 @@
 	k.take(func(e *endedResponse) bool { return e.verdict == nil && now.Sub(e.at) >= quarantine.MaxEvidenceAge })
 }
 
+// verdictOn returns the verdict on a target on which the signs alone have one. A target without
+// an entry from which nothing comes has ended.
+func (k *crashCheck) verdictOn(v quarantine.Verdict) quarantine.Verdict {
+	if k.absent && v == quarantine.Undecided {
+		return quarantine.Crashed
+	}
+	return v
+}
+
 // settle applies the verdict after a sign that was asked for at a time, and returns the
 // responses that it settles. A sign of life says nothing of a response that ended later. again
 // means that another sign is due for such a response.
@@ -102,7 +113,7 @@
 	case quarantine.Crashed:
 		return k.take(func(*endedResponse) bool { return true }), false
 	case quarantine.Alive:
-		settled = k.take(func(e *endedResponse) bool { return e.end != endMissing && !e.at.After(asked) })
+		settled = k.take(func(e *endedResponse) bool { return (e.end != endMissing || k.absent) && !e.at.After(asked) })
 	case quarantine.Undecided: // the target's entry may still decide
 		for i := range k.responses {
 			if e := &k.responses[i]; !e.at.After(asked) {
@@ -119,8 +130,8 @@
 // connections are reset, so that the end alone shows no crash.
 func (r *Router) recordBrokenOff(c *call, p *plan) { r.recordEnded(c, p, endBroken) }
 
-// recordMissing records a crash if the target's entry soon shows that it has ended: a machine
-// that fails does not close its connections.
+// recordMissing records a crash if the target's entry is soon replaced, or removed and nothing
+// comes from the target: a machine that fails does not close its connections.
 func (r *Router) recordMissing(c *call, p *plan) { r.recordEnded(c, p, endMissing) }
 
 func (r *Router) recordEnded(c *call, p *plan, end responseEnd) {
@@ -168,6 +179,7 @@
 		time.AfterFunc(delay, func() { r.checkCrash(id) })
 		return
 	}
+	verdict = check.verdictOn(verdict)
 	settled, again := check.settle(verdict, asked)
 	check.scheduled = again
 	if verdict == quarantine.Crashed {
@@ -250,26 +262,36 @@
 	return quarantine.SignSilent, err
 }
 
-// resolveReplaced ends the checks of targets whose entries show by now that they have ended.
-// The caller holds the mutex.
+// resolveReplaced ends the checks of targets whose entries show by now that another incarnation
+// has taken their place, and asks those whose entries are gone for a sign of life: an entry also
+// lapses if its target does not reach the store. The caller holds the mutex.
 func (r *Router) resolveReplaced(targets map[string]*topology.Target, now time.Time) {
 	for id, check := range r.crashChecks {
 		check.expire(now)
 		current := targets[id.ID]
-		if current != nil && current.SameIncarnation(check.target) {
+		check.absent = current == nil
+		switch {
+		case current != nil && !current.SameIncarnation(check.target), current == nil && check.target.Leaving:
+			r.resolveByEntry(id, check)
+		case len(check.responses) == 0 && !check.scheduled:
+			delete(r.crashChecks, id)
+		case current != nil:
 			check.target = current // it may leave
-			if len(check.responses) == 0 && !check.scheduled {
-				delete(r.crashChecks, id)
-			}
-			continue
-		}
-		verdict := quarantine.Crashed
-		if check.target.Leaving {
-			verdict = quarantine.Undecided
-		}
-		delete(r.crashChecks, id)
-		if len(check.responses) > 0 {
-			go r.resolve(check.target, check.responses, verdict)
+		case !check.scheduled:
+			check.scheduled, check.signs = true, quarantine.CrashCheck{}
+			go r.checkCrash(id)
 		}
 	}
 }
+
+// resolveByEntry ends a check: the target has crashed unless it left. The caller holds the mutex.
+func (r *Router) resolveByEntry(id topology.Incarnation, check *crashCheck) {
+	delete(r.crashChecks, id)
+	verdict := quarantine.Crashed
+	if check.target.Leaving {
+		verdict = quarantine.Undecided
+	}
+	if len(check.responses) > 0 {
+		go r.resolve(check.target, check.responses, verdict)
+	}
+}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -308,5 +309,7 @@
 func (c *Controller) scheduleRetry(id string, after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.retryAt[id] = time.Now().Add(after)
+	now := time.Now()
+	maps.DeleteFunc(c.retryAt, func(_ string, at time.Time) bool { return !at.After(now) })
+	c.retryAt[id] = now.Add(after)
 }
--- a/test/site/quarantine_test.go
+++ b/test/site/quarantine_test.go
@@ -222,3 +222,19 @@
 	f.g.Expect(countRunsWith(deadlyPart, engines)).To(Equal(3))
 	f.g.Eventually(func() int { return f.send(h, promptRequest("/brief/1")).status }, "5s", "50ms").Should(Equal(http.StatusOK))
 }
+
+// Guards against an engine that is slow and does not reach the store for a while, and whose
+// lapsed entry counts as a crash under the prompts that it did not answer in time.
+func TestLapsedEntryOfALiveEngineIsNoCrash(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	engine := f.startEngine("engine-1", 3)
+	engine.SetFaults(standin.ReplicaFaults{StallAfterHead: true})
+	h := f.startHost("host-1")
+	q := promptRequest("/brief/1")
+	q.header["X-Deadline-Ms"] = "300"
+	f.g.Expect(f.send(h, q).status).To(Equal(http.StatusGatewayTimeout))
+	f.store.Delete("servers", "engine-1")
+	f.g.Eventually(h.log.String, "3s", "20ms").Should(ContainSubstring("checked whether a target crashed"))
+	f.g.Consistently(h.log.String, "1s", "50ms").ShouldNot(ContainSubstring("a target ended while it worked on a request"))
+}
