--- a/standin/site/replica.go
+++ b/standin/site/replica.go
@@ -226,6 +226,8 @@
 	Version  string       `json:"version"`
 	Slots    int          `json:"slots"`
 	State    string       `json:"state"`
+	WarmUpMs float64      `json:"cold_left_ms"`
+	Stage    string       `json:"stage,omitempty"`
 	Models   []modelState `json:"models,omitempty"`
 	Sequence int64        `json:"seq"`
 	Started  int64        `json:"born"`
@@ -240,7 +242,7 @@
 		Slots: 8, State: state, Sequence: r.sequence, Started: r.started,
 	}
 	if r.options.Model != "" {
-		reg.Models = []modelState{{r.options.Model, r.weightsVersion}}
+		reg.Stage, reg.Models = "colocated", []modelState{{r.options.Model, r.weightsVersion}}
 	}
 	r.mu.Unlock()
 	value, err := json.Marshal(reg)
--- a/test/site/fixture_test.go
+++ b/test/site/fixture_test.go
@@ -189,7 +189,10 @@
 // service, and the models of an engine.
 func (f *fixture) registerTarget(id, address string, entry object) {
 	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = address, "zone-a", "ready", 8, 1
-	entry["version"], entry["seq"] = "v1", 1
+	entry["version"], entry["seq"], entry["cold_left_ms"] = "v1", 1, 0
+	if entry["models"] != nil {
+		entry["stage"] = "colocated"
+	}
 	value, err := json.Marshal(entry)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.store.Put("servers", id, value)
--- a/test/site/hundred_hosts_test.go
+++ b/test/site/hundred_hosts_test.go
@@ -81,7 +81,7 @@
 	for i := range manyTargets {
 		entry, err := json.Marshal(object{
 			"service": "archive", "address": fmt.Sprintf("127.0.0.1:%d", 20000+i), "zone": f.zones[i%len(f.zones)], "version": "v1",
-			"slots": 8, "state": "ready", "seq": 1, "born": 1,
+			"slots": 8, "state": "ready", "seq": 1, "born": 1, "cold_left_ms": 0,
 		})
 		f.g.Expect(err).NotTo(HaveOccurred())
 		f.store.Put("servers", fmt.Sprintf("target-%04d", i), entry)
--- a/test/site/odd_entries_test.go
+++ b/test/site/odd_entries_test.go
@@ -19,7 +19,7 @@
 	f.startDesk("desk-1")
 	h := f.startHost("host-1")
 	entry := func(address, slots, started string) []byte {
-		return []byte(`{"service":"desk","address":` + address + `,"zone":"zone-a","version":"v1","state":"ready","seq":1,"slots":` + slots + `,"born":` + started + `}`)
+		return []byte(`{"service":"desk","address":` + address + `,"zone":"zone-a","version":"v1","state":"ready","seq":1,"cold_left_ms":0,"slots":` + slots + `,"born":` + started + `}`)
 	}
 	const deep = 30_000 // two bytes a level, within the store's row size
 	odd := map[string][]byte{
@@ -37,6 +37,7 @@
 		"path":         entry(`"127.0.0.1:1/x?y"`, "8", "1"),
 		"id\nwith\r":   entry(`"127.0.0.1:1"`, "8", "1"),
 		"incomplete":   []byte(`{"service":"desk","address":"127.0.0.1:1","zone":"zone-a","state":"ready"}`),
+		"no-warm-up":   []byte(`{"service":"desk","address":"127.0.0.1:1","zone":"zone-a","version":"v1","state":"ready","seq":1,"slots":8,"born":1}`),
 		"binary":       {0xff, 0xfe, 0x00},
 		"empty":        {},
 	}
--- a/test/site/repeated_refusal_test.go
+++ b/test/site/repeated_refusal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -83,11 +82,7 @@
 			go r.serve(conn)
 		}
 	}()
-	entry["address"], entry["zone"], entry["state"], entry["slots"], entry["born"] = listener.Addr().String(), "zone-a", "ready", 8, 1
-	entry["version"], entry["seq"] = "v1", 1
-	value, err := json.Marshal(entry)
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.store.Put("servers", "repeating", value)
+	f.registerTarget("repeating", listener.Addr().String(), entry)
 }
 
 // isPromise reports whether a status tells the caller that the request was not run.
--- a/test/site/weights_test.go
+++ b/test/site/weights_test.go
@@ -146,7 +146,7 @@
 	engine.SetFaults(standin.ReplicaFaults{LoseReports: true})
 	entry, err := json.Marshal(object{
 		"service": engineService, "address": address, "zone": "zone-a", "version": "v1", "state": "ready", "slots": 8, "seq": 1, "born": 1,
-		"models": []any{object{"name": model, "version": 2}},
+		"cold_left_ms": 0, "stage": "colocated", "models": []any{object{"name": model, "version": 2}},
 	})
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.store.Put("servers", "engine-1", entry)
