platform: an empty list of client accounts admits nobody

Cause: only a configuration without the list has no keys. The decoder did not keep whether the document has the list, and KeysRequired asked whether it has entries, so that withdrawing the last account opened every route.

No account owns the empty key, which requests without one have. The log says whether keys are required.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -28,7 +28,7 @@
 	if c.route == nil {
 		return notExecutedFailure(http.StatusNotFound, "no route matches", 0)
 	}
-	if s.Config.KeysRequired() && !c.route.Public {
+	if s.Config.KeysRequired && !c.route.Public {
 		if c.account = s.Config.Account(c.meta.ClientKey); c.account == nil {
 			return notExecutedFailure(http.StatusUnauthorized, "the key is unknown", 0)
 		}
--- a/internal/view/apply.go
+++ b/internal/view/apply.go
@@ -54,7 +54,7 @@
 		v.config = config
 		v.documents[r.Key] = document{r, config.Version}
 		v.log.Info("configuration in force", "version", config.Version, "row_version", r.Version,
-			"routes", len(config.Routes), "accounts", len(config.Accounts))
+			"routes", len(config.Routes), "accounts", len(config.Accounts), "keys_required", config.KeysRequired)
 	case desired != nil && desired.Version > v.desired[desired.Model].Version:
 		before := v.desired[desired.Model]
 		before.Model = desired.Model
--- a/policy/topology/topology.go
+++ b/policy/topology/topology.go
@@ -122,7 +122,10 @@
 	Services map[string]*Service
 	Limits   Limits
 	Routes   []*Route
-	Accounts []*Account
+	// KeysRequired means that requests need the API key of a client account, except on public
+	// routes. It may be true without an account: then nobody has a key.
+	KeysRequired bool
+	Accounts     []*Account
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
@@ -189,12 +192,14 @@
 	return nil
 }
 
-// Account returns the client account that owns the API key, or nil.
-func (c *Config) Account(key string) *Account { return c.byKey[key] }
-
-// KeysRequired reports whether the configuration has client accounts, so that requests
-// need an API key.
-func (c *Config) KeysRequired() bool { return len(c.Accounts) > 0 }
+// Account returns the client account that owns the API key, or nil. No account owns the empty
+// key, which requests without one have.
+func (c *Config) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return c.byKey[key]
+}
 
 // KVStore returns the KV store of the engines, or nil. If there are several, it returns
 // the first by name.
