exchange: a hub answers for hosts that it adopted only while it tells of the fleet

Cause: a host that joins adopts the records of the whole fleet from a seed. As a hub, it hears from that seed of the seed's members only, but kept the adopted record of a dead host alive as long as it heard the seed. All that counts live hosts asks the same record: shares of limits, retry budgets, reach of the store.

Change: hostState.adopted. An adopted record lives as long as the hub of this host tells of the fleet. What a hub tells of its members replaces an adopted record of the same round, so that no live host is lost for a moment.

--- a/policy/exchange/hosts.go
+++ b/policy/exchange/hosts.go
@@ -14,8 +14,11 @@
 // hostState is what a node knows of another host.
 type hostState struct {
 	HostRecord
-	// via is the hub that has told of the host; empty if the host itself did.
-	via string
+	// via is the hub that has told of the host; empty if the host itself did. adopted means that
+	// it did so as the hub of this host, which tells of the whole fleet. To other hubs it tells
+	// of its members alone.
+	via     string
+	adopted bool
 	// heardAt is when the host itself was last heard.
 	heardAt time.Time
 	// lost means that the host itself or the hub that told of it has become silent.
@@ -53,8 +56,8 @@
 		return r.Round > h.Round
 	}
 	// What another hub tells of the same round is news only if nobody else tells of the host
-	// any more, or if that hub has lost it.
-	return h.lost || h.via == via || r.Status.Has(Unresponsive)
+	// any more, or only the hub of this host did, or if that hub has lost it.
+	return h.lost || h.via == via || h.adopted || r.Status.Has(Unresponsive)
 }
 
 // neverHeard reports whether only the store lists the host.
@@ -87,7 +90,7 @@
 	before, beforeVia := h.status(), h.via
 	changed := h.Host != r.Host
 	returned := via == "" && h.next != nil // it has reported to another hub in between
-	h.HostRecord, h.via, h.lost, h.next = r, via, false, nil
+	h.HostRecord, h.via, h.adopted, h.lost, h.next = r, via, false, false, nil
 	if via == "" {
 		h.heardAt = now
 	}
@@ -110,7 +113,7 @@
 		t.byID[r.Host.ID] = h
 	}
 	before, changed := h.status(), h.Host != r.Host
-	h.HostRecord, h.via, h.lost = r, hub, false
+	h.HostRecord, h.via, h.adopted, h.lost = r, hub, true, false
 	after := h.status()
 	if changed || before != after {
 		h.changed = state
@@ -126,7 +129,7 @@
 func (t *hostTable) setLost(match func(*hostState) bool, state uint64, now time.Time) {
 	for _, h := range t.byID {
 		if !h.lost && match(h) && h.next != nil && h.next.Round > h.Round {
-			h.HostRecord, h.via, h.next = h.next.HostRecord, h.next.via, nil
+			h.HostRecord, h.via, h.adopted, h.next = h.next.HostRecord, h.next.via, false, nil
 			h.changed = state
 			t.version++
 		}
--- a/policy/exchange/node.go
+++ b/policy/exchange/node.go
@@ -319,7 +319,7 @@
 	if n.up != nil && n.up.id == h.via {
 		return now.Sub(n.up.repliedAt) > liveTimeout
 	}
-	if s := n.sources[h.via]; s != nil {
+	if s := n.sources[h.via]; s != nil && !h.adopted {
 		return now.Sub(s.heardAt) > liveTimeout
 	}
 	return now.Sub(n.informedAt) > liveTimeout // told by the hub of this host until recently
