--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,7 +50,7 @@
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { p.free() }()
+	defer func() { p.free() }() // it changes once the attempt has a connection
 	w := r.startWatchdog(c, p, cancel)
 	defer w.stop()
 	r.trackPrompt(&promptAttempt{call: c, plan: p, watchdog: w, cancel: cancel})
--- a/test/site/unframed_test.go
+++ b/test/site/unframed_test.go
@@ -113,9 +113,15 @@
 	sound, _ := f.startUnframedEngine("engine-2")
 	crashing.SetFaults(standin.ReplicaFaults{CrashPart: deadlyPart})
 	h := f.startHost("host-1")
+	f.sendUntilCrash(h, crashing, sound)
+}
+
+// sendUntilCrash sends prompts that are cached at no engine until one of them crashes an engine.
+// Each must be answered whole, and run once at the sound engine.
+func (f *fixture) sendUntilCrash(h *host, crashing, sound *standin.Replica) {
 	f.g.Eventually(func() int {
 		q := deadlyPrompt("/query/d")
-		q.header["X-Prefix-Hash"] = fmt.Sprintf("%08x:300,", rand.Uint32()) + q.header["X-Prefix-Hash"] // not cached at an engine
+		q.header["X-Prefix-Hash"] = fmt.Sprintf("%08x:300,", rand.Uint32()) + q.header["X-Prefix-Hash"]
 		r := f.send(h, q)
 		f.g.Expect(r.err).NotTo(HaveOccurred())
 		f.g.Expect(r.status).To(Equal(http.StatusOK), r.body)
@@ -162,17 +168,9 @@
 	t.Parallel()
 	f := newFixture(t)
 	crashing := f.startCrashingUnframedEngine("engine-1")
-	f.startUnframedEngine("engine-2")
+	sound, _ := f.startUnframedEngine("engine-2")
 	h := f.startHost("host-1")
-	f.g.Eventually(func() int {
-		q := deadlyPrompt("/query/d")
-		q.header["X-Prefix-Hash"] = fmt.Sprintf("%08x:300,", rand.Uint32()) + q.header["X-Prefix-Hash"] // not cached at an engine
-		r := f.send(h, q)
-		f.g.Expect(r.err).NotTo(HaveOccurred())
-		f.g.Expect(r.status).To(Equal(http.StatusOK), r.body)
-		f.g.Expect(r.body).To(Equal(standin.StreamBody(3)))
-		return len(crashing.Executions())
-	}, "5s", "5ms").Should(Equal(1))
+	f.sendUntilCrash(h, crashing, sound)
 }
 
 // Guards against a complete unframed stream that is broken off because its engine left in order
