forward: only unframed responses ask whether their target leaves

confirmEnd took the router's mutex for each response, framed ones included, to learn what completion.Progress.Check needs of unframed ones alone. No decision changes; the tests of unframed responses pass.

--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -16,8 +16,9 @@
 // confirmEnd returns an error if a response that its target has ended without an error is not
 // complete. It is called before the caller's response ends.
 func (r *Router) confirmEnd(ctx context.Context, c *call, p *plan, resp *http.Response, stream bool) error {
+	unframed := httpclient.IsUnframed(resp)
 	needed, err := c.progress.Check(completion.End{
-		Stream: stream, HeadOnly: c.req.Method == http.MethodHead, Unframed: httpclient.IsUnframed(resp), TargetLeaves: r.leaves(p.target),
+		Stream: stream, HeadOnly: c.req.Method == http.MethodHead, Unframed: unframed, TargetLeaves: unframed && r.leaves(p.target),
 	})
 	if err != nil || needed == completion.NoProof {
 		return err
