--- a/policy/topology/states.go
+++ b/policy/topology/states.go
@@ -23,7 +23,8 @@
 //
 // Invariants: a state belongs to an incarnation, not to its entry, and is kept while the entry
 // is gone, for absentTTL at most. Once a later incarnation is known, nothing of an earlier one
-// is kept or added, unless the entry contradicts it for maxEntryLag. At most maxAbsent states are of incarnations without an entry.
+// is kept or added, unless the entry contradicts it for maxEntryLag. At most maxAbsent states
+// are of incarnations without an entry.
 type States[S any] struct {
 	byID map[string]*held[S]
 }
