review: case 13 with one disruption instead of two

The host that lists the table anew is now stopped and started as planned work; only the other host's cut from the store is a disruption (DRAIN; RowsAfter and applyPeerRows in internal/view/table.go).

--- a/review/common-3/removal.go
+++ b/review/common-3/removal.go
@@ -9,23 +9,25 @@
 	"github.com/sequoiaroad/sequoiaroad/standin/relay"
 )
 
-// Dimensions of the case "removal", counted from the cut.
+// Dimensions of the case "removal".
 const (
-	killAt   = 300 * time.Millisecond
-	removeAt = 800 * time.Millisecond
-	startAt  = 1500 * time.Millisecond
-	healAt   = 5400 * time.Millisecond
-	// bookAt is longer than contactTime after healAt.
-	bookAt   = 8700 * time.Millisecond
+	// cutAfterStop is when one host is cut off after the other one got SIGTERM, and cutFor how
+	// long it stays so.
+	cutAfterStop = 2 * time.Second
+	cutFor       = 5400 * time.Millisecond
+	// restartPause is how long the platform waits before it starts a process again.
+	restartPause = 500 * time.Millisecond
+	// quiet is how long after the cut no booking is sent. It is longer than contactTime.
+	quiet    = contactTime + 300*time.Millisecond
 	bookings = 32
-	// lastsAfterBook is how long the replica that leaves goes on serving after bookAt.
-	lastsAfterBook = 45 * time.Millisecond
+	// exitDelay is when the replica that leaves exits after the bookings were sent.
+	exitDelay = 45 * time.Millisecond
 )
 
-// removalCase cuts one of two hosts off from the store for a moment, while the other one is
-// killed and starts again. Meanwhile a plain replica leaves, whose entry is removed, and another
-// one has come. Later, with both hosts in touch, no booking may reach the one that left. Without
-// the trouble no host is cut off or killed.
+// removalCase cuts one of two hosts off from the store for a moment, while the other one is stopped
+// and started again as planned. Meanwhile a plain replica leaves, whose entry is removed, and another
+// one comes. Later, with both hosts in touch, no booking may reach the one that left. Without
+// the trouble no host is cut off.
 func removalCase(s *site) (bool, error) {
 	if err := s.putConfig(); err != nil {
 		return false, err
@@ -63,16 +65,20 @@
 	if a := cut.send(http.MethodPost, "/book/1", nil); a.status != http.StatusOK {
 		return false, fmt.Errorf("before the cut: %s", a.String())
 	}
-	begin := time.Now()
-	wait := func(until time.Duration) { time.Sleep(until - time.Since(begin)) }
+	s.note("%s gets SIGTERM", restarted.id)
+	if err := restarted.terminate(); err != nil {
+		return false, err
+	}
+	time.Sleep(cutAfterStop)
 	if s.trouble {
 		s.note("%s is cut off from the store", cut.id)
 		link.Cut(relay.Drop)
-		wait(killAt)
-		s.note("%s is killed", restarted.id)
-		restarted.kill()
 	}
-	wait(removeAt)
+	cutAt := time.Now()
+	if err := restarted.awaitExit(); err != nil {
+		return false, err
+	}
+	s.note("%s has exited", restarted.id)
 	leaving := replicas[0]
 	if err := leaving.sayLeaving(); err != nil {
 		return false, err
@@ -82,29 +88,27 @@
 	if err := add(); err != nil {
 		return false, err
 	}
-	wait(startAt)
-	if s.trouble {
-		s.note("%s starts again", restarted.id)
-		if err := restarted.start(); err != nil {
-			return false, err
-		}
+	time.Sleep(restartPause)
+	s.note("%s starts again", restarted.id)
+	if err := restarted.start(); err != nil {
+		return false, err
 	}
 	if err := restarted.awaitReady(); err != nil {
 		return false, err
 	}
-	wait(healAt)
+	time.Sleep(cutFor - time.Since(cutAt))
 	if s.trouble {
 		s.note("%s reaches the store again", cut.id)
 		link.Restore()
 	}
-	wait(bookAt)
+	time.Sleep(quiet)
 	s.note("both hosts are in touch; %d bookings are sent to %s", bookings, cut.id)
 	answers := make([]answer, bookings)
 	var running sync.WaitGroup
 	for i := range answers {
 		running.Go(func() { answers[i] = cut.send(http.MethodPost, "/book/1", nil) })
 	}
-	time.Sleep(lastsAfterBook)
+	time.Sleep(exitDelay)
 	leaving.kill()
 	s.note("%s has exited", leaving.id)
 	running.Wait()
--- a/review/common-3/site.go
+++ b/review/common-3/site.go
@@ -325,6 +325,26 @@
 	<-exited
 }
 
+// terminate sends SIGTERM to the host's process.
+func (h *host) terminate() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process.Process.Signal(syscall.SIGTERM)
+}
+
+// awaitExit waits until the host's process has ended.
+func (h *host) awaitExit() error {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(startTimeout):
+		return fmt.Errorf("host %s does not exit", h.id)
+	}
+}
+
 // startHosts starts all hosts and waits until they are ready.
 func (s *site) startHosts() error {
 	for _, h := range s.hosts {
