review: an answer without the replica's stamp is passed on as a success

At fault: exchange in internal/forward/attempt.go and Codec.Response in platform/headers.go, which know no stamp.

--- a/review/common-3/main.go
+++ b/review/common-3/main.go
@@ -21,6 +21,7 @@
 	"restart": restartCase,
 	"writer":  writerCase,
 	"removal": removalCase,
+	"stamp":   stampCase,
 }
 
 func main() {
--- a/review/common-3/replica.go
+++ b/review/common-3/replica.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,7 +34,9 @@
 	interval time.Duration
 	// unframed answers have neither a length nor chunks and end with their channel.
 	unframed bool
-	born     int64
+	// spoils is the share of its plain answers that come without a stamp and with wrong bytes.
+	spoils float64
+	born   int64
 }
 
 // replica is a replica with its process, as the platform and the case see it.
@@ -72,7 +75,7 @@
 		return nil, err
 	}
 	r.process = exec.Command(program, replicaCommand, "-id", o.id, "-listen", o.address, "-events", strconv.Itoa(o.events),
-		"-interval", o.interval.String(), "-unframed="+strconv.FormatBool(o.unframed), "-born", strconv.FormatInt(o.born, 10))
+		"-interval", o.interval.String(), "-unframed="+strconv.FormatBool(o.unframed), "-spoils", strconv.FormatFloat(o.spoils, 'f', -1, 64), "-born", strconv.FormatInt(o.born, 10))
 	r.process.Stderr = os.Stderr
 	out, err := r.process.StdoutPipe()
 	if err != nil {
@@ -193,6 +196,9 @@
 	r.site.note("the store has removed the entry of %s", r.id)
 }
 
+// spoiledBytes is the size of a spoiled answer.
+const spoiledBytes = 800
+
 // server is the replica's process.
 type server struct {
 	replicaOptions
@@ -209,6 +215,7 @@
 	flags.IntVar(&s.events, "events", 0, "events of a stream; zero for plain answers")
 	flags.DurationVar(&s.interval, "interval", 0, "time between pieces")
 	flags.BoolVar(&s.unframed, "unframed", false, "answers have neither length nor chunks")
+	flags.Float64Var(&s.spoils, "spoils", 0, "share of plain answers without a stamp and with wrong bytes")
 	flags.Int64Var(&s.born, "born", 0, "start in Unix milliseconds")
 	if err := flags.Parse(args); err != nil {
 		return statusFailed
@@ -304,6 +311,11 @@
 	if s.unframed {
 		h.Set("Transfer-Encoding", "identity") // net/http sends no framing then
 	}
+	if s.events == 0 && rand.Float64() < s.spoils {
+		h.Del("X-Response-Stamp")
+		s.writePiece(w, req.Context(), id, 1, strings.Repeat("\x00\xff", spoiledBytes/2))
+		return
+	}
 	if s.events == 0 {
 		h.Set("Content-Type", "text/plain")
 		s.writePiece(w, req.Context(), id, 1, firstHalf(id))
--- a/review/common-3/restart.go
+++ b/review/common-3/restart.go
@@ -26,7 +26,7 @@
 // chunks, one after the other; each is started again at once. No answer may end as complete
 // without its second half. Without the trouble no replica crashes.
 func restartCase(s *site) (bool, error) {
-	if _, err := s.startPlain(plainReplicas, true); err != nil {
+	if _, err := s.startPlain(plainReplicas, true, 0); err != nil {
 		return false, err
 	}
 	clients := s.startClients()
--- a/review/common-3/writer.go
+++ b/review/common-3/writer.go
@@ -20,7 +20,7 @@
 // an entry of that replica that lacks a field. No request may reach the replica later than
 // drainBound after its notice. Without the trouble the other writer writes nothing.
 func writerCase(s *site) (bool, error) {
-	replicas, err := s.startPlain(plainReplicas, false)
+	replicas, err := s.startPlain(plainReplicas, false, 0)
 	if err != nil {
 		return false, err
 	}
@@ -74,16 +74,24 @@
 	return late > 0, nil
 }
 
-// startPlain starts plain replicas and two hosts, and waits until they are in touch.
-func (s *site) startPlain(count int, unframed bool) ([]*replica, error) {
+// faultyReplicas is the number of replicas that may spoil answers, 0.25 of plainReplicas.
+const faultyReplicas = 2
+
+// startPlain starts plain replicas and two hosts, and waits until they are in touch. The faulty
+// replicas spoil a share of their answers.
+func (s *site) startPlain(count int, unframed bool, spoils float64) ([]*replica, error) {
 	if err := s.putConfig(); err != nil {
 		return nil, err
 	}
 	var replicas []*replica
 	for i := range count {
-		r, err := s.startReplica(replicaOptions{
+		o := replicaOptions{
 			id: fmt.Sprintf("i-desk-%d", i), service: plainService, zone: []string{"zone-a", "zone-b"}[i%2], interval: plainInterval, unframed: unframed,
-		})
+		}
+		if i < faultyReplicas {
+			o.spoils = spoils
+		}
+		r, err := s.startReplica(o)
 		if err != nil {
 			return nil, err
 		}
