--- a/review/common-3/writer.go
+++ b/review/common-3/writer.go
@@ -12,8 +12,9 @@
 	// strangeDelay is when the other writer writes after the notice. It is longer than
 	// drainBound, and lies between two heartbeats of the replica.
 	strangeDelay = 3 * time.Second
-	// lingering is how long the replica goes on serving after its notice.
-	lingering = 3100 * time.Millisecond
+	// lingering is how long the replica goes on serving after its notice at most. It exits sooner
+	// once it works on a request after the other writer has written.
+	lingering = 3500 * time.Millisecond
 )
 
 // writerCase lets a plain replica leave while clients send requests. Another writer then writes
@@ -46,7 +47,10 @@
 		s.store.Put("servers", leaving.id, value)
 		s.note("another writer has written, as the entry of %s: %s", leaving.id, value)
 	}
-	time.Sleep(lingering - time.Since(noticeAt))
+	for time.Since(noticeAt) < lingering && (!s.trouble || leaving.running() == 0) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(plainInterval / 2)
 	stopHeartbeat()
 	leaving.remove()
 	leaving.kill()
