review: prompts nested in more levels keep a crashing part out of quarantine

Case 13 shows that more than three requests with a part that crashes replicas reach them later than contact_ms after the fifth crash (BUDGET), if each prompt shares one level less with the ones before. At fault: suspects and judge in policy/quarantine, which take away one level with each crash and never convict the part that was in all of them.

The code that the cases share changes with it.

--- a/review/common-3/leaving.go
+++ b/review/common-3/leaving.go
@@ -89,7 +89,7 @@
 func (s *site) busiest() *replica {
 	var best *replica
 	most := -1
-	for _, r := range s.replicas {
+	for _, r := range s.all() {
 		if n := r.running(); !r.hasEnded() && n > most {
 			best, most = r, n
 		}
@@ -100,7 +100,7 @@
 // made returns the last event that any replica has made for a request.
 func (s *site) made(id string) int {
 	last := 0
-	for _, r := range s.replicas {
+	for _, r := range s.all() {
 		for _, t := range r.told() {
 			if t.ID == id && t.What == "event" {
 				last = max(last, t.Piece)
--- a/review/common-3/main.go
+++ b/review/common-3/main.go
@@ -17,11 +17,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*site) (broken bool, err error){
-	"leaving": leavingCase,
-	"restart": restartCase,
-	"writer":  writerCase,
-	"removal": removalCase,
-	"stamp":   stampCase,
+	"leaving":  leavingCase,
+	"restart":  restartCase,
+	"levels":   levelsCase,
+	"comeback": comebackCase,
+	"removal":  removalCase,
 }
 
 func main() {
--- a/review/common-3/replica.go
+++ b/review/common-3/replica.go
@@ -8,12 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,9 +34,12 @@
 	interval time.Duration
 	// unframed answers have neither a length nor chunks and end with their channel.
 	unframed bool
-	// spoils is the share of its plain answers that come without a stamp and with wrong bytes.
-	spoils float64
-	born   int64
+	// crashPart is the part of prompts, if it is not the last, on which it crashes as it begins to
+	// write an answer; empty means none.
+	crashPart string
+	// rejectFor is how long after its start it turns requests away, and pause what it asks for then.
+	rejectFor, pause time.Duration
+	born             int64
 }
 
 // replica is a replica with its process, as the platform and the case see it.
@@ -54,7 +57,7 @@
 // run is one line of what a replica tells of a request.
 type run struct {
 	ID    string    `json:"id"`
-	What  string    `json:"what"` // arrived, event or ended
+	What  string    `json:"what"` // arrived, event, ended, crash, reached or rejected
 	Piece int       `json:"piece"`
 	At    time.Time `json:"at"`
 }
@@ -75,7 +78,8 @@
 		return nil, err
 	}
 	r.process = exec.Command(program, replicaCommand, "-id", o.id, "-listen", o.address, "-events", strconv.Itoa(o.events),
-		"-interval", o.interval.String(), "-unframed="+strconv.FormatBool(o.unframed), "-spoils", strconv.FormatFloat(o.spoils, 'f', -1, 64), "-born", strconv.FormatInt(o.born, 10))
+		"-interval", o.interval.String(), "-unframed="+strconv.FormatBool(o.unframed), "-crash-part", o.crashPart,
+		"-reject-for", o.rejectFor.String(), "-pause", o.pause.String(), "-born", strconv.FormatInt(o.born, 10))
 	r.process.Stderr = os.Stderr
 	out, err := r.process.StdoutPipe()
 	if err != nil {
@@ -196,12 +200,10 @@
 	r.site.note("the store has removed the entry of %s", r.id)
 }
 
-// spoiledBytes is the size of a spoiled answer.
-const spoiledBytes = 800
-
 // server is the replica's process.
 type server struct {
 	replicaOptions
+	started time.Time
 	leaving atomic.Bool
 	mu      sync.Mutex
 }
@@ -209,13 +211,15 @@
 // runReplica serves as a replica until the process ends.
 func runReplica(args []string) int {
 	flags := flag.NewFlagSet(replicaCommand, flag.ContinueOnError)
-	s := &server{}
+	s := &server{started: time.Now()}
 	flags.StringVar(&s.id, "id", "", "id of the replica")
 	flags.StringVar(&s.address, "listen", "", "IP:port")
 	flags.IntVar(&s.events, "events", 0, "events of a stream; zero for plain answers")
 	flags.DurationVar(&s.interval, "interval", 0, "time between pieces")
 	flags.BoolVar(&s.unframed, "unframed", false, "answers have neither length nor chunks")
-	flags.Float64Var(&s.spoils, "spoils", 0, "share of plain answers without a stamp and with wrong bytes")
+	flags.StringVar(&s.crashPart, "crash-part", "", "part of prompts on which the replica crashes")
+	flags.DurationVar(&s.rejectFor, "reject-for", 0, "how long after its start it turns requests away")
+	flags.DurationVar(&s.pause, "pause", 0, "the pause that it asks for then")
 	flags.Int64Var(&s.born, "born", 0, "start in Unix milliseconds")
 	if err := flags.Parse(args); err != nil {
 		return statusFailed
@@ -304,6 +308,10 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if time.Since(s.started) < s.rejectFor {
+		s.reject(w, id)
+		return
+	}
 	s.tell(id, "arrived", 0)
 	defer s.tell(id, "ended", 0)
 	h := w.Header()
@@ -311,11 +319,6 @@
 	if s.unframed {
 		h.Set("Transfer-Encoding", "identity") // net/http sends no framing then
 	}
-	if s.events == 0 && rand.Float64() < s.spoils {
-		h.Del("X-Response-Stamp")
-		s.writePiece(w, req.Context(), id, 1, strings.Repeat("\x00\xff", spoiledBytes/2))
-		return
-	}
 	if s.events == 0 {
 		h.Set("Content-Type", "text/plain")
 		s.writePiece(w, req.Context(), id, 1, firstHalf(id))
@@ -324,6 +327,13 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("X-Weight-Versions", "1")
+	if s.crashesOn(req) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		s.tell(id, "crash", 0)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		select {}
+	}
 	last, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	if err != nil {
 		last = 0
@@ -335,6 +345,22 @@
 	}
 }
 
+// reject turns a request away and asks for a pause.
+func (s *server) reject(w http.ResponseWriter, id string) {
+	s.tell(id, "reached", 0)
+	time.Sleep(rejectTime)
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(s.pause.Seconds(), 'f', -1, 64))
+	s.tell(id, "rejected", 0)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// crashesOn reports whether a prompt has the part on which the replica crashes.
+func (s *server) crashesOn(req *http.Request) bool {
+	parts := strings.Split(req.Header.Get("X-Prefix-Hash"), ",")
+	return s.crashPart != "" && slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool { return strings.HasPrefix(p, s.crashPart+":") })
+}
+
 // writePiece writes one piece of an answer after the interval. It returns false if the caller
 // has left.
 func (s *server) writePiece(w http.ResponseWriter, ctx context.Context, id string, n int, piece string) bool {
--- a/review/common-3/restart.go
+++ b/review/common-3/restart.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -26,7 +25,7 @@
 // chunks, one after the other; each is started again at once. No answer may end as complete
 // without its second half. Without the trouble no replica crashes.
 func restartCase(s *site) (bool, error) {
-	if _, err := s.startPlain(plainReplicas, true, 0); err != nil {
+	if _, err := s.startPlain(plainReplicas, true); err != nil {
 		return false, err
 	}
 	clients := s.startClients()
@@ -68,7 +67,7 @@
 // returns it.
 func (s *site) awaitAnswering() *replica {
 	for deadline := time.Now().Add(answeringTimeout); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
-		for _, r := range s.replicas {
+		for _, r := range s.all() {
 			if !r.hasEnded() && r.answering() > 0 {
 				return r
 			}
@@ -115,44 +114,5 @@
 	return next.register("ready")
 }
 
-// clients send requests until they are stopped.
-type clients struct {
-	stopped chan struct{}
-	running sync.WaitGroup
-
-	mu      sync.Mutex
-	answers []answer
-}
-
-// startClients starts clients at all hosts, which look up and book visits by turns.
-func (s *site) startClients() *clients {
-	c := &clients{stopped: make(chan struct{})}
-	for i := range clientsPerHost * len(s.hosts) {
-		c.running.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-c.stopped:
-					return
-				case <-time.After(requestPause):
-				}
-				var a answer
-				if n%2 == 0 {
-					a = s.hosts[i%len(s.hosts)].send(http.MethodGet, "/status/1", nil)
-				} else {
-					a = s.hosts[i%len(s.hosts)].send(http.MethodPost, "/book/1", nil)
-				}
-				c.mu.Lock()
-				c.answers = append(c.answers, a)
-				c.mu.Unlock()
-			}
-		})
-	}
-	return c
-}
-
-// stop stops the clients and returns what they got.
-func (c *clients) stop() []answer {
-	close(c.stopped)
-	c.running.Wait()
-	return c.answers
-}
+// startClients starts the usual clients at all hosts.
+func (s *site) startClients() *clients { return startLoad(s.hosts, clientsPerHost, requestPause) }
--- a/review/common-3/site.go
+++ b/review/common-3/site.go
@@ -57,6 +57,7 @@
 	started  time.Time
 
 	mu       sync.Mutex
+	closed   bool
 	record   *os.File
 	hosts    []*host
 	replicas []*replica
@@ -112,6 +113,20 @@
 	_, _ = fmt.Fprintf(s.record, "            "+format+"\n", args...)
 }
 
+// all returns all replicas that were started.
+func (s *site) all() []*replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*replica(nil), s.replicas...)
+}
+
+// isClosed reports whether the case has ended.
+func (s *site) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // listAnswers writes to the record what was sent, what the replicas ran of it, and what the
 // clients got.
 func (s *site) listAnswers(answers []answer) {
@@ -124,6 +139,7 @@
 // close ends all processes and removes the temporary folder.
 func (s *site) close() {
 	s.mu.Lock()
+	s.closed = true
 	hosts, replicas, closers := s.hosts, s.replicas, s.closers
 	s.hosts, s.replicas, s.closers = nil, nil, nil
 	s.mu.Unlock()
