--- a/review/common-3/restart.go
+++ b/review/common-3/restart.go
@@ -18,7 +18,7 @@
 	// answeringTimeout bounds the wait for a replica that is in the middle of an answer.
 	answeringTimeout = time.Second
 	// restartDelay is how long a supervisor waits before it starts a replica again.
-	restartDelay = 50 * time.Millisecond
+	restartDelay = 20 * time.Millisecond
 )
 
 // restartCase crashes replicas of a plain service, whose answers have neither a length nor
