--- a/review/common-3/client.go
+++ b/review/common-3/client.go
@@ -17,7 +17,9 @@
 
 // answer is what a client got.
 type answer struct {
-	id     string
+	id string
+	// asked is the method and path of the request.
+	asked  string
 	host   string
 	sentAt time.Time
 	// endedAt is when the answer ended.
@@ -34,7 +36,7 @@
 
 // send sends one request on a channel of its own.
 func (h *host) send(method, path string, header map[string]string) answer {
-	a := answer{id: newID(), host: h.id, sentAt: time.Now()}
+	a := answer{id: newID(), asked: method + " " + path, host: h.id, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
 	var body io.Reader
@@ -89,7 +91,7 @@
 
 func (a *answer) String() string {
 	if a.err != nil {
-		return fmt.Sprintf("request %s at %s: status %d, %d bytes, not whole: %v", a.id, a.host, a.status, len(a.body), a.err)
+		return fmt.Sprintf("request %s (%s) at %s: status %d, %d bytes, not whole: %v", a.id, a.asked, a.host, a.status, len(a.body), a.err)
 	}
-	return fmt.Sprintf("request %s at %s: status %d, %d bytes, whole", a.id, a.host, a.status, len(a.body))
+	return fmt.Sprintf("request %s (%s) at %s: status %d, %d bytes, whole", a.id, a.asked, a.host, a.status, len(a.body))
 }
--- a/review/common-3/replica.go
+++ b/review/common-3/replica.go
@@ -85,14 +85,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.process.Start(); err != nil {
+	if err := s.startProcess(r.process, func() { s.replicas = append(s.replicas, r) }); err != nil {
 		return nil, err
 	}
 	listening := make(chan struct{})
 	go r.read(out, listening)
-	s.mu.Lock()
-	s.replicas = append(s.replicas, r)
-	s.mu.Unlock()
 	select {
 	case <-listening:
 		return r, nil
--- a/review/common-3/site.go
+++ b/review/common-3/site.go
@@ -56,6 +56,8 @@
 	trouble  bool
 	started  time.Time
 
+	closeOnce sync.Once
+
 	mu       sync.Mutex
 	closed   bool
 	record   *os.File
@@ -127,6 +129,20 @@
 	return s.closed
 }
 
+// startProcess starts a process and notes it for close. It starts none once the case has ended.
+func (s *site) startProcess(cmd *exec.Cmd, note func()) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errors.New("the case has ended")
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	note()
+	return nil
+}
+
 // listAnswers writes to the record what was sent, what the replicas ran of it, and what the
 // clients got.
 func (s *site) listAnswers(answers []answer) {
@@ -136,28 +152,30 @@
 	}
 }
 
-// close ends all processes and removes the temporary folder.
+// close ends all processes and removes the temporary folder, once. Requests may still be on their
+// way, so that the lists stay as they are.
 func (s *site) close() {
-	s.mu.Lock()
-	s.closed = true
-	hosts, replicas, closers := s.hosts, s.replicas, s.closers
-	s.hosts, s.replicas, s.closers = nil, nil, nil
-	s.mu.Unlock()
-	for _, h := range hosts {
-		h.kill()
-	}
-	for _, r := range replicas {
-		r.kill()
-	}
-	for _, f := range closers {
-		f()
-	}
-	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(s.dir)
-	} else {
-		fmt.Println("logs are in", s.dir)
-	}
-	_ = s.record.Close()
+	s.closeOnce.Do(func() {
+		s.mu.Lock()
+		s.closed = true // startProcess starts no other from now on
+		hosts, replicas, closers := s.hosts, s.replicas, s.closers
+		s.mu.Unlock()
+		for _, h := range hosts {
+			h.kill()
+		}
+		for _, r := range replicas {
+			r.kill()
+		}
+		for _, f := range closers {
+			f()
+		}
+		if os.Getenv("KEEP_LOGS") == "" {
+			_ = os.RemoveAll(s.dir)
+		} else {
+			fmt.Println("logs are in", s.dir)
+		}
+		_ = s.record.Close()
+	})
 }
 
 // loopback returns a loopback address on which the ports of a host are free.
@@ -314,18 +332,20 @@
 	cmd := exec.Command("target/sequoiaroad", "route", "--metrics-listen", h.address(metricsPort))
 	cmd.Env = append(os.Environ(), "SEQUOIAROAD_NODE_FILE="+h.settings, "SEQUOIAROAD_FLEET_SECRET=change-me-per-installation")
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	exited := make(chan struct{})
+	err = h.site.startProcess(cmd, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.process, h.exited = cmd, exited
+	})
+	if err != nil {
 		return errors.Join(err, log.Close())
 	}
-	exited := make(chan struct{})
 	go func() {
 		_ = cmd.Wait() // its status is that of a signal
 		_ = log.Close()
 		close(exited)
 	}()
-	h.mu.Lock()
-	h.process, h.exited = cmd, exited
-	h.mu.Unlock()
 	return nil
 }
 
